--- /dev/null
+++ b/cmake/compiler_cache.cmake
@@ -0,0 +1,4 @@
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+    set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
--- /dev/null
+++ b/cmake/sanitizers.cmake
@@ -0,0 +1,5 @@
+option(CROCUSCOVE_SANITIZE "Build with AddressSanitizer and UndefinedBehaviorSanitizer" OFF)
+if(CROCUSCOVE_SANITIZE)
+    add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
+    add_link_options(-fsanitize=address,undefined)
+endif()
