Add the Raft core and the data folder

Cause: documents, claims and VM records need one replicated, durable order (docs/design.md, section 8).

--- /dev/null
+++ b/src/crocuscove/consensus/raft_membership.cpp
@@ -0,0 +1,111 @@
+#include "crocuscove/consensus/raft_core.h"
+
+#include <algorithm>
+
+namespace crocuscove::consensus {
+
+namespace {
+
+using NodeList = std::vector<base::NodeId>;
+
+void insertSorted(NodeList& nodes, const base::NodeId& node)
+{
+    nodes.insert(std::ranges::upper_bound(nodes, node), node);
+}
+
+Membership changed(Membership membership, const MembershipChange& change)
+{
+    std::erase(membership.learners, change.node);
+    std::erase(membership.voters, change.node);
+    if (change.kind == ChangeKind::AddLearner) {
+        insertSorted(membership.learners, change.node);
+    } else if (change.kind == ChangeKind::PromoteLearner) {
+        insertSorted(membership.voters, change.node);
+    }
+    return membership;
+}
+
+} // namespace
+
+std::optional<ChangeRefusal> Raft::Core::changeRefusal(const MembershipChange& change) const
+{
+    const Membership& membership = m_log.membership();
+    const bool isVoter = membership.isVoter(change.node);
+    const bool isLearner = membership.isLearner(change.node);
+    if (m_role != Role::Leader) {
+        return ChangeRefusal::NotLeader;
+    }
+    // A change before the first commit of a term could overlap a change of the previous leader that this one has not
+    // seen, and two overlapping changes can form disjoint quorums.
+    const bool inProgress = m_log.membershipIndex() > m_commit || !hasCommittedInTerm();
+    if (inProgress && m_options.fault != Fault::ChangesManyVotersAtOnce) {
+        return ChangeRefusal::ChangeInProgress;
+    }
+    if (!hasRoomFor(maxEntryBytes)) {
+        return ChangeRefusal::Busy;
+    }
+    if (change.kind == ChangeKind::AddLearner) {
+        if (isVoter || isLearner) {
+            return ChangeRefusal::AlreadyMember;
+        }
+        const bool isFull = membership.voters.size() + membership.learners.size() >= maxMembers;
+        return isFull || change.node.empty() ? std::optional(ChangeRefusal::TooManyMembers) : std::nullopt;
+    }
+    if (change.kind == ChangeKind::PromoteLearner) {
+        if (!isLearner) {
+            return isVoter ? ChangeRefusal::AlreadyMember : ChangeRefusal::NotMember;
+        }
+        const bool lags = matchIndex(change.node).value_or(0) + m_options.maxPromotionLag < m_commit;
+        return lags ? std::optional(ChangeRefusal::LearnerLagsBehind) : std::nullopt;
+    }
+    if (!isVoter && !isLearner) {
+        return ChangeRefusal::NotMember;
+    }
+    return isVoter && membership.voters.size() == 1 ? std::optional(ChangeRefusal::LastVoter) : std::nullopt;
+}
+
+std::optional<Index> Raft::Core::proposeMembership(base::MonotonicTime now, const MembershipChange& change)
+{
+    advanceTo(now);
+    if (changeRefusal(change)) {
+        return std::nullopt;
+    }
+    const std::optional<Index> index
+        = propose(now, EntryKind::Membership, encodeMembership(changed(m_log.membership(), change)));
+    if (index) {
+        updateProgress();
+    }
+    return index;
+}
+
+/// Follows exactly the members other than this node.
+void Raft::Core::updateProgress()
+{
+    const Membership& membership = m_log.membership();
+    std::erase_if(m_progress, [&membership](const auto& item) {
+        return !membership.isVoter(item.first) && !membership.isLearner(item.first);
+    });
+    Progress fresh;
+    fresh.next = m_log.lastIndex() + 1;
+    const auto follow = [this, &fresh](const base::NodeId& node) {
+        if (!isSelf(node)) {
+            m_progress.try_emplace(node, fresh);
+        }
+    };
+    std::ranges::for_each(membership.voters, follow);
+    std::ranges::for_each(membership.learners, follow);
+}
+
+std::optional<Index> Raft::Core::matchIndex(const base::NodeId& node) const
+{
+    if (m_role != Role::Leader) {
+        return std::nullopt;
+    }
+    if (isSelf(node)) {
+        return m_log.persistedIndex();
+    }
+    const auto progress = m_progress.find(node);
+    return progress == m_progress.end() ? std::nullopt : std::optional(progress->second.match);
+}
+
+} // namespace crocuscove::consensus
--- /dev/null
+++ b/src/crocuscove/storage/data_folder.cpp
@@ -0,0 +1,327 @@
+#include "crocuscove/storage/data_folder.h"
+
+#include "crocuscove/storage/recovery.h"
+#include "crocuscove/storage/term_runs.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace crocuscove::storage {
+
+namespace {
+
+std::uint64_t randomFolderId()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>()(device);
+}
+
+struct Segment {
+    consensus::Index firstIndex = 1;
+    std::uint64_t bytes = 0;
+};
+
+} // namespace
+
+class DataFolder::Impl {
+public:
+    explicit Impl(DataFolderOptions options)
+        : m_options(std::move(options))
+        , m_lock(lockFolder())
+    {
+        FolderListing listing = listDataFolder(files(), path());
+        removeTemporary(listing);
+        if (!listing.hasFormat) {
+            createFiles(listing);
+            listing.segments = { 1 };
+        }
+        m_folderId = readFormat(files(), path()).folderId;
+        recover(listing);
+    }
+
+    Recovered takeRecovered() { return std::exchange(m_recovered, {}); }
+
+    [[nodiscard]] std::uint64_t folderId() const { return m_folderId; }
+
+    void append(const std::optional<consensus::HardState>& hardState, std::span<const consensus::Entry> entries)
+    {
+        requireUsable();
+        if (hardState) {
+            m_hardState = *hardState;
+            appendRecord(m_buffer, m_segments.back().bytes, *hardState);
+        }
+        for (const consensus::Entry& entry : entries) {
+            if (!m_terms.accepts(entry.index, entry.term) || entry.term > m_hardState.term) {
+                throw base::Error(fmt::format(
+                    "entry {} of term {} doesn't continue the stored log, which ends at entry {} of term {}",
+                    entry.index, entry.term, m_terms.lastIndex(), m_terms.lastTerm()));
+            }
+            m_terms.append(entry.index, entry.term);
+            appendRecord(m_buffer, m_segments.back().bytes, entry);
+        }
+    }
+
+    void sync()
+    {
+        requireUsable();
+        guarded([this] { flush(); });
+    }
+
+    consensus::SnapshotMeta saveSnapshot(consensus::SnapshotMeta meta, std::string_view data)
+    {
+        requireUsable();
+        const std::uint64_t checksum = checksumOf(data);
+        const bool differs = (meta.size != 0 && meta.size != data.size())
+            || (meta.checksum != 0 && meta.checksum != checksum) || meta.index <= m_snapshot.index;
+        if (differs) {
+            throw StorageError(StorageFault::Corrupt, path() + "/" + snapshotName(meta.index), 0,
+                "the snapshot differs from its stated size or checksum, or isn't newer than the stored one");
+        }
+        meta.size = data.size();
+        meta.checksum = checksum;
+        sync();
+        guarded([&] {
+            m_snapshotDataOffset = writeSnapshotFile(files(), path(), meta, data);
+            const consensus::Index older = std::exchange(m_snapshot, meta).index;
+            if (m_terms.termAt(meta.index) != meta.term) {
+                resetLog();
+            }
+            if (older > 0) {
+                removeFile(snapshotName(older));
+            }
+            removeCoveredSegments();
+        });
+        return meta;
+    }
+
+    [[nodiscard]] std::string readSnapshot(consensus::Index index, std::uint64_t offset, std::size_t maxBytes) const
+    {
+        if (index != m_snapshot.index || index == 0 || offset >= m_snapshot.size) {
+            return {};
+        }
+        const File file(files(), path() + "/" + snapshotName(index), OpenMode::Read);
+        return file.read(m_snapshotDataOffset + offset, std::min<std::uint64_t>(maxBytes, m_snapshot.size - offset));
+    }
+
+    [[nodiscard]] std::uint64_t logBytes() const
+    {
+        std::uint64_t bytes = 0;
+        std::ranges::for_each(m_segments, [&bytes](const Segment& segment) { bytes += segment.bytes; });
+        return bytes;
+    }
+
+private:
+    [[nodiscard]] const FileHooks& files() const { return m_options.files; }
+    [[nodiscard]] const std::string& path() const { return m_options.path; }
+
+    File lockFolder()
+    {
+        checkResult(files().makeFolder(path()), path(), 0, "create folder");
+        File lock(files(), path() + "/" + std::string(lockName), OpenMode::Lock);
+        lock.lock();
+        return lock;
+    }
+
+    void removeTemporary(const FolderListing& listing)
+    {
+        std::ranges::for_each(listing.temporary, [this](const std::string& name) { removeFile(name); });
+    }
+
+    /// FORMAT is written last, so that a folder with FORMAT and without a segment has lost its log.
+    void createFiles(const FolderListing& listing)
+    {
+        const bool isInterrupted = listing.segments == std::vector<consensus::Index> { 1 } && holdsOnlyHeader(1);
+        if (!listing.snapshots.empty() || (!listing.segments.empty() && !isInterrupted)) {
+            throw StorageError(StorageFault::Corrupt, path() + "/" + std::string(formatName), 0, "the file is missing");
+        }
+        startSegment();
+        std::string format;
+        const std::uint64_t id = m_options.chooseFolderId ? m_options.chooseFolderId() : randomFolderId();
+        appendRecord(format, 0, FormatRecord { formatVersion, id });
+        writeWholeFile(files(), path(), std::string(formatName), { format });
+    }
+
+    [[nodiscard]] bool holdsOnlyHeader(consensus::Index firstIndex) const
+    {
+        const File file(files(), path() + "/" + segmentName(firstIndex), OpenMode::Read);
+        const std::string bytes = file.read(0, file.size());
+        return readRecord(bytes, 0).size == bytes.size();
+    }
+
+    void recover(const FolderListing& listing)
+    {
+        FolderContent content = readFolderContent(files(), path(), listing);
+        loadSegments(listing);
+        m_segments.back().bytes = content.lastSegmentBytes;
+        m_file.emplace(files(), path() + "/" + segmentName(m_segments.back().firstIndex), OpenMode::Append);
+        if (content.tornTail) {
+            m_file->truncate(content.tornTail->offset);
+            m_file->sync();
+        }
+        m_hardState = content.log.hardState;
+        if (content.snapshot) {
+            m_snapshot = content.snapshot->meta;
+            m_snapshotDataOffset = snapshotDataOffset(m_snapshot);
+        }
+        m_terms = TermRuns(content.log.previousIndex, content.log.previousTerm);
+        for (const consensus::Entry& entry : content.log.entries) {
+            m_terms.append(entry.index, entry.term);
+        }
+        finishInterrupted(content, listing);
+        m_recovered.isNew = m_hardState.term == 0 && !content.snapshot && content.log.entries.empty();
+        m_recovered.restored = { m_hardState, m_snapshot, std::move(content.log.entries) };
+        m_recovered.snapshotData = content.snapshot ? std::move(content.snapshot->data) : std::string();
+        m_recovered.tornTail = std::move(content.tornTail);
+    }
+
+    void loadSegments(const FolderListing& listing)
+    {
+        m_segments.clear();
+        for (const consensus::Index firstIndex : listing.segments) {
+            const File file(files(), path() + "/" + segmentName(firstIndex), OpenMode::Read);
+            m_segments.push_back({ firstIndex, file.size() });
+        }
+    }
+
+    /// Does what a crash during saveSnapshot left undone.
+    void finishInterrupted(const FolderContent& content, const FolderListing& listing)
+    {
+        if (content.needsHardState) {
+            append(m_hardState, {});
+        }
+        if (content.needsReset) {
+            resetLog();
+        }
+        flush();
+        for (const consensus::Index index : listing.snapshots) {
+            if (index != m_snapshot.index) {
+                removeFile(snapshotName(index));
+            }
+        }
+        removeCoveredSegments();
+    }
+
+    void flush()
+    {
+        if (m_buffer.empty()) {
+            return;
+        }
+        Segment& segment = m_segments.back();
+        m_file->write(m_buffer, segment.bytes);
+        m_file->sync();
+        segment.bytes += m_buffer.size();
+        m_buffer.clear();
+        // Names of segments must rise, also after entries of an earlier segment were replaced.
+        if (segment.bytes >= m_options.segmentBytes && m_terms.lastIndex() + 1 > segment.firstIndex) {
+            startSegment();
+        }
+    }
+
+    /// Starts a segment under a temporary name, so that a segment always has a whole header.
+    void startSegment()
+    {
+        const consensus::Index firstIndex = m_terms.lastIndex() + 1;
+        std::string header;
+        appendRecord(header, 0, SegmentHeader { firstIndex, m_terms.lastTerm(), m_hardState });
+        writeWholeFile(files(), path(), segmentName(firstIndex), { header });
+        m_file.emplace(files(), path() + "/" + segmentName(firstIndex), OpenMode::Append);
+        m_segments.push_back({ firstIndex, header.size() });
+    }
+
+    void resetLog()
+    {
+        appendRecord(m_buffer, m_segments.back().bytes, LogReset { m_snapshot.index, m_snapshot.term });
+        m_terms = TermRuns(m_snapshot.index, m_snapshot.term);
+        flush();
+    }
+
+    void removeCoveredSegments()
+    {
+        bool removed = false;
+        while (m_segments.size() > 1 && m_segments[1].firstIndex <= m_snapshot.index + 1) {
+            removeFile(segmentName(m_segments.front().firstIndex));
+            m_segments.erase(m_segments.begin());
+            removed = true;
+        }
+        if (removed) {
+            checkResult(files().syncFolder(path()), path(), 0, "sync folder");
+        }
+        m_terms.dropThrough(m_snapshot.index);
+    }
+
+    void removeFile(const std::string& name)
+    {
+        const std::string file = path() + "/" + name;
+        checkResult(files().remove(file), file, 0, "remove");
+    }
+
+    void requireUsable() const
+    {
+        if (m_failed) {
+            throw StorageError(StorageFault::FailedBefore, path(), 0, "an earlier write failed; open the folder again");
+        }
+    }
+
+    /// Runs a change of the disk. After a failure the content of the disk is unknown, so that later calls are refused.
+    template <typename Change> void guarded(Change change)
+    {
+        m_failed = true;
+        change();
+        m_failed = false;
+    }
+
+    DataFolderOptions m_options;
+    File m_lock;
+    std::uint64_t m_folderId = 0;
+    std::vector<Segment> m_segments;
+    std::optional<File> m_file;
+    std::string m_buffer;
+    consensus::HardState m_hardState;
+    consensus::SnapshotMeta m_snapshot;
+    std::uint64_t m_snapshotDataOffset = 0;
+    TermRuns m_terms;
+    Recovered m_recovered;
+    bool m_failed = false;
+};
+
+DataFolder::DataFolder(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+DataFolder::~DataFolder() = default;
+DataFolder::DataFolder(DataFolder&&) noexcept = default;
+DataFolder& DataFolder::operator=(DataFolder&&) noexcept = default;
+
+DataFolder DataFolder::open(DataFolderOptions options)
+{
+    return DataFolder(std::make_unique<Impl>(std::move(options)));
+}
+
+Recovered DataFolder::takeRecovered() { return m_impl->takeRecovered(); }
+
+std::uint64_t DataFolder::folderId() const { return m_impl->folderId(); }
+
+void DataFolder::append(const std::optional<consensus::HardState>& hardState, std::span<const consensus::Entry> entries)
+{
+    m_impl->append(hardState, entries);
+}
+
+void DataFolder::sync() { m_impl->sync(); }
+
+consensus::SnapshotMeta DataFolder::saveSnapshot(consensus::SnapshotMeta meta, std::string_view data)
+{
+    return m_impl->saveSnapshot(std::move(meta), data);
+}
+
+std::string DataFolder::readSnapshot(consensus::Index index, std::uint64_t offset, std::size_t maxBytes) const
+{
+    return m_impl->readSnapshot(index, offset, maxBytes);
+}
+
+std::uint64_t DataFolder::logBytes() const { return m_impl->logBytes(); }
+
+} // namespace crocuscove::storage
--- /dev/null
+++ b/src/crocuscove/storage/file.cpp
@@ -0,0 +1,124 @@
+#include "crocuscove/storage/file.h"
+
+#include <fmt/format.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace crocuscove::storage {
+
+namespace {
+
+StorageFault faultOf(std::int64_t errorNumber)
+{
+    switch (errorNumber) {
+    case ENOSPC:
+    case EDQUOT:
+        return StorageFault::DiskFull;
+    case EWOULDBLOCK:
+        return StorageFault::Locked;
+    default:
+        return StorageFault::InputOutput;
+    }
+}
+
+} // namespace
+
+std::int64_t checkResult(std::int64_t result, const std::string& path, std::uint64_t offset, std::string_view what)
+{
+    if (result < 0) {
+        const auto errorNumber = static_cast<int>(-result);
+        throw StorageError(faultOf(errorNumber), path, offset, fmt::format("{}: {}", what, std::strerror(errorNumber)));
+    }
+    return result;
+}
+
+File::File(const FileHooks& hooks, std::string path, OpenMode mode)
+    : m_hooks(&hooks)
+    , m_path(std::move(path))
+    , m_file(static_cast<int>(checkResult(hooks.open(m_path, mode), m_path, 0, "open")))
+{
+}
+
+File::~File()
+{
+    if (m_file >= 0) {
+        // Whatever must be durable was synced before, so an error has no consequence here.
+        m_hooks->close(m_file);
+    }
+}
+
+File::File(File&& other) noexcept
+    : m_hooks(other.m_hooks)
+    , m_path(std::move(other.m_path))
+    , m_file(std::exchange(other.m_file, -1))
+{
+}
+
+File& File::operator=(File&& other) noexcept
+{
+    std::swap(m_hooks, other.m_hooks);
+    std::swap(m_path, other.m_path);
+    std::swap(m_file, other.m_file);
+    return *this;
+}
+
+std::uint64_t File::size() const
+{
+    return static_cast<std::uint64_t>(checkResult(m_hooks->size(m_file), m_path, 0, "size"));
+}
+
+std::string File::read(std::uint64_t offset, std::size_t size) const
+{
+    std::string data(size, '\0');
+    std::size_t done = 0;
+    while (done < size) {
+        const std::int64_t count = m_hooks->read(m_file, data.data() + done, size - done, offset + done);
+        if (checkResult(count, m_path, offset + done, "read") == 0) {
+            break;
+        }
+        done += static_cast<std::size_t>(count);
+    }
+    data.resize(done);
+    return data;
+}
+
+void File::write(std::string_view data, std::uint64_t offset)
+{
+    while (!data.empty()) {
+        const std::int64_t count
+            = checkResult(m_hooks->write(m_file, data.data(), data.size()), m_path, offset, "write");
+        if (count == 0) {
+            throw StorageError(StorageFault::InputOutput, m_path, offset, "write: nothing was written");
+        }
+        data.remove_prefix(static_cast<std::size_t>(count));
+        offset += static_cast<std::uint64_t>(count);
+    }
+}
+
+void File::truncate(std::uint64_t size) { checkResult(m_hooks->truncate(m_file, size), m_path, size, "truncate"); }
+
+void File::sync() { checkResult(m_hooks->sync(m_file), m_path, 0, "sync"); }
+
+void File::lock() { checkResult(m_hooks->lock(m_file), m_path, 0, "lock, another process owns the folder"); }
+
+void writeWholeFile(const FileHooks& hooks, const std::string& folder, const std::string& name,
+    const std::vector<std::string_view>& parts)
+{
+    const std::string path = folder + "/" + name;
+    const std::string temporary = path + std::string(temporarySuffix);
+    {
+        File file(hooks, temporary, OpenMode::Create);
+        std::uint64_t offset = 0;
+        for (const std::string_view part : parts) {
+            file.write(part, offset);
+            offset += part.size();
+        }
+        file.sync();
+    }
+    checkResult(hooks.rename(temporary, path), path, 0, "rename");
+    checkResult(hooks.syncFolder(folder), folder, 0, "sync folder");
+}
+
+} // namespace crocuscove::storage
