Add the replicated state machine

Cause: documents, VM records, jobs and idempotency claims need one deterministic owner. A non-idempotent job whose run ended without a result is lost, never queued again, since a second start could repeat work.

--- a/include/crocuscove/base/id.h
+++ b/include/crocuscove/base/id.h
@@ -34,22 +34,10 @@
     [[nodiscard]] const std::string& text() const { return m_text; }
     [[nodiscard]] bool empty() const { return m_text.empty(); }
 
-    auto operator<=>(const Id&) const = default;
+    // The linter takes the comparison with 0 that the compiler generates for a null pointer.
+    auto operator<=>(const Id&) const = default; // NOLINT(modernize-use-nullptr)
     bool operator==(const Id&) const = default;
 
-    /// Hooks for the codec. An empty id stands for "none".
-    template <typename Packer> void msgpack_pack(Packer& packer) const { packer.pack(m_text); }
-
-    template <typename Object> void msgpack_unpack(const Object& object)
-    {
-        std::string text;
-        object.convert(text);
-        if (!text.empty()) {
-            requireValidId(text, Tag::name);
-        }
-        m_text = std::move(text);
-    }
-
 private:
     std::string m_text;
 };
--- /dev/null
+++ b/src/crocuscove/state/apply_vm.cpp
@@ -0,0 +1,99 @@
+#include "crocuscove/state/state.h"
+
+namespace crocuscove::state {
+
+namespace {
+
+bool isPlannedStop(VmPhase phase)
+{
+    return phase == VmPhase::Draining || phase == VmPhase::Rebooting || phase == VmPhase::Returning;
+}
+
+void completeOperation(VmRecord& record, base::WallTime now)
+{
+    if (record.reason == VmReason::Maintenance) {
+        record.lastMaintained = now;
+    }
+    record.moveTarget.reset();
+    record.reason = VmReason::None;
+    record.operation = 0;
+}
+
+} // namespace
+
+CommandResult State::run(std::uint64_t, const RegisterVm& command)
+{
+    const auto known = m_vms.find(command.vm);
+    if (known == m_vms.end() && m_vms.size() >= maxVms) {
+        return { ResultCode::LimitReached, 0, "too many VMs", {} };
+    }
+    if (known == m_vms.end()) {
+        VmRecord record;
+        record.vm = command.vm;
+        record.pool = command.pool;
+        record.phaseSince = m_now;
+        record.lastMaintained = m_now;
+        m_vms.emplace(command.vm, std::move(record));
+    }
+    VmRecord& record = m_vms[command.vm];
+    record.dataCentre = command.dataCentre;
+    record.rack = command.rack;
+    record.capacity = command.capacity;
+    return {};
+}
+
+CommandResult State::run(std::uint64_t index, const MoveVm& command)
+{
+    const auto entry = m_vms.find(command.vm);
+    if (entry == m_vms.end()) {
+        return { ResultCode::NotFound, 0, "unknown VM", {} };
+    }
+    VmRecord& record = entry->second;
+    if (record.phase != VmPhase::Serving || record.pool != command.from || command.to.empty()) {
+        return { ResultCode::Refused, 0, "the VM is not serving in the pool it is to leave", {} };
+    }
+    record.phase = VmPhase::Draining;
+    record.reason = VmReason::Move;
+    record.moveTarget = command.to;
+    record.bootsAtDrain = command.boots;
+    record.operation = index;
+    record.phaseSince = m_now;
+    return { ResultCode::Ok, index, "", {} };
+}
+
+CommandResult State::run(std::uint64_t index, const SetVmPhase& command)
+{
+    const auto entry = m_vms.find(command.vm);
+    if (entry == m_vms.end()) {
+        return { ResultCode::NotFound, 0, "unknown VM", {} };
+    }
+    VmRecord& record = entry->second;
+    if (record.phase != command.expected || record.operation != command.operation) {
+        return { ResultCode::Refused, 0, "the VM is in another phase or operation", {} };
+    }
+    record.phase = command.phase;
+    record.phaseSince = m_now;
+    if (command.phase == VmPhase::Serving) {
+        completeOperation(record, m_now);
+    } else if (command.phase == VmPhase::Lost) {
+        record.reason = VmReason::Failure;
+    } else if (record.operation == 0 && isPlannedStop(command.phase)) {
+        record.operation = index;
+        record.reason = command.reason;
+        record.bootsAtDrain = command.boots;
+    }
+    // The one committed entry that ends the drain of a move also changes the pool.
+    if (record.moveTarget && command.phase == VmPhase::Rebooting) {
+        record.pool = *record.moveTarget;
+        record.moveTarget.reset();
+    }
+    return { ResultCode::Ok, record.operation, "", {} };
+}
+
+CommandResult State::run(std::uint64_t, const RemoveVm& command)
+{
+    return m_vms.erase(command.vm) == 1 ? CommandResult {}
+                                        : CommandResult { ResultCode::NotFound, 0, "unknown VM", {} };
+}
+
+} // namespace crocuscove::state
--- /dev/null
+++ b/src/crocuscove/state/snapshot.cpp
@@ -0,0 +1,84 @@
+#include "crocuscove/state/codec.h"
+#include "crocuscove/state/state.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace crocuscove::state {
+
+namespace {
+
+constexpr std::uint32_t snapshotVersion = 1;
+
+struct EncodedState {
+    std::uint32_t version = snapshotVersion;
+    std::uint64_t appliedIndex = 0;
+    base::WallTime now;
+    std::map<base::ServiceId, std::vector<DocumentRevision>> documents;
+    std::map<base::VmId, VmRecord> vms;
+    std::map<base::JobId, JobRecord> jobs;
+    std::map<ClaimKey, ClaimRecord> claims;
+    std::map<std::string, CommandResult> requestResults;
+    std::deque<std::string> requestOrder;
+};
+
+CROCUSCOVE_FIELDS(EncodedState, v.version, v.appliedIndex, v.now, v.documents, v.vms, v.jobs, v.claims,
+    v.requestResults, v.requestOrder)
+
+DocumentRecord makeDocumentRecord(const base::ServiceId& service, std::vector<DocumentRevision> revisions)
+{
+    if (revisions.empty()) {
+        throw base::Error("snapshot has a document without revisions: " + service.text());
+    }
+    auto parsed = document::parseDocument(revisions.back().text, service.text());
+    if (!parsed.document) {
+        throw base::Error("snapshot has a document that does not parse: " + service.text());
+    }
+    return { std::move(revisions), std::make_shared<const document::Document>(std::move(*parsed.document)) };
+}
+
+} // namespace
+
+std::string State::encodeSnapshot() const
+{
+    EncodedState encoded;
+    encoded.appliedIndex = m_appliedIndex;
+    encoded.now = m_now;
+    std::ranges::for_each(
+        m_documents, [&](const auto& entry) { encoded.documents.emplace(entry.first, entry.second.revisions); });
+    encoded.vms = m_vms;
+    encoded.jobs = m_jobs;
+    encoded.claims = m_claims;
+    encoded.requestResults = m_requestResults;
+    encoded.requestOrder = m_requestOrder;
+    return base::encode(encoded);
+}
+
+void State::restoreSnapshot(std::string_view bytes)
+{
+    auto encoded = base::decode<EncodedState>(bytes);
+    if (encoded.version != snapshotVersion) {
+        throw base::Error("snapshot has an unsupported version");
+    }
+    State restored;
+    restored.m_appliedIndex = encoded.appliedIndex;
+    restored.m_now = encoded.now;
+    std::ranges::for_each(encoded.documents, [&](auto& entry) {
+        restored.m_documents.emplace(entry.first, makeDocumentRecord(entry.first, std::move(entry.second)));
+    });
+    restored.m_vms = std::move(encoded.vms);
+    restored.m_jobs = std::move(encoded.jobs);
+    restored.m_claims = std::move(encoded.claims);
+    restored.m_requestResults = std::move(encoded.requestResults);
+    restored.m_requestOrder = std::move(encoded.requestOrder);
+    *this = std::move(restored);
+}
+
+std::uint64_t State::digest() const
+{
+    const std::string bytes = encodeSnapshot();
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+} // namespace crocuscove::state
--- /dev/null
+++ b/src/crocuscove/state/state_test.cpp
@@ -0,0 +1,260 @@
+#include "crocuscove/state/state.h"
+
+#include "crocuscove/base/error.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace crocuscove::state {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string documentText(const std::string& service, int minimum)
+{
+    return "schema: crocuscove/v1\nkind: service\nservice: " + service
+        + "\nteam: shops\npool:\n  name: main\n  executors: {min: " + std::to_string(minimum)
+        + ", max: 12, spare: 1}\navailability:\n  minAvailablePercent: 50\nroutes:\n  - pathPrefix: /" + service
+        + "\nrequests:\n  - name: all\n    pathPrefix: /\n    class: short\n    deadlineMs: 1000\n    idempotent: "
+          "true\n";
+}
+
+PutDocument putDocument(const std::string& requestId, std::uint64_t expected, int minimum = 2)
+{
+    return { requestId, base::ServiceId("pricing"), expected, documentText("pricing", minimum) };
+}
+
+JobSpec jobSpec(const std::string& job, bool isIdempotent)
+{
+    return { base::JobId(job), base::TeamId("shops"), { 1, 1024, 0 }, isIdempotent, false, 10 };
+}
+
+ClaimIdempotencyKey claimKey(const std::string& requestId, std::uint64_t digest = 1)
+{
+    return { base::ServiceId("pricing"), "key", digest, base::NodeId("n1"), requestId, base::WallTime(1000ms) };
+}
+
+// Guards against two writers with equal expected revisions both believing that theirs is in force.
+TEST(StateDocuments, OneOfTwoRacingWritersWins)
+{
+    State state;
+    EXPECT_EQ(state.apply(1, putDocument("a", 0)).number, 1U);
+    const auto second = state.apply(2, putDocument("b", 0, 3));
+    EXPECT_EQ(second.code, ResultCode::Conflict);
+    EXPECT_EQ(second.number, 1U);
+    EXPECT_EQ(state.serviceDocument(base::ServiceId("pricing"))->pool.executors.minimum, 2U);
+}
+
+// Guards against a resend after a lost answer storing a second revision, or being told of a conflict with itself.
+TEST(StateDocuments, ResendGetsTheFirstAnswer)
+{
+    State state;
+    state.apply(1, putDocument("a", 0));
+    state.apply(2, putDocument("b", 1, 3));
+    const auto resent = state.apply(3, putDocument("a", 0));
+    EXPECT_EQ(resent.code, ResultCode::Ok);
+    EXPECT_EQ(resent.number, 1U);
+    EXPECT_EQ(state.documents().at(base::ServiceId("pricing")).revision(), 2U);
+}
+
+// Guards against an invalid text replacing the document in force.
+TEST(StateDocuments, InvalidTextChangesNothing)
+{
+    State state;
+    state.apply(1, putDocument("a", 0));
+    const auto result = state.apply(2, PutDocument { "b", base::ServiceId("pricing"), 1, "schema: [" });
+    EXPECT_EQ(result.code, ResultCode::InvalidDocument);
+    EXPECT_EQ(state.documents().at(base::ServiceId("pricing")).revision(), 1U);
+}
+
+// Guards against an entry that is delivered twice after a restart being applied twice.
+TEST(StateApply, IgnoresOldIndexes)
+{
+    State state;
+    state.apply(5, putDocument("a", 0));
+    EXPECT_EQ(state.apply(5, putDocument("b", 1)).code, ResultCode::Repeated);
+    EXPECT_EQ(state.documents().at(base::ServiceId("pricing")).revision(), 1U);
+}
+
+// Guards against a deposed leader moving a VM that has left its pool in the meantime.
+TEST(StateVms, MoveNeedsTheExpectedPoolAndChangesItOnce)
+{
+    State state;
+    const base::VmId vm("vm-1");
+    state.apply(
+        1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), { 64, 1024, 0 }, base::PoolId("spare") });
+    EXPECT_EQ(state.apply(2, MoveVm { vm, base::PoolId("other"), base::PoolId("main"), 0 }).code, ResultCode::Refused);
+    EXPECT_EQ(state.apply(3, MoveVm { vm, base::PoolId("spare"), base::PoolId("main"), 0 }).code, ResultCode::Ok);
+    EXPECT_EQ(state.apply(4, MoveVm { vm, base::PoolId("spare"), base::PoolId("other"), 0 }).code, ResultCode::Refused);
+    EXPECT_EQ(state.vms().at(vm).pool, base::PoolId("spare"));
+    state.apply(5, SetVmPhase { vm, VmPhase::Draining, VmPhase::Rebooting, VmReason::Move, 3, 0 });
+    EXPECT_EQ(state.vms().at(vm).pool, base::PoolId("main"));
+    state.apply(6, SetVmPhase { vm, VmPhase::Rebooting, VmPhase::Returning, VmReason::Move, 3, 0 });
+    state.apply(7, SetVmPhase { vm, VmPhase::Returning, VmPhase::Serving, VmReason::None, 3, 0 });
+    EXPECT_EQ(state.vms().at(vm).pool, base::PoolId("main"));
+    EXPECT_EQ(state.vms().at(vm).operation, 0U);
+}
+
+// Guards against a late phase change of a finished operation acting on the next one.
+TEST(StateVms, PhaseChangeOfAnOldOperationIsRefused)
+{
+    State state;
+    const base::VmId vm("vm-1");
+    state.apply(1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), {}, base::PoolId("main") });
+    state.apply(2, SetVmPhase { vm, VmPhase::Serving, VmPhase::Draining, VmReason::Maintenance, 0, 7 });
+    EXPECT_EQ(state.vms().at(vm).operation, 2U);
+    EXPECT_EQ(state.vms().at(vm).bootsAtDrain, 7U);
+    EXPECT_EQ(state.apply(3, SetVmPhase { vm, VmPhase::Draining, VmPhase::Rebooting, VmReason::None, 1, 0 }).code,
+        ResultCode::Refused);
+}
+
+// Guards against a non-idempotent job that runs a second time after its worker's lease expired.
+TEST(StateJobs, NonIdempotentJobIsLostAndNeverStartedAgain)
+{
+    State state;
+    state.apply(1, SubmitJob { jobSpec("j1", false) });
+    state.apply(2, StartJob { base::JobId("j1"), base::WorkerId("w1") });
+    state.apply(3, ExpireLease { base::JobId("j1"), 2 });
+    EXPECT_EQ(state.jobs().at(base::JobId("j1")).state, JobState::Lost);
+    EXPECT_EQ(state.apply(4, StartJob { base::JobId("j1"), base::WorkerId("w2") }).code, ResultCode::Refused);
+}
+
+// Guards against a worker whose lease expired completing a job that another worker runs by now.
+TEST(StateJobs, OldTokenCannotFinishAJob)
+{
+    State state;
+    state.apply(1, SubmitJob { jobSpec("j1", true) });
+    state.apply(2, StartJob { base::JobId("j1"), base::WorkerId("w1") });
+    state.apply(3, ExpireLease { base::JobId("j1"), 2 });
+    state.apply(4, StartJob { base::JobId("j1"), base::WorkerId("w2") });
+    EXPECT_EQ(state.apply(5, FinishJob { base::JobId("j1"), 2, JobState::Done, false, "" }).code, ResultCode::Refused);
+    EXPECT_EQ(state.apply(6, FinishJob { base::JobId("j1"), 4, JobState::Done, false, "" }).code, ResultCode::Ok);
+}
+
+// Guards against a request that is dispatched twice because two entry nodes held the same key.
+TEST(StateClaims, KeyIsHeldByOneRequest)
+{
+    State state;
+    EXPECT_EQ(state.apply(1, claimKey("r1")).code, ResultCode::Ok);
+    EXPECT_EQ(state.apply(2, claimKey("r2")).code, ResultCode::InProgress);
+    EXPECT_EQ(state.apply(3, claimKey("r2", 9)).code, ResultCode::BodyMismatch);
+    state.apply(
+        4, SettleIdempotencyKey { base::ServiceId("pricing"), "key", "r1", true, false, { 201, "text/plain", "x" } });
+    const auto resent = state.apply(5, claimKey("r2"));
+    EXPECT_EQ(resent.code, ResultCode::StoredAnswerFound);
+    EXPECT_EQ(resent.answer.status, 201);
+}
+
+// Guards against a claim of a dead entry node that stays "in progress" for ever, or that becomes free and runs again.
+TEST(StateClaims, UnsettledClaimBecomesUnknown)
+{
+    State state;
+    state.apply(1, claimKey("r1"));
+    state.apply(2, AdvanceTime { base::WallTime(2000ms) });
+    EXPECT_EQ(state.apply(3, claimKey("r2")).code, ResultCode::OutcomeUnknown);
+    state.apply(4, AdvanceTime { base::WallTime(2000ms + 48h) });
+    EXPECT_TRUE(state.claims().empty());
+}
+
+// Guards against a new leader with a slow clock that makes replicated time run backward.
+TEST(StateTime, NeverGoesBack)
+{
+    State state;
+    state.apply(1, AdvanceTime { base::WallTime(5000ms) });
+    state.apply(2, AdvanceTime { base::WallTime(4000ms) });
+    EXPECT_EQ(state.now(), base::WallTime(5000ms));
+}
+
+rc::Gen<Command> arbitraryCommand()
+{
+    return rc::gen::exec([]() -> Command {
+        const auto number = *rc::gen::inRange(0, 4);
+        const base::VmId vm("vm-" + std::to_string(number));
+        const base::JobId job("job-" + std::to_string(number));
+        const auto index = static_cast<std::uint64_t>(*rc::gen::inRange(0, 60));
+        const auto phase = static_cast<VmPhase>(*rc::gen::inRange(0, 5));
+        switch (*rc::gen::inRange(0, 10)) {
+        case 0:
+            return putDocument("r" + std::to_string(*rc::gen::inRange(0, 20)), index % 4);
+        case 1:
+            return RegisterVm { vm, base::DataCentreId("dc"), base::RackId("r"), { 1, 2, 3 }, base::PoolId("main") };
+        case 2:
+            return MoveVm { vm, base::PoolId("main"), base::PoolId("other"), 0 };
+        case 3:
+            return SetVmPhase { vm, static_cast<VmPhase>(*rc::gen::inRange(0, 5)), phase, VmReason::Maintenance, index,
+                0 };
+        case 4:
+            return SubmitJob { jobSpec(job.text(), number % 2 == 0) };
+        case 5:
+            return StartJob { job, base::WorkerId("w1") };
+        case 6:
+            return ExpireLease { job, index };
+        case 7:
+            return claimKey("r" + std::to_string(number));
+        case 8:
+            return AdvanceTime { base::WallTime(std::chrono::milliseconds(index * 100)) };
+        default:
+            return FinishJob { job, index, static_cast<JobState>(*rc::gen::inRange(0, 4)), true, "" };
+        }
+    });
+}
+
+// Guards against replicas that differ after equal entries, and against a snapshot that loses or changes anything.
+RC_GTEST_PROP(StateProperty, ReplicasAndSnapshotsAgree, ())
+{
+    const auto commands = *rc::gen::container<std::vector<Command>>(60, arbitraryCommand());
+    State first;
+    State second;
+    const auto cut = *rc::gen::inRange<std::size_t>(0, commands.size());
+    for (std::size_t i = 0; i < commands.size(); ++i) {
+        if (i == cut) {
+            second = State();
+            second.restoreSnapshot(first.encodeSnapshot());
+        }
+        const auto result = first.apply(i + 1, decodeCommand(encodeCommand(commands[i])));
+        RC_ASSERT(second.apply(i + 1, commands[i]).code == result.code);
+    }
+    RC_ASSERT(first.digest() == second.digest());
+}
+
+// Guards against a second start of a non-idempotent job under any order of commands.
+RC_GTEST_PROP(StateProperty, NonIdempotentJobsStartAtMostOnce, ())
+{
+    const auto commands = *rc::gen::container<std::vector<Command>>(80, arbitraryCommand());
+    State state;
+    std::uint64_t index = 0;
+    std::ranges::for_each(commands, [&](const Command& command) { state.apply(++index, command); });
+    RC_ASSERT(std::ranges::all_of(
+        state.jobs(), [](const auto& entry) { return entry.second.spec.isIdempotent || entry.second.starts <= 1; }));
+}
+
+// Guards against a corrupted entry or snapshot that crashes a node, or that changes the state before it is refused.
+RC_GTEST_PROP(StateProperty, MutatedBytesAreRefusedOrDecoded, ())
+{
+    State state;
+    state.apply(1, putDocument("a", 0));
+    state.apply(2, SubmitJob { jobSpec("j1", true) });
+    auto snapshot = state.encodeSnapshot();
+    auto entry = encodeCommand(putDocument("a", 0));
+    for (std::string* bytes : { &snapshot, &entry }) {
+        (*bytes)[*rc::gen::inRange<std::size_t>(0, bytes->size())] = *rc::gen::arbitrary<char>();
+    }
+    const auto before = state.digest();
+    try {
+        State scratch = state;
+        scratch.restoreSnapshot(snapshot);
+    } catch (const base::Error&) {
+        RC_ASSERT(state.digest() == before);
+    }
+    try {
+        decodeCommand(entry);
+    } catch (const base::Error&) {
+        RC_SUCCEED("refused");
+    }
+}
+
+} // namespace
+} // namespace crocuscove::state
