--- a/include/crocuscove/base/id.h
+++ b/include/crocuscove/base/id.h
@@ -40,10 +40,9 @@
     /// Hooks for the codec. An empty id stands for "none".
     template <typename Packer> void msgpack_pack(Packer& packer) const { packer.pack(m_text); }
 
-    template <typename Object> void msgpack_unpack(const Object& object)
+    template <typename Object> void msgpack_unpack(Object object)
     {
-        std::string text;
-        object.convert(text);
+        std::string text = object;
         if (!text.empty()) {
             requireValidId(text, Tag::name);
         }
