--- /dev/null
+++ b/src/crocuscove/maintenance/drains.cpp
@@ -0,0 +1,152 @@
+#include "steps.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace crocuscove::maintenance {
+
+namespace {
+
+/// Failure domains of the fleet as numbers, in the order of their names.
+struct Domains {
+    std::vector<std::size_t> dataCentreOf;
+    std::vector<std::size_t> rackOf;
+    std::size_t dataCentres = 0;
+    std::size_t racks = 0;
+};
+
+Domains numberDomains(const std::vector<MaintenanceVm>& vms)
+{
+    Domains domains;
+    std::map<base::DataCentreId, std::size_t> dataCentres;
+    std::map<std::pair<base::DataCentreId, base::RackId>, std::size_t> racks;
+    for (const MaintenanceVm& vm : vms) {
+        dataCentres.try_emplace(vm.record->dataCentre, 0);
+        racks.try_emplace({ vm.record->dataCentre, vm.record->rack }, 0);
+    }
+    std::ranges::for_each(dataCentres, [&](auto& entry) { entry.second = domains.dataCentres++; });
+    std::ranges::for_each(racks, [&](auto& entry) { entry.second = domains.racks++; });
+    for (const MaintenanceVm& vm : vms) {
+        domains.dataCentreOf.push_back(dataCentres.at(vm.record->dataCentre));
+        domains.rackOf.push_back(racks.at({ vm.record->dataCentre, vm.record->rack }));
+    }
+    return domains;
+}
+
+/// Chooses the drains of each pool: first where the pool already has stops, then by the age of the domain.
+class Wave {
+public:
+    Wave(Fleet& fleet, const PauseScopes& pauses, std::vector<MaintenanceAction>& actions)
+        : m_fleet(fleet)
+        , m_pauses(pauses)
+        , m_actions(actions)
+        , m_domains(numberDomains(fleet.view.vms))
+        , m_dataCentreAge(m_domains.dataCentres, base::WallTime::max())
+        , m_rackAge(m_domains.racks, base::WallTime::max())
+        , m_candidates(fleet.pools.size())
+        , m_openDataCentres(fleet.pools.size())
+        , m_openRacks(fleet.pools.size())
+    {
+    }
+
+    void plan()
+    {
+        survey();
+        std::vector<std::size_t> order;
+        for (std::size_t pool = 0; pool < m_candidates.size(); ++pool) {
+            if (!m_candidates[pool].empty()) {
+                sortCandidates(pool);
+                order.push_back(pool);
+            }
+        }
+        std::ranges::stable_sort(order, {},
+            [&](std::size_t pool) { return m_fleet.view.vms[m_candidates[pool].front()].record->lastMaintained; });
+        std::ranges::for_each(order, [&](std::size_t pool) { drainPool(pool); });
+    }
+
+private:
+    [[nodiscard]] bool isCandidate(std::size_t vm) const
+    {
+        const Standing standing = m_fleet.standings[vm];
+        const bool isEligible = (standing == Standing::InService && m_fleet.isDue(vm))
+            || (standing == Standing::Unwell && m_fleet.isOverdue(vm) && !m_fleet.view.vms[vm].observed.isSuspect);
+        return isEligible && !m_pauses.covers(*m_fleet.view.vms[vm].record);
+    }
+
+    void survey()
+    {
+        for (std::size_t vm = 0; vm < m_fleet.view.vms.size(); ++vm) {
+            const state::VmRecord& record = *m_fleet.view.vms[vm].record;
+            const std::size_t pool = m_fleet.poolOf[vm];
+            if (isInMaintenance(record)) {
+                ++m_running;
+                m_openDataCentres[pool].insert(m_domains.dataCentreOf[vm]);
+                m_openRacks[pool].insert(m_domains.rackOf[vm]);
+            } else if (isCandidate(vm)) {
+                m_candidates[pool].push_back(vm);
+                base::WallTime& dataCentreAge = m_dataCentreAge[m_domains.dataCentreOf[vm]];
+                base::WallTime& rackAge = m_rackAge[m_domains.rackOf[vm]];
+                dataCentreAge = std::min(dataCentreAge, record.lastMaintained);
+                rackAge = std::min(rackAge, record.lastMaintained);
+            }
+        }
+    }
+
+    void sortCandidates(std::size_t pool)
+    {
+        std::ranges::sort(m_candidates[pool], {}, [&](std::size_t vm) {
+            const std::size_t dataCentre = m_domains.dataCentreOf[vm];
+            const std::size_t rack = m_domains.rackOf[vm];
+            return std::tuple(!m_openDataCentres[pool].contains(dataCentre), m_dataCentreAge[dataCentre], dataCentre,
+                !m_openRacks[pool].contains(rack), m_rackAge[rack], rack, m_fleet.view.vms[vm].record->lastMaintained,
+                vm);
+        });
+    }
+
+    [[nodiscard]] std::uint32_t fleetLimit() const
+    {
+        const double share = m_fleet.options.maxRunningShare * static_cast<double>(m_fleet.view.vms.size());
+        return std::max(m_fleet.options.minRunningStops, static_cast<std::uint32_t>(share));
+    }
+
+    void drainPool(std::size_t index)
+    {
+        PoolLedger& pool = m_fleet.pools[index];
+        for (const std::size_t vm : m_candidates[index]) {
+            const bool isInService = m_fleet.standings[vm] == Standing::InService;
+            const bool isWithinBudget
+                = isInService ? pool.allowsStop() : pool.inService >= pool.repaired + pool.required;
+            if (m_running >= fleetLimit() || !isWithinBudget) {
+                return;
+            }
+            pool.inService -= isInService ? 1 : 0;
+            ++m_running;
+            m_fleet.standings[vm] = Standing::Stopped;
+            m_actions.push_back(makeAction(m_fleet.view.vms[vm], MaintenanceActionKind::BeginDrain,
+                m_fleet.isOverdue(vm) ? MaintenanceReason::Overdue : MaintenanceReason::Due,
+                state::VmReason::Maintenance));
+        }
+    }
+
+    Fleet& m_fleet;
+    const PauseScopes& m_pauses;
+    std::vector<MaintenanceAction>& m_actions;
+    Domains m_domains;
+    std::vector<base::WallTime> m_dataCentreAge;
+    std::vector<base::WallTime> m_rackAge;
+    std::vector<std::vector<std::size_t>> m_candidates;
+    std::vector<std::set<std::size_t>> m_openDataCentres;
+    std::vector<std::set<std::size_t>> m_openRacks;
+    std::uint32_t m_running = 0;
+};
+
+} // namespace
+
+void planDrains(Fleet& fleet, const PauseScopes& pauses, std::vector<MaintenanceAction>& actions)
+{
+    if (!pauses.isFleetPaused) {
+        Wave(fleet, pauses, actions).plan();
+    }
+}
+
+} // namespace crocuscove::maintenance
