--- a/src/crocuscove/consensus/raft_membership.cpp
+++ b/src/crocuscove/consensus/raft_membership.cpp
@@ -55,7 +55,9 @@
         if (!isLearner) {
             return isVoter ? ChangeRefusal::AlreadyMember : ChangeRefusal::NotMember;
         }
-        const bool lags = matchIndex(change.node).value_or(0) + m_options.maxPromotionLag < m_commit;
+        // A node with an empty log grants no votes. As a voter it could leave the cluster without a quorum that votes.
+        const Index match = matchIndex(change.node).value_or(0);
+        const bool lags = match == 0 || match + m_options.maxPromotionLag < m_commit;
         return lags ? std::optional(ChangeRefusal::LearnerLagsBehind) : std::nullopt;
     }
     if (!isVoter && !isLearner) {
