--- a/src/crocuscove/storage/record.cpp
+++ b/src/crocuscove/storage/record.cpp
@@ -198,6 +198,15 @@
 
 } // namespace
 
+bool fitsChecksum(std::string_view bytes)
+{
+    if (bytes.size() <= recordHeaderBytes) {
+        return false;
+    }
+    Reader checksum(bytes.substr(sizeof(std::uint32_t)));
+    return checksum.number<std::uint64_t>() == checksumOf(bytes.substr(recordHeaderBytes));
+}
+
 std::uint64_t checksumOf(std::string_view bytes) { return XXH3_64bits(bytes.data(), bytes.size()); }
 
 void appendRecord(std::string& buffer, std::uint64_t durableBytes, const RecordBody& body)
--- a/src/crocuscove/storage/record.h
+++ b/src/crocuscove/storage/record.h
@@ -72,6 +72,10 @@
 /// Reads the record at `offset`. Never throws for damaged bytes.
 ReadRecord readRecord(std::string_view bytes, std::size_t offset);
 
+/// Tells whether the bytes after the record header at the start of `bytes` have the checksum that it states, whatever
+/// length it states.
+bool fitsChecksum(std::string_view bytes);
+
 std::uint64_t checksumOf(std::string_view bytes);
 
 } // namespace crocuscove::storage
--- a/src/crocuscove/storage/segment.cpp
+++ b/src/crocuscove/storage/segment.cpp
@@ -92,29 +92,33 @@
     std::uint64_t m_offset = 0;
 };
 
-/// Tells whether a later record states that the byte at `offset` was synced before it was written.
-bool wasSynced(std::string_view bytes, std::size_t offset)
+/// What follows a damaged record.
+struct Following {
+    /// Where the next valid record starts, or the end of the file.
+    std::size_t next = 0;
+    /// A later record states that the damaged one was synced before it was written.
+    bool provesSync = false;
+};
+
+Following findFollowing(std::string_view bytes, std::size_t offset)
 {
+    Following following { bytes.size(), false };
     std::size_t position = offset + 1;
     while (position + recordHeaderBytes < bytes.size()) {
         const ReadRecord read = readRecord(bytes, position);
-        if (read.record && read.record->durableBytes > offset && read.record->durableBytes <= position) {
-            return true;
+        if (read.record) {
+            following.next = std::min(following.next, position);
+            const std::uint64_t durable = read.record->durableBytes;
+            following.provesSync = following.provesSync || (durable > offset && durable <= position);
         }
         position += read.record ? read.size : 1;
     }
-    return false;
+    return following;
 }
 
-/// Tells whether a damaged record at `offset` can come from a write that a crash interrupted: the file ends early, or
-/// a sector was never written.
-bool looksTorn(std::string_view bytes, std::size_t offset, std::size_t size)
+bool hasEmptySector(std::string_view bytes, std::size_t begin, std::size_t end)
 {
-    if (size > bytes.size() - offset) {
-        return true;
-    }
-    const std::size_t end = offset + size;
-    for (std::size_t begin = offset; begin < end;) {
+    while (begin < end) {
         const std::size_t sectorEnd = std::min(end, (begin / sectorBytes + 1) * sectorBytes);
         if (std::ranges::all_of(bytes.substr(begin, sectorEnd - begin), [](char byte) { return byte == '\0'; })) {
             return true;
@@ -124,6 +128,19 @@
     return false;
 }
 
+/// Tells whether a damaged record can come from a write that a crash interrupted, rather than from damage to bytes
+/// that were synced. An interrupted write leaves sectors empty, or ends the file early.
+bool isTorn(std::string_view bytes, std::size_t offset, std::size_t size)
+{
+    const Following following = findFollowing(bytes, offset);
+    if (following.provesSync) {
+        return false;
+    }
+    const bool isCutShort = following.next == bytes.size() && size > bytes.size() - offset;
+    // When the rest of the file fits the checksum, only the length is damaged.
+    return hasEmptySector(bytes, offset, following.next) || (isCutShort && !fitsChecksum(bytes.substr(offset)));
+}
+
 } // namespace
 
 std::string segmentName(consensus::Index firstIndex) { return fmt::format("{}{}{}", prefix, firstIndex, suffix); }
@@ -169,7 +186,7 @@
     while (offset < bytes.size()) {
         const ReadRecord read = readRecord(bytes, offset);
         if (!read.record) {
-            if (!isLast || !looksTorn(bytes, offset, read.size) || wasSynced(bytes, offset)) {
+            if (!isLast || !isTorn(bytes, offset, read.size)) {
                 throw StorageError(StorageFault::Corrupt, path, offset, "the record is damaged");
             }
             return TornTail { path, offset, bytes.size() - offset };
