Add the http module: loop, evhttp server, bufferevent client

Cause: the server, the stand-ins and the command line need HTTP with bounds, and outcomes that tell whether a request may have started. Change: EventLoop with timers, posts, watches and signals; HttpServer on evhttp, with deadlines for a whole request, 431 and 408 answers, a bound on connections, refusal of ambiguous framing, and notice of a client that closes during handling; HttpClient on bufferevent with a strict response parser, because evhttp's client reconnects silently, takes bodies without a length as whole and doesn't tell whether a byte was written.

--- /dev/null
+++ b/src/crocuscove/http/http_client.cpp
@@ -0,0 +1,180 @@
+#include "crocuscove/http/http_client.h"
+
+#include "crocuscove/base/enum_names.h"
+#include "crocuscove/base/error.h"
+#include "crocuscove/http/client_connection.h"
+#include "crocuscove/http/request_writer.h"
+
+#include <algorithm>
+#include <list>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+namespace crocuscove::http {
+
+namespace {
+
+constexpr auto failureNames = base::enumNames<ExchangeFailure>({
+    { ExchangeFailure::None, "none" },
+    { ExchangeFailure::ConnectFailed, "connect-failed" },
+    { ExchangeFailure::Deadline, "deadline" },
+    { ExchangeFailure::Reset, "reset" },
+    { ExchangeFailure::Truncated, "truncated" },
+    { ExchangeFailure::Oversized, "oversized" },
+    { ExchangeFailure::Malformed, "malformed" },
+    { ExchangeFailure::Cancelled, "cancelled" },
+});
+
+} // namespace
+
+std::string_view exchangeFailureName(ExchangeFailure failure) { return failureNames.name(failure); }
+
+struct Call::State {
+    std::unique_ptr<ClientConnection> connection;
+    HttpClient::Callback callback;
+    /// Fails the call when no connection may be opened.
+    Timer refusal;
+    std::function<void(ExchangeFailure)> refuse;
+};
+
+class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
+public:
+    Impl(EventLoop& loop, HttpClientOptions options)
+        : m_loop(loop)
+        , m_options(options)
+    {
+    }
+
+    Call call(
+        const base::Endpoint& endpoint, const HttpRequest& request, base::MonotonicTime deadline, Callback callback)
+    {
+        std::string bytes = writeRequest(request, endpoint);
+        auto state = std::make_shared<Call::State>();
+        state->callback = std::move(callback);
+        auto finished
+            = [this, key = std::weak_ptr(state)](ExchangeResult result) { finish(key.lock(), std::move(result)); };
+        if (m_running.size() >= m_options.maxOpenCalls) {
+            state->refuse = [finished](ExchangeFailure failure) { finished({ std::nullopt, failure, false }); };
+            state->refusal = m_loop.runAt(
+                base::monotonicNow(), [refuse = state->refuse] { refuse(ExchangeFailure::ConnectFailed); });
+        } else {
+            state->connection = takeConnection(endpoint);
+            state->connection->start(std::move(bytes), request.method, deadline, std::move(finished));
+        }
+        m_running.insert(state);
+        return Call(state);
+    }
+
+    [[nodiscard]] std::size_t openCalls() const { return m_running.size(); }
+    [[nodiscard]] std::size_t idleConnections() const { return m_idleCount; }
+
+private:
+    using IdleList = std::list<std::unique_ptr<ClientConnection>>;
+
+    std::unique_ptr<ClientConnection> takeConnection(const base::Endpoint& endpoint)
+    {
+        const auto entry = m_idle.find(endpoint.text());
+        std::unique_ptr<ClientConnection> connection;
+        while (entry != m_idle.end() && !entry->second.empty() && !connection) {
+            connection = std::move(entry->second.back());
+            entry->second.pop_back();
+            --m_idleCount;
+            if (!connection->isReusable()) {
+                connection.reset();
+            }
+        }
+        if (entry != m_idle.end() && entry->second.empty()) {
+            m_idle.erase(entry);
+        }
+        if (connection) {
+            return connection;
+        }
+        return std::make_unique<ClientConnection>(m_loop, m_options, endpoint);
+    }
+
+    void finish(const std::shared_ptr<Call::State>& state, ExchangeResult result)
+    {
+        const auto self = shared_from_this();
+        m_running.erase(state);
+        std::unique_ptr<ClientConnection> connection = std::move(state->connection);
+        state->refusal.cancel();
+        if (connection && connection->isReusable()) {
+            keep(std::move(connection));
+        }
+        connection.reset();
+        const Callback callback = std::exchange(state->callback, nullptr);
+        callback(std::move(result));
+    }
+
+    void keep(std::unique_ptr<ClientConnection> connection)
+    {
+        const std::string key = connection->endpoint().text();
+        IdleList& list = m_idle[key];
+        if (list.size() >= m_options.maxIdlePerEndpoint || m_idleCount >= m_options.maxIdleConnections) {
+            return;
+        }
+        ++m_idleCount;
+        ClientConnection& kept = *list.emplace_back(std::move(connection));
+        kept.keepIdle([this, key, &kept] { drop(key, kept); });
+    }
+
+    void drop(const std::string& key, const ClientConnection& connection)
+    {
+        const auto entry = m_idle.find(key);
+        m_idleCount -= entry->second.remove_if([&](const auto& candidate) { return candidate.get() == &connection; });
+        if (entry->second.empty()) {
+            m_idle.erase(entry);
+        }
+    }
+
+    EventLoop& m_loop;
+    HttpClientOptions m_options;
+    std::unordered_set<std::shared_ptr<Call::State>> m_running;
+    std::unordered_map<std::string, IdleList> m_idle;
+    std::size_t m_idleCount = 0;
+};
+
+Call::Call() = default;
+Call::Call(std::weak_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+void Call::cancel()
+{
+    const auto state = m_state.lock();
+    if (!state || !state->callback) {
+        return;
+    }
+    if (state->connection) {
+        state->connection->fail(ExchangeFailure::Cancelled);
+    } else if (state->refuse) {
+        const auto refuse = state->refuse;
+        refuse(ExchangeFailure::Cancelled);
+    }
+}
+
+bool Call::isRunning() const
+{
+    const auto state = m_state.lock();
+    return state && state->callback;
+}
+
+HttpClient::HttpClient(EventLoop& loop, HttpClientOptions options)
+    : m_impl(std::make_shared<Impl>(loop, options))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+Call HttpClient::call(
+    const base::Endpoint& endpoint, const HttpRequest& request, base::MonotonicTime deadline, Callback callback)
+{
+    return m_impl->call(endpoint, request, deadline, std::move(callback));
+}
+
+std::size_t HttpClient::openCalls() const { return m_impl->openCalls(); }
+std::size_t HttpClient::idleConnections() const { return m_impl->idleConnections(); }
+
+} // namespace crocuscove::http
