--- /dev/null
+++ b/src/crocuscove/server/backend_registry.cpp
@@ -0,0 +1,100 @@
+#include "backend_registry.h"
+
+#include "crocuscove/base/codec.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace crocuscove::server {
+
+namespace {
+
+/// Renewals are spread in batches, since they are due only every second.
+constexpr base::Milliseconds flushInterval { 200 };
+constexpr base::Milliseconds tickInterval { 100 };
+
+} // namespace
+
+BackendRegistry::BackendRegistry(http::EventLoop& loop, const base::Log& log, BackendRegistryHooks hooks)
+    : m_log(log)
+    , m_hooks(std::move(hooks))
+    , m_flushTimer(loop.runEvery(flushInterval, [this] { flush(); }))
+    , m_tickTimer(loop.runEvery(tickInterval, [this] { tick(); }))
+{
+}
+
+routing::MergeReason BackendRegistry::announce(const routing::Announcement& announcement)
+{
+    const auto result = m_directory.announce(base::monotonicNow(), announcement);
+    notify(announcement, result);
+    const bool isAccepted = result.reason == routing::MergeReason::Added
+        || result.reason == routing::MergeReason::Renewed || result.reason == routing::MergeReason::Restarted;
+    if (isAccepted) {
+        m_unsent.insert(announcement.backend);
+    }
+    if (result.isNewlyLeaving) {
+        flush();
+    }
+    return result.reason;
+}
+
+void BackendRegistry::receive(const std::string& payload)
+{
+    const auto now = base::monotonicNow();
+    for (const auto& announcement : base::decode<std::vector<routing::Announcement>>(payload)) {
+        notify(announcement, m_directory.merge(now, announcement));
+    }
+}
+
+void BackendRegistry::observe(const base::BackendId& backend, routing::AttemptEnd end)
+{
+    std::ranges::for_each(m_directory.observe(base::monotonicNow(), backend, end),
+        [this](const routing::PhaseChange& change) { report(change); });
+}
+
+void BackendRegistry::notify(const routing::Announcement& announcement, const routing::MergeResult& result)
+{
+    if (!result.hasChanged) {
+        return;
+    }
+    m_log.info("backend_announced",
+        { { "backend", announcement.backend.text() }, { "service", announcement.service.text() },
+            { "vm", announcement.vm.text() }, { "incarnation", announcement.incarnation },
+            { "state", routing::backendStateNames.name(announcement.state) },
+            { "reason", routing::mergeReasonNames.name(result.reason) } });
+    m_hooks.onChanged(announcement.service);
+}
+
+void BackendRegistry::flush()
+{
+    if (m_unsent.empty()) {
+        return;
+    }
+    const auto now = base::monotonicNow();
+    std::vector<routing::Announcement> announcements;
+    for (const base::BackendId& backend : m_unsent) {
+        if (auto announcement = m_directory.announcement(now, backend)) {
+            announcements.push_back(std::move(*announcement));
+        }
+    }
+    m_unsent.clear();
+    m_hooks.broadcast(base::encode(announcements));
+}
+
+void BackendRegistry::tick()
+{
+    std::ranges::for_each(
+        m_directory.tick(base::monotonicNow()), [this](const routing::PhaseChange& change) { report(change); });
+}
+
+void BackendRegistry::report(const routing::PhaseChange& change)
+{
+    m_log.info("backend_phase_changed",
+        { { "backend", change.backend.text() }, { "service", change.service.text() },
+            { "phase", change.phase ? routing::backendPhaseNames.name(*change.phase) : "expired" },
+            { "reason", routing::phaseReasonNames.name(change.reason) } });
+    m_hooks.onChanged(change.service);
+}
+
+} // namespace crocuscove::server
--- /dev/null
+++ b/src/crocuscove/server/gateway.cpp
@@ -0,0 +1,369 @@
+#include "gateway.h"
+
+#include "gateway_answers.h"
+
+#include "crocuscove/base/error.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+#include <utility>
+
+namespace crocuscove::server {
+
+namespace {
+
+constexpr base::Milliseconds claimTimeout { 2000 };
+constexpr base::Milliseconds settleTimeout { 10'000 };
+/// An entry node that dies leaves its claims in progress. They become unknown this long after the request's deadline.
+constexpr base::Milliseconds claimGrace { 5000 };
+constexpr std::size_t maxOpenRequests = 100'000;
+
+http::HttpClientOptions clientOptions()
+{
+    http::HttpClientOptions options;
+    options.maxIdlePerEndpoint = 64;
+    return options;
+}
+
+base::TeamId clientTeam(const http::Headers& headers)
+{
+    const std::string name(headers.get(clientHeader));
+    return name.empty() ? base::TeamId("anonymous") : base::TeamId(name);
+}
+
+std::uint64_t bodyDigest(const http::HttpRequest& request)
+{
+    const std::string text = request.method + ' ' + request.rawTarget + '\n' + request.body;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+routing::AttemptEnd attemptEnd(const http::ExchangeResult& result, const std::string& requestName)
+{
+    if (!result.response) {
+        return result.mayHaveStarted ? routing::AttemptEnd::Broken : routing::AttemptEnd::ConnectFailed;
+    }
+    const auto echoed = result.response->headers.find(requestIdHeader);
+    if (echoed && *echoed != requestName) {
+        return routing::AttemptEnd::Broken;
+    }
+    if (result.response->status == 503 && result.response->headers.get(refusedHeader) == "1") {
+        return routing::AttemptEnd::Refused;
+    }
+    constexpr std::array serverErrors { 500, 502, 503, 504 };
+    const bool isServerError = std::ranges::find(serverErrors, result.response->status) != serverErrors.end();
+    return isServerError ? routing::AttemptEnd::ServerError : routing::AttemptEnd::Answered;
+}
+
+} // namespace
+
+Gateway::Gateway(http::EventLoop& loop, const ServerOptions& options, const base::Log& log, base::Random& random,
+    Replica& replica, CommandSubmitter& submitter, BackendRegistry& backends)
+    : m_loop(loop)
+    , m_options(options)
+    , m_log(log)
+    , m_random(random)
+    , m_replica(replica)
+    , m_submitter(submitter)
+    , m_backends(backends)
+    , m_client(loop, clientOptions())
+    , m_requestPrefix(fmt::format("{}-{:x}", options.node.text(), base::wallNow().time_since_epoch().count()))
+{
+}
+
+std::string Gateway::requestName(routing::RequestId id) const { return fmt::format("{}-{}", m_requestPrefix, id); }
+
+std::string_view Gateway::staleness() const { return m_replica.isCurrent(base::monotonicNow()) ? "current" : "stale"; }
+
+void Gateway::handle(http::HttpRequest request, http::Responder responder)
+{
+    const auto id = m_nextRequest++;
+    const auto match = routing::matchRoute(m_documents, request.headers.get("Host"), request.path, request.method);
+    if (match.reason != routing::RouteReason::Matched) {
+        const auto reason = routing::routeReasonNames.name(match.reason);
+        m_log.info(
+            "request_refused", { { "request", requestName(id) }, { "path", request.path }, { "reason", reason } });
+        ++m_counters.notExecuted;
+        responder.respond(errorAnswer(404, routing::Outcome::NotExecuted, reason));
+        return;
+    }
+    if (request.body.size() > match.document->limits.maxBodyBytes || m_requests.size() >= maxOpenRequests) {
+        const bool isTooLarge = request.body.size() > match.document->limits.maxBodyBytes;
+        const auto reason = isTooLarge ? "body-too-large" : "too-many-requests";
+        m_log.info("request_refused",
+            { { "request", requestName(id) }, { "service", match.document->service.text() }, { "reason", reason } });
+        ++m_counters.notExecuted;
+        responder.respond(errorAnswer(isTooLarge ? 413 : 503, routing::Outcome::NotExecuted, reason));
+        return;
+    }
+    const std::string key(request.headers.get(idempotencyKeyHeader));
+    base::TeamId client;
+    try {
+        client = clientTeam(request.headers);
+        requireValidKey(key);
+    } catch (const base::InvalidInput& error) {
+        ++m_counters.notExecuted;
+        responder.respond(errorAnswer(400, routing::Outcome::NotExecuted, error.what()));
+        return;
+    }
+    const auto now = base::monotonicNow();
+    const auto& service = match.document->service;
+    const std::uint64_t revision = m_services.at(service).revision;
+    responder.onDisconnect([this, id] { clientGone(id); });
+    m_requests.emplace(id,
+        ActiveRequest { std::move(request), std::move(responder), service, revision, match.kindIndex, match.kind->name,
+            client, now, now + match.kind->deadline, {}, {} });
+    if (!match.kind->isIdempotent && !key.empty()) {
+        claimKey(id, key);
+    } else {
+        admit(id);
+    }
+}
+
+void Gateway::admit(routing::RequestId id)
+{
+    const ActiveRequest& active = m_requests.at(id);
+    const base::ServiceId service = active.service;
+    const routing::Request request { id, active.kind, active.client, active.deadline };
+    apply(service, m_services.at(service).dispatcher.arrive(base::monotonicNow(), request));
+}
+
+void Gateway::claimKey(routing::RequestId id, const std::string& key)
+{
+    const ActiveRequest& active = m_requests.at(id);
+    const auto now = base::monotonicNow();
+    const auto remaining = std::chrono::duration_cast<base::Milliseconds>(active.deadline - now);
+    const state::ClaimIdempotencyKey claim { active.service, key, bodyDigest(active.request), m_options.node,
+        requestName(id), base::wallNow() + remaining + claimGrace };
+    m_submitter.submit(claim, std::min(active.deadline, base::MonotonicTime(now + claimTimeout)),
+        [this, id, key](const ProposalResult& result) { finishClaim(id, key, result); });
+}
+
+void Gateway::finishClaim(routing::RequestId id, const std::string& key, const ProposalResult& result)
+{
+    const auto entry = m_requests.find(id);
+    if (entry == m_requests.end()) {
+        return;
+    }
+    const bool isGranted = result.outcome == ProposalOutcome::Applied
+        && (result.result.code == state::ResultCode::Ok || result.result.code == state::ResultCode::Repeated);
+    // A claim whose own outcome is unknown is released with the answer, since the request will not be dispatched.
+    if (isGranted || result.outcome == ProposalOutcome::Unknown) {
+        entry->second.claimedKey = key;
+    }
+    if (isGranted) {
+        admit(id);
+        return;
+    }
+    if (result.outcome != ProposalOutcome::Applied) {
+        answer(id, routing::Outcome::NotExecuted, errorAnswer(503, routing::Outcome::NotExecuted, "claim-unavailable"),
+            "claim-unavailable");
+        return;
+    }
+    auto refused = claimAnswer(result.result);
+    answer(id, refused.outcome, std::move(refused.response), state::resultCodeName(result.result.code));
+}
+
+void Gateway::settleClaim(
+    const ActiveRequest& request, routing::RequestId id, routing::Outcome outcome, const http::HttpResponse& answer)
+{
+    if (request.claimedKey.empty()) {
+        return;
+    }
+    state::SettleIdempotencyKey settle { request.service, request.claimedKey, requestName(id),
+        outcome == routing::Outcome::Executed, outcome == routing::Outcome::Unknown, {} };
+    if (outcome == routing::Outcome::Executed) {
+        settle.answer = storedAnswer(answer);
+    }
+    m_submitter.submit(
+        settle, base::monotonicNow() + settleTimeout, [this, name = requestName(id)](const ProposalResult& result) {
+            if (result.outcome != ProposalOutcome::Applied) {
+                m_log.warning("claim_not_settled",
+                    { { "request", name }, { "effect", "resends are told that the outcome is unknown" } });
+            }
+        });
+}
+
+void Gateway::clientGone(routing::RequestId id)
+{
+    const auto entry = m_requests.find(id);
+    // A claimed request runs on, so that a resend with the same key gets its answer.
+    if (entry == m_requests.end() || !entry->second.claimedKey.empty()) {
+        return;
+    }
+    const base::ServiceId service = entry->second.service;
+    apply(service, m_services.at(service).dispatcher.cancel(base::monotonicNow(), id));
+}
+
+void Gateway::apply(const base::ServiceId& service, const routing::Actions& actions)
+{
+    std::ranges::for_each(actions, [&](const routing::Action& action) {
+        std::visit([&](const auto& alternative) { applyAction(service, alternative); }, action);
+    });
+    armTimer(service);
+}
+
+void Gateway::applyAction(const base::ServiceId& service, const routing::Dispatch& action)
+{
+    ActiveRequest& active = m_requests.at(action.request);
+    m_log.info("request_dispatched",
+        { { "request", requestName(action.request) }, { "service", service.text() }, { "revision", active.revision },
+            { "documents", staleness() }, { "kind", active.kindName }, { "backend", action.backend.text() },
+            { "attempt", action.attempt }, { "reason", routing::dispatchReasonNames.name(action.reason) } });
+    ++m_counters.dispatched;
+    m_counters.retried += action.reason == routing::DispatchReason::Retry ? 1 : 0;
+    const auto [attempt, isNew] = active.attempts.emplace(action.attempt, Attempt { {}, action.backend, std::nullopt });
+    attempt->second.call = m_client.call(action.endpoint, forwarded(action.request, active), action.deadline,
+        [this, service, id = action.request, attemptId = action.attempt](
+            http::ExchangeResult result) { finishAttempt(service, id, attemptId, std::move(result)); });
+}
+
+void Gateway::applyAction(const base::ServiceId&, const routing::Refuse& action)
+{
+    const auto reason = routing::refuseReasonNames.name(action.reason);
+    const int status = action.reason == routing::RefuseReason::ClientLimit ? 429 : 503;
+    auto response = errorAnswer(status, routing::Outcome::NotExecuted, reason);
+    response.headers.add(
+        "Retry-After", fmt::format("{}", std::chrono::ceil<std::chrono::seconds>(action.retryAfter).count()));
+    answer(action.request, routing::Outcome::NotExecuted, std::move(response), reason);
+}
+
+void Gateway::applyAction(const base::ServiceId&, const routing::Conclude& action)
+{
+    const auto reason = routing::concludeReasonNames.name(action.reason);
+    ActiveRequest& active = m_requests.at(action.request);
+    const auto attempt = active.attempts.find(action.attempt);
+    if (attempt != active.attempts.end() && attempt->second.response) {
+        answer(action.request, action.outcome, std::move(*attempt->second.response), reason);
+        return;
+    }
+    const int status = action.reason == routing::ConcludeReason::DeadlinePassed ? 504 : 502;
+    answer(action.request, action.outcome,
+        errorAnswer(action.outcome == routing::Outcome::NotExecuted ? 503 : status, action.outcome, reason), reason);
+}
+
+void Gateway::applyAction(const base::ServiceId&, const routing::Abort& action)
+{
+    const auto entry = m_requests.find(action.request);
+    if (entry == m_requests.end()) {
+        return;
+    }
+    const auto attempt = entry->second.attempts.find(action.attempt);
+    if (attempt != entry->second.attempts.end()) {
+        m_log.info("attempt_aborted",
+            { { "request", requestName(action.request) }, { "backend", attempt->second.backend.text() },
+                { "attempt", action.attempt }, { "reason", routing::abortReasonNames.name(action.reason) } });
+        attempt->second.call.cancel();
+    }
+}
+
+void Gateway::finishAttempt(
+    const base::ServiceId& service, routing::RequestId id, routing::AttemptId attemptId, http::ExchangeResult result)
+{
+    const auto entry = m_requests.find(id);
+    if (entry == m_requests.end() || result.failure == http::ExchangeFailure::Cancelled) {
+        return;
+    }
+    const auto end = attemptEnd(result, requestName(id));
+    Attempt& attempt = entry->second.attempts.at(attemptId);
+    if (end != routing::AttemptEnd::Broken) {
+        attempt.response = std::move(result.response);
+    }
+    m_backends.observe(attempt.backend, end);
+    apply(service, m_services.at(service).dispatcher.finish(base::monotonicNow(), { attemptId, end }));
+}
+
+void Gateway::answer(
+    routing::RequestId id, routing::Outcome outcome, http::HttpResponse response, std::string_view reason)
+{
+    auto node = m_requests.extract(id);
+    const ActiveRequest& active = node.mapped();
+    const auto elapsed = base::monotonicNow() - active.arrivedAt;
+    m_log.info("request_concluded",
+        { { "request", requestName(id) }, { "service", active.service.text() }, { "revision", active.revision },
+            { "documents", staleness() }, { "kind", active.kindName }, { "client", active.client.text() },
+            { "outcome", routing::outcomeNames.name(outcome) }, { "reason", reason }, { "status", response.status },
+            { "elapsed_us", elapsed.count() } });
+    m_counters.executed += outcome == routing::Outcome::Executed ? 1 : 0;
+    m_counters.notExecuted += outcome == routing::Outcome::NotExecuted ? 1 : 0;
+    m_counters.unknown += outcome == routing::Outcome::Unknown ? 1 : 0;
+    std::ranges::for_each(node.mapped().attempts, [](auto& attempt) { attempt.second.call.cancel(); });
+    settleClaim(active, id, outcome, response);
+    prepareAnswer(response, outcome, requestName(id));
+    active.responder.respond(std::move(response));
+}
+
+http::HttpRequest Gateway::forwarded(routing::RequestId id, const ActiveRequest& request) const
+{
+    return forwardedRequest(request.request, requestName(id));
+}
+
+void Gateway::armTimer(const base::ServiceId& service)
+{
+    Service& entry = m_services.at(service);
+    const auto next = entry.dispatcher.nextDeadline();
+    if (!next) {
+        entry.timer.cancel();
+        return;
+    }
+    entry.timer = m_loop.runAt(
+        *next, [this, service] { apply(service, m_services.at(service).dispatcher.tick(base::monotonicNow())); });
+}
+
+void Gateway::updateDocuments()
+{
+    for (const auto& [id, record] : m_replica.state().documents()) {
+        const auto* document = std::get_if<document::ServiceDocument>(record.inForce.get());
+        const auto known = m_services.find(id);
+        if (document == nullptr || (known != m_services.end() && known->second.revision == record.revision())) {
+            continue;
+        }
+        m_documents.insert_or_assign(id, *document);
+        m_log.info("document_in_force", { { "service", id.text() }, { "revision", record.revision() } });
+        if (known == m_services.end()) {
+            routing::DispatcherOptions options;
+            options.dataCentre = m_options.dataCentre;
+            m_services.emplace(id,
+                Service { record.revision(), routing::Dispatcher(*document, options, base::Random(m_random())),
+                    http::Timer() });
+            updateBackends(id);
+        } else {
+            known->second.revision = record.revision();
+            apply(id, known->second.dispatcher.updateDocument(base::monotonicNow(), *document));
+        }
+    }
+}
+
+void Gateway::updateBackends(const base::ServiceId& service)
+{
+    const auto entry = m_services.find(service);
+    if (entry == m_services.end()) {
+        return;
+    }
+    const auto now = base::monotonicNow();
+    const auto views = m_backends.directory().views(service);
+    apply(service, entry->second.dispatcher.updateSlots(now, routing::fixedSplit(views, m_options.peers.size())));
+    apply(service, entry->second.dispatcher.updateBackends(now, views));
+}
+
+std::uint32_t Gateway::inFlightAt(const base::ServiceId& service, const base::BackendId& backend) const
+{
+    const auto entry = m_services.find(service);
+    if (entry == m_services.end()) {
+        return 0;
+    }
+    const auto usage = entry->second.dispatcher.usage();
+    const auto found = std::ranges::find(usage, backend, &routing::BackendUsage::backend);
+    return found == usage.end() ? 0 : found->inFlight;
+}
+
+std::size_t Gateway::queued() const
+{
+    return std::accumulate(m_services.begin(), m_services.end(), std::size_t { 0 },
+        [](std::size_t sum, const auto& entry) { return sum + entry.second.dispatcher.queued(); });
+}
+
+} // namespace crocuscove::server
--- /dev/null
+++ b/src/crocuscove/server/gateway.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "backend_registry.h"
+#include "command_submitter.h"
+#include "options.h"
+
+#include "crocuscove/base/log.h"
+#include "crocuscove/base/random.h"
+#include "crocuscove/http/http_client.h"
+#include "crocuscove/http/http_server.h"
+#include "crocuscove/routing/dispatcher.h"
+#include "crocuscove/routing/route_match.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocuscove::server {
+
+/// Totals since the start, for metrics.
+struct GatewayCounters {
+    std::uint64_t executed = 0;
+    std::uint64_t notExecuted = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t dispatched = 0;
+    std::uint64_t retried = 0;
+};
+
+/// Serves clients' requests: routes them to a service, claims idempotency keys, carries out the dispatcher's actions,
+/// and tells every client one outcome.
+class Gateway {
+public:
+    /// The references must outlive this.
+    Gateway(http::EventLoop& loop, const ServerOptions& options, const base::Log& log, base::Random& random,
+        Replica& replica, CommandSubmitter& submitter, BackendRegistry& backends);
+
+    /// Takes a client's request. Bound to the client listener.
+    void handle(http::HttpRequest request, http::Responder responder);
+
+    /// Puts the documents of the replicated state in force.
+    void updateDocuments();
+
+    /// Hands the known backend servers of a service to its dispatcher.
+    void updateBackends(const base::ServiceId& service);
+
+    /// Requests in flight from this node at a backend server.
+    [[nodiscard]] std::uint32_t inFlightAt(const base::ServiceId& service, const base::BackendId& backend) const;
+
+    [[nodiscard]] const GatewayCounters& counters() const { return m_counters; }
+    [[nodiscard]] std::size_t openRequests() const { return m_requests.size(); }
+    [[nodiscard]] std::size_t queued() const;
+
+private:
+    struct Attempt {
+        http::Call call;
+        base::BackendId backend;
+        std::optional<http::HttpResponse> response;
+    };
+    struct ActiveRequest {
+        http::HttpRequest request;
+        http::Responder responder;
+        base::ServiceId service;
+        std::uint64_t revision = 0;
+        std::size_t kind = 0;
+        std::string kindName;
+        base::TeamId client;
+        base::MonotonicTime arrivedAt;
+        base::MonotonicTime deadline;
+        /// Set when the request holds a claim of its idempotency key.
+        std::string claimedKey;
+        std::map<routing::AttemptId, Attempt> attempts;
+    };
+    struct Service {
+        std::uint64_t revision = 0;
+        routing::Dispatcher dispatcher;
+        http::Timer timer;
+    };
+
+    void admit(routing::RequestId id);
+    void claimKey(routing::RequestId id, const std::string& key);
+    void finishClaim(routing::RequestId id, const std::string& key, const ProposalResult& result);
+    void settleClaim(const ActiveRequest& request, routing::RequestId id, routing::Outcome outcome,
+        const http::HttpResponse& answer);
+    void clientGone(routing::RequestId id);
+    void apply(const base::ServiceId& service, const routing::Actions& actions);
+    void applyAction(const base::ServiceId& service, const routing::Dispatch& action);
+    void applyAction(const base::ServiceId& service, const routing::Refuse& action);
+    void applyAction(const base::ServiceId& service, const routing::Conclude& action);
+    void applyAction(const base::ServiceId& service, const routing::Abort& action);
+    void finishAttempt(
+        const base::ServiceId& service, routing::RequestId id, routing::AttemptId attempt, http::ExchangeResult result);
+    void answer(routing::RequestId id, routing::Outcome outcome, http::HttpResponse response, std::string_view reason);
+    void armTimer(const base::ServiceId& service);
+    [[nodiscard]] std::string requestName(routing::RequestId id) const;
+    [[nodiscard]] http::HttpRequest forwarded(routing::RequestId id, const ActiveRequest& request) const;
+    [[nodiscard]] std::string_view staleness() const;
+
+    http::EventLoop& m_loop;
+    const ServerOptions& m_options;
+    const base::Log& m_log;
+    base::Random& m_random;
+    Replica& m_replica;
+    CommandSubmitter& m_submitter;
+    BackendRegistry& m_backends;
+    http::HttpClient m_client;
+    routing::DocumentMap m_documents;
+    std::map<base::ServiceId, Service> m_services;
+    std::map<routing::RequestId, ActiveRequest> m_requests;
+    routing::RequestId m_nextRequest = 1;
+    std::string m_requestPrefix;
+    GatewayCounters m_counters;
+};
+
+} // namespace crocuscove::server
--- /dev/null
+++ b/src/crocuscove/server/node_table.cpp
@@ -0,0 +1,62 @@
+#include "node_table.h"
+
+#include "crocuscove/base/codec.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace crocuscove::server {
+
+CROCUSCOVE_FIELDS(NodeStatus, v.node, v.dataCentre, v.isEntry, v.isVoter, v.isLeader, v.isReady, v.applied, v.term)
+
+namespace {
+
+/// Longer than two status intervals, so that one lost message does not make a node unreachable.
+constexpr base::Milliseconds reachability { 2500 };
+
+} // namespace
+
+NodeTable::NodeTable(const ServerOptions& options, const Replica& replica)
+    : m_options(options)
+    , m_replica(replica)
+{
+}
+
+NodeStatus NodeTable::ownStatus() const
+{
+    return { m_options.node, m_options.dataCentre, m_options.isEntry, m_options.isVoter, m_replica.isLeader(),
+        isReady(), m_replica.appliedIndex(), m_replica.raft().term() };
+}
+
+std::string NodeTable::encodedOwnStatus() const { return base::encode(ownStatus()); }
+
+void NodeTable::receive(const transport::PeerMessage& message)
+{
+    auto status = base::decode<NodeStatus>(message.payload);
+    if (status.node == message.sender) {
+        m_known.insert_or_assign(message.sender, Known { std::move(status), base::monotonicNow() + reachability });
+    }
+}
+
+std::vector<NodeView> NodeTable::nodes() const
+{
+    const auto now = base::monotonicNow();
+    std::vector<NodeView> views;
+    std::ranges::transform(m_options.peers, std::back_inserter(views), [&](const auto& peer) -> NodeView {
+        if (peer.first == m_options.node) {
+            return { ownStatus(), true };
+        }
+        const auto known = m_known.find(peer.first);
+        if (known == m_known.end()) {
+            NodeStatus unknown;
+            unknown.node = peer.first;
+            return { unknown, false };
+        }
+        return { known->second.status, known->second.reachableUntil > now };
+    });
+    return views;
+}
+
+bool NodeTable::isReady() const { return !m_isStopping && m_replica.isCurrent(base::monotonicNow()); }
+
+} // namespace crocuscove::server
--- /dev/null
+++ b/src/crocuscove/server/node_table.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "replica.h"
+
+#include "crocuscove/transport/peer_network.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocuscove::server {
+
+/// What a node last said of itself.
+struct NodeStatus {
+    base::NodeId node;
+    base::DataCentreId dataCentre;
+    bool isEntry = false;
+    bool isVoter = false;
+    bool isLeader = false;
+    bool isReady = false;
+    std::uint64_t applied = 0;
+    std::uint64_t term = 0;
+};
+
+struct NodeView {
+    NodeStatus status;
+    /// A status arrived within the last seconds.
+    bool isReachable = false;
+};
+
+/// The nodes of the cluster as this one sees them, from the status that each sends at intervals.
+class NodeTable {
+public:
+    NodeTable(const ServerOptions& options, const Replica& replica);
+
+    /// The status of this node, encoded for the others.
+    [[nodiscard]] std::string encodedOwnStatus() const;
+
+    void receive(const transport::PeerMessage& message);
+
+    /// All nodes of the cluster, this one included.
+    [[nodiscard]] std::vector<NodeView> nodes() const;
+
+    [[nodiscard]] bool isReady() const;
+
+    /// Makes this node report that it is not ready, before it stops.
+    void beginStop() { m_isStopping = true; }
+
+private:
+    struct Known {
+        NodeStatus status;
+        base::MonotonicTime reachableUntil;
+    };
+
+    [[nodiscard]] NodeStatus ownStatus() const;
+
+    const ServerOptions& m_options;
+    const Replica& m_replica;
+    bool m_isStopping = false;
+    std::map<base::NodeId, Known> m_known;
+};
+
+} // namespace crocuscove::server
