Keep abandoned drains and restarted workers apart in the state

Cause: a drain that was abandoned counted as maintenance, and a restarted worker process could be given a job again.

--- a/include/crocuscove/state/command.h
+++ b/include/crocuscove/state/command.h
@@ -58,6 +58,7 @@
 struct StartJob {
     base::JobId job;
     base::WorkerId worker;
+    std::uint64_t workerIncarnation = 0;
 };
 
 /// Ends the run of a job that holds `token`. Queued means that the job runs again from its checkpoint.
--- a/include/crocuscove/state/records.h
+++ b/include/crocuscove/state/records.h
@@ -67,6 +67,8 @@
     std::string text;
     base::WallTime appliedAt;
     std::string requestId;
+    /// Log index of the entry. The revision is in force on a node that has applied it.
+    std::uint64_t index = 0;
 };
 
 /// The revisions of one document, oldest first. The last one is in force.
@@ -111,6 +113,8 @@
     JobState state = JobState::Queued;
     std::string reason;
     base::WorkerId worker;
+    /// Start of the worker process that was given the job. A later one has forgotten it.
+    std::uint64_t workerIncarnation = 0;
     /// Fencing token: log index of the entry that started the job. 0 before the first start.
     std::uint64_t token = 0;
     std::uint32_t starts = 0;
--- a/include/crocuscove/state/state.h
+++ b/include/crocuscove/state/state.h
@@ -70,7 +70,7 @@
     CommandResult run(std::uint64_t index, const SettleIdempotencyKey& command);
     CommandResult run(std::uint64_t index, const AdvanceTime& command);
 
-    CommandResult storeRevision(const PutDocument& command, document::Document document);
+    CommandResult storeRevision(std::uint64_t index, const PutDocument& command, document::Document document);
     void rememberRequest(const std::string& requestId, const CommandResult& result);
     void requeueOrLose(JobRecord& job, std::string reason);
     void dropExpiredClaims();
--- a/src/crocuscove/state/apply_job.cpp
+++ b/src/crocuscove/state/apply_job.cpp
@@ -49,6 +49,7 @@
     }
     job.state = JobState::Running;
     job.worker = command.worker;
+    job.workerIncarnation = command.workerIncarnation;
     job.token = index;
     job.starts += 1;
     job.reason.clear();
--- a/src/crocuscove/state/apply_vm.cpp
+++ b/src/crocuscove/state/apply_vm.cpp
@@ -4,14 +4,17 @@
 
 namespace {
 
-bool isPlannedStop(VmPhase phase)
+bool isPlannedStop(VmReason reason) { return reason == VmReason::Maintenance || reason == VmReason::Move; }
+
+void beginOperation(VmRecord& record, std::uint64_t index, const SetVmPhase& command)
 {
-    return phase == VmPhase::Draining || phase == VmPhase::Rebooting || phase == VmPhase::Returning;
+    record.operation = index;
+    record.bootsAtDrain = command.boots;
 }
 
-void completeOperation(VmRecord& record, base::WallTime now)
+void endOperation(VmRecord& record, VmReason reason, base::WallTime now)
 {
-    if (record.reason == VmReason::Maintenance) {
+    if (reason == VmReason::Maintenance) {
         record.lastMaintained = now;
     }
     record.moveTarget.reset();
@@ -73,14 +76,11 @@
     }
     record.phase = command.phase;
     record.phaseSince = m_now;
+    record.reason = command.reason;
     if (command.phase == VmPhase::Serving) {
-        completeOperation(record, m_now);
-    } else if (command.phase == VmPhase::Lost) {
-        record.reason = VmReason::Failure;
-    } else if (record.operation == 0 && isPlannedStop(command.phase)) {
-        record.operation = index;
-        record.reason = command.reason;
-        record.bootsAtDrain = command.boots;
+        endOperation(record, command.reason, m_now);
+    } else if (record.operation == 0 && isPlannedStop(command.reason)) {
+        beginOperation(record, index, command);
     }
     // The one committed entry that ends the drain of a move also changes the pool.
     if (record.moveTarget && command.phase == VmPhase::Rebooting) {
--- a/src/crocuscove/state/state.cpp
+++ b/src/crocuscove/state/state.cpp
@@ -41,7 +41,7 @@
     return record == nullptr ? nullptr : std::get_if<document::FleetDocument>(record->inForce.get());
 }
 
-CommandResult State::run(std::uint64_t, const PutDocument& command)
+CommandResult State::run(std::uint64_t index, const PutDocument& command)
 {
     if (const auto* first = findRecord<const CommandResult>(m_requestResults, command.requestId)) {
         return *first;
@@ -53,12 +53,12 @@
     if (document::documentId(*parsed.document) != command.service) {
         return refuse(ResultCode::InvalidDocument, "the document names another service");
     }
-    CommandResult result = storeRevision(command, std::move(*parsed.document));
+    CommandResult result = storeRevision(index, command, std::move(*parsed.document));
     rememberRequest(command.requestId, result);
     return result;
 }
 
-CommandResult State::storeRevision(const PutDocument& command, document::Document document)
+CommandResult State::storeRevision(std::uint64_t index, const PutDocument& command, document::Document document)
 {
     const auto* existing = findRecord<const DocumentRecord>(m_documents, command.service);
     const std::uint64_t revisionInForce = existing == nullptr ? 0 : existing->revision();
@@ -69,7 +69,7 @@
         return refuse(ResultCode::LimitReached, "too many documents");
     }
     DocumentRecord& record = m_documents[command.service];
-    record.revisions.push_back({ revisionInForce + 1, command.text, m_now, command.requestId });
+    record.revisions.push_back({ revisionInForce + 1, command.text, m_now, command.requestId, index });
     if (record.revisions.size() > maxRevisionsPerDocument) {
         record.revisions.erase(record.revisions.begin());
     }
--- a/src/crocuscove/state/state_test.cpp
+++ b/src/crocuscove/state/state_test.cpp
@@ -98,6 +98,21 @@
     EXPECT_EQ(state.vms().at(vm).operation, 0U);
 }
 
+// Guards against an abandoned drain that counts as maintenance, or that still moves the VM.
+TEST(StateVms, AbandonedDrainChangesNeitherPoolNorMaintenance)
+{
+    State state;
+    const base::VmId vm("vm-1");
+    state.apply(1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), {}, base::PoolId("spare") });
+    state.apply(2, AdvanceTime { base::WallTime(5000ms) });
+    state.apply(3, MoveVm { vm, base::PoolId("spare"), base::PoolId("main"), 0 });
+    state.apply(4, SetVmPhase { vm, VmPhase::Draining, VmPhase::Serving, VmReason::None, 3, 0 });
+    EXPECT_EQ(state.vms().at(vm).pool, base::PoolId("spare"));
+    EXPECT_FALSE(state.vms().at(vm).moveTarget);
+    EXPECT_EQ(state.vms().at(vm).lastMaintained, base::WallTime());
+    EXPECT_EQ(state.vms().at(vm).phase, VmPhase::Serving);
+}
+
 // Guards against a late phase change of a finished operation acting on the next one.
 TEST(StateVms, PhaseChangeOfAnOldOperationIsRefused)
 {
@@ -107,7 +122,8 @@
     state.apply(2, SetVmPhase { vm, VmPhase::Serving, VmPhase::Draining, VmReason::Maintenance, 0, 7 });
     EXPECT_EQ(state.vms().at(vm).operation, 2U);
     EXPECT_EQ(state.vms().at(vm).bootsAtDrain, 7U);
-    EXPECT_EQ(state.apply(3, SetVmPhase { vm, VmPhase::Draining, VmPhase::Rebooting, VmReason::None, 1, 0 }).code,
+    EXPECT_EQ(
+        state.apply(3, SetVmPhase { vm, VmPhase::Draining, VmPhase::Rebooting, VmReason::Maintenance, 1, 0 }).code,
         ResultCode::Refused);
 }
 
@@ -116,10 +132,10 @@
 {
     State state;
     state.apply(1, SubmitJob { jobSpec("j1", false) });
-    state.apply(2, StartJob { base::JobId("j1"), base::WorkerId("w1") });
+    state.apply(2, StartJob { base::JobId("j1"), base::WorkerId("w1"), 1 });
     state.apply(3, ExpireLease { base::JobId("j1"), 2 });
     EXPECT_EQ(state.jobs().at(base::JobId("j1")).state, JobState::Lost);
-    EXPECT_EQ(state.apply(4, StartJob { base::JobId("j1"), base::WorkerId("w2") }).code, ResultCode::Refused);
+    EXPECT_EQ(state.apply(4, StartJob { base::JobId("j1"), base::WorkerId("w2"), 1 }).code, ResultCode::Refused);
 }
 
 // Guards against a worker whose lease expired completing a job that another worker runs by now.
@@ -127,9 +143,9 @@
 {
     State state;
     state.apply(1, SubmitJob { jobSpec("j1", true) });
-    state.apply(2, StartJob { base::JobId("j1"), base::WorkerId("w1") });
+    state.apply(2, StartJob { base::JobId("j1"), base::WorkerId("w1"), 1 });
     state.apply(3, ExpireLease { base::JobId("j1"), 2 });
-    state.apply(4, StartJob { base::JobId("j1"), base::WorkerId("w2") });
+    state.apply(4, StartJob { base::JobId("j1"), base::WorkerId("w2"), 1 });
     EXPECT_EQ(state.apply(5, FinishJob { base::JobId("j1"), 2, JobState::Done, false, "" }).code, ResultCode::Refused);
     EXPECT_EQ(state.apply(6, FinishJob { base::JobId("j1"), 4, JobState::Done, false, "" }).code, ResultCode::Ok);
 }
@@ -189,7 +205,7 @@
         case 4:
             return SubmitJob { jobSpec(job.text(), number % 2 == 0) };
         case 5:
-            return StartJob { job, base::WorkerId("w1") };
+            return StartJob { job, base::WorkerId("w1"), 1 };
         case 6:
             return ExpireLease { job, index };
         case 7:
