--- /dev/null
+++ b/src/crocuscove/server/maintenance_controller.cpp
@@ -0,0 +1,213 @@
+#include "maintenance_controller.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <iterator>
+#include <utility>
+
+namespace crocuscove::server {
+
+namespace {
+
+constexpr base::Milliseconds commandTimeout { 5000 };
+/// Platform commands are idempotent and are sent again at this interval until the platform shows their effect.
+constexpr base::Milliseconds platformCommandInterval { 2000 };
+const base::PoolId defaultPool("unassigned");
+
+bool isSameLocation(const state::VmRecord& record, const PlatformVm& vm)
+{
+    return record.dataCentre == vm.dataCentre && record.rack == vm.rack && record.capacity == vm.capacity;
+}
+
+maintenance::PlatformState platformState(PlatformVmState state)
+{
+    switch (state) {
+    case PlatformVmState::Running:
+        return maintenance::PlatformState::Running;
+    case PlatformVmState::Rebooting:
+        return maintenance::PlatformState::Rebooting;
+    case PlatformVmState::Off:
+        break;
+    }
+    return maintenance::PlatformState::Off;
+}
+
+std::map<base::VmId, const routing::Announcement*> indexByVm(const std::vector<routing::Announcement>& announcements)
+{
+    std::map<base::VmId, const routing::Announcement*> index;
+    std::ranges::for_each(
+        announcements, [&](const routing::Announcement& announcement) { index[announcement.vm] = &announcement; });
+    return index;
+}
+
+} // namespace
+
+MaintenanceController::MaintenanceController(const base::Log& log, Replica& replica, const BackendRegistry& backends,
+    const JobController& jobs, PlatformClient& platform)
+    : m_log(log)
+    , m_replica(replica)
+    , m_backends(backends)
+    , m_jobs(jobs)
+    , m_platform(platform)
+{
+}
+
+void MaintenanceController::beginLeading()
+{
+    m_observingSince = base::wallNow();
+    m_pending.clear();
+    m_plan = {};
+}
+
+void MaintenanceController::tick(base::MonotonicTime now)
+{
+    m_platform.refresh();
+    if (!m_platform.seenAt()) {
+        return;
+    }
+    const auto announcements = m_backends.directory().announcements(now);
+    registerVms(announcements);
+    m_plan = maintenance::planMaintenance(makeView(announcements), {}, base::wallNow());
+    std::ranges::for_each(m_plan.actions, [this](const maintenance::MaintenanceAction& action) { carryOut(action); });
+    logPauses();
+    if (m_nextCommand <= now) {
+        m_nextCommand = now + platformCommandInterval;
+        sendPlatformCommands(now);
+    }
+}
+
+// A VM that is new to the system joins the pool of the service that runs on it, or the spare pool.
+void MaintenanceController::registerVms(const std::vector<routing::Announcement>& announcements)
+{
+    const auto byVm = indexByVm(announcements);
+    const auto* fleet = m_replica.state().fleetDocument();
+    for (const auto& [id, vm] : m_platform.vms()) {
+        const auto record = m_replica.state().vms().find(id);
+        const bool isKnown = record != m_replica.state().vms().end();
+        if (isKnown && isSameLocation(record->second, vm)) {
+            continue;
+        }
+        base::PoolId pool = fleet != nullptr ? fleet->sparePool : defaultPool;
+        const auto backend = byVm.find(id);
+        const auto* document
+            = backend == byVm.end() ? nullptr : m_replica.state().serviceDocument(backend->second->service);
+        if (document != nullptr) {
+            pool = document->pool.name;
+        }
+        if (!isKnown && !m_pending.contains(id)) {
+            m_log.info("vm_registered",
+                { { "vm", id.text() }, { "pool", pool.text() }, { "rack", vm.rack.text() },
+                    { "data_centre", vm.dataCentre.text() } });
+        }
+        propose(id, state::RegisterVm { id, vm.dataCentre, vm.rack, vm.capacity, pool });
+    }
+}
+
+maintenance::MaintenanceView MaintenanceController::makeView(
+    const std::vector<routing::Announcement>& announcements) const
+{
+    const auto byVm = indexByVm(announcements);
+    maintenance::MaintenanceView view;
+    for (const auto& [id, record] : m_replica.state().vms()) {
+        const auto backend = byVm.find(id);
+        const auto* announcement = backend == byVm.end() ? nullptr : backend->second;
+        view.vms.push_back({ &record, observe(record, announcement), m_pending.contains(id) });
+    }
+    for (const auto& [service, record] : m_replica.state().documents()) {
+        if (const auto* document = m_replica.state().serviceDocument(service)) {
+            view.services.push_back(maintenance::budgetOf(*document, document->pool.executors.minimum));
+        }
+    }
+    if (const auto* fleet = m_replica.state().fleetDocument()) {
+        view.period = fleet->maintenancePeriod;
+    }
+    view.platformSeenAt = m_platform.seenAt();
+    view.observingSince = m_observingSince;
+    return view;
+}
+
+maintenance::VmObservation MaintenanceController::observe(
+    const state::VmRecord& record, const routing::Announcement* announcement) const
+{
+    maintenance::VmObservation observation;
+    if (announcement != nullptr) {
+        const base::Milliseconds age = routing::announcementLease - base::Milliseconds(announcement->leaseRemainingMs);
+        observation.observedAt = base::wallNow() - age;
+        observation.isAnnounced = announcement->state == routing::BackendState::Serving;
+        observation.isHealthy = true;
+        observation.requestsInFlight = announcement->inFlight;
+    }
+    const auto& workers = m_jobs.table().workers();
+    const auto worker
+        = std::ranges::find_if(workers, [&](const auto& entry) { return entry.second.report.vm == record.vm; });
+    if (worker != workers.end()) {
+        observation.observedAt = std::max(observation.observedAt.value_or(base::WallTime()), worker->second.reportedAt);
+        observation.isAnnounced = observation.isAnnounced || !worker->second.report.isLeaving;
+        observation.isHealthy = true;
+        observation.tasksRunning = static_cast<std::uint32_t>(worker->second.report.tasks.size());
+        observation.tasksCheckpointed = static_cast<std::uint32_t>(
+            std::ranges::count(worker->second.report.tasks, TaskState::Checkpointed, &TaskReport::state));
+    }
+    const auto listed = m_platform.vms().find(record.vm);
+    if (listed != m_platform.vms().end()) {
+        observation.platform = platformState(listed->second.state);
+        observation.boots = listed->second.boots;
+    }
+    return observation;
+}
+
+void MaintenanceController::carryOut(const maintenance::MaintenanceAction& action)
+{
+    m_log.info("maintenance_decided",
+        { { "vm", action.command.vm.text() }, { "pool", action.pool.text() },
+            { "action", maintenance::maintenanceActionKindName(action.kind) },
+            { "reason", maintenance::maintenanceReasonName(action.reason) },
+            { "operation", action.command.operation } });
+    propose(action.command.vm, action.command);
+}
+
+void MaintenanceController::sendPlatformCommands(base::MonotonicTime)
+{
+    const auto epoch = m_replica.raft().term();
+    for (const auto& [id, record] : m_replica.state().vms()) {
+        const auto listed = m_platform.vms().find(id);
+        const bool hasRebooted = listed != m_platform.vms().end() && listed->second.boots > record.bootsAtDrain;
+        if (record.phase == state::VmPhase::Draining) {
+            m_platform.send(PlatformCommand::Drain, id, record.operation, epoch, record.pool);
+        } else if (record.phase == state::VmPhase::Rebooting && !hasRebooted) {
+            m_platform.send(PlatformCommand::Reboot, id, record.operation, epoch, record.pool);
+        }
+    }
+}
+
+void MaintenanceController::logPauses()
+{
+    std::set<std::string> pauses;
+    for (const maintenance::MaintenancePause& pause : m_plan.pauses) {
+        const std::string scope
+            = pause.pool ? pause.pool->text() : (pause.dataCentre ? pause.dataCentre->text() : "fleet");
+        const auto name = fmt::format("{}:{}", scope, maintenance::pauseReasonName(pause.reason));
+        if (!m_loggedPauses.contains(name)) {
+            m_log.warning("maintenance_paused",
+                { { "scope", scope }, { "reason", maintenance::pauseReasonName(pause.reason) }, { "vms", pause.vms } });
+        }
+        pauses.insert(name);
+    }
+    std::ranges::for_each(m_loggedPauses, [&](const std::string& name) {
+        if (!pauses.contains(name)) {
+            m_log.info("maintenance_resumed", { { "pause", name } });
+        }
+    });
+    m_loggedPauses = std::move(pauses);
+}
+
+void MaintenanceController::propose(const base::VmId& vm, const state::Command& command)
+{
+    if (!m_pending.insert(vm).second) {
+        return;
+    }
+    m_replica.propose(
+        command, base::monotonicNow() + commandTimeout, [this, vm](const ProposalResult&) { m_pending.erase(vm); });
+}
+
+} // namespace crocuscove::server
--- /dev/null
+++ b/src/crocuscove/server/maintenance_controller.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "backend_registry.h"
+#include "job_controller.h"
+#include "platform_client.h"
+#include "replica.h"
+
+#include "crocuscove/base/log.h"
+#include "crocuscove/maintenance/maintenance_plan.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace crocuscove::server {
+
+/// Runs on the leader: registers the platform's VMs, carries out the maintenance plan through committed entries, and
+/// sends the platform the commands that belong to them.
+class MaintenanceController {
+public:
+    /// The references must outlive this.
+    MaintenanceController(const base::Log& log, Replica& replica, const BackendRegistry& backends,
+        const JobController& jobs, PlatformClient& platform);
+
+    void beginLeading();
+    void tick(base::MonotonicTime now);
+
+    /// The last plan of this leader, for status.
+    [[nodiscard]] const maintenance::MaintenancePlan& plan() const { return m_plan; }
+
+private:
+    using BackendsByVm = std::map<base::VmId, const routing::Announcement*>;
+
+    void registerVms(const std::vector<routing::Announcement>& announcements);
+    maintenance::MaintenanceView makeView(const std::vector<routing::Announcement>& announcements) const;
+    [[nodiscard]] maintenance::VmObservation observe(
+        const state::VmRecord& record, const routing::Announcement* announcement) const;
+    void carryOut(const maintenance::MaintenanceAction& action);
+    void sendPlatformCommands(base::MonotonicTime now);
+    void logPauses();
+    void propose(const base::VmId& vm, const state::Command& command);
+
+    const base::Log& m_log;
+    Replica& m_replica;
+    const BackendRegistry& m_backends;
+    const JobController& m_jobs;
+    PlatformClient& m_platform;
+    maintenance::MaintenancePlan m_plan;
+    base::WallTime m_observingSince;
+    base::MonotonicTime m_nextCommand;
+    std::set<base::VmId> m_pending;
+    std::set<std::string> m_loggedPauses;
+};
+
+} // namespace crocuscove::server
--- /dev/null
+++ b/src/crocuscove/server/node.cpp
@@ -0,0 +1,201 @@
+#include "node.h"
+
+#include "crocuscove/base/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuscove::server {
+
+namespace {
+
+constexpr base::Milliseconds statusInterval { 500 };
+constexpr base::Milliseconds leaderInterval { 200 };
+constexpr base::Milliseconds stopPollInterval { 50 };
+/// Running requests get this long to finish after a stop was asked for.
+constexpr base::Milliseconds stopTimeout { 30'000 };
+/// Admin bodies hold at most one document, or the report of a worker with many tasks.
+constexpr std::size_t maxAdminBodyBytes = std::size_t { 1 } * 1024 * 1024;
+/// Upper bound of any document's maxBodyBytes.
+constexpr std::size_t maxClientBodyBytes = std::size_t { 64 } * 1024 * 1024;
+
+transport::PeerNetworkOptions networkOptions(const ServerOptions& options)
+{
+    const auto incarnation = static_cast<std::uint64_t>(base::wallNow().time_since_epoch().count());
+    return { options.cluster, options.node, incarnation, options.peerListen, options.peers };
+}
+
+http::HttpServerOptions serverOptions(const base::Endpoint& listen, std::size_t maxBodyBytes)
+{
+    http::HttpServerOptions options;
+    options.listen = listen;
+    options.maxBodyBytes = maxBodyBytes;
+    return options;
+}
+
+} // namespace
+
+Node::Node(http::EventLoop& loop, ServerOptions options, const base::Log& log)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_log(log)
+    , m_random(m_options.seed)
+    , m_network(networkOptions(m_options), [this](const transport::PeerMessage& message) { receive(message); })
+    , m_networkWatch(loop.onReadable(m_network.descriptor(), [this] { m_network.receive(); }))
+    , m_rpc(
+          loop,
+          [this](const auto& peer, auto kind, const auto& payload) { return m_network.send(peer, kind, payload); },
+          [this](Procedure procedure, const std::string& payload, const PeerRpc::Reply& reply) {
+              handleCall(procedure, payload, reply);
+          })
+    , m_replica(loop, m_options, log, m_random,
+          { [this](const consensus::Message& message) {
+               m_network.send(message.to, transport::MessageKind::Consensus, consensus::encodeMessage(message));
+           },
+              [this] { m_gateway.updateDocuments(); },
+              [this](const consensus::RoleChange& change) { roleChanged(change); } })
+    , m_submitter(loop, m_replica, m_rpc)
+    , m_nodes(m_options, m_replica)
+    , m_backends(loop, log,
+          { [this](const std::string& payload) { broadcast(transport::MessageKind::Backends, payload); },
+              [this](const base::ServiceId& service) { m_gateway.updateBackends(service); } })
+    , m_gateway(loop, m_options, log, m_random, m_replica, m_submitter, m_backends)
+    , m_jobs(log, m_replica)
+    , m_platform(m_options.platform ? std::make_optional<PlatformClient>(loop, log, *m_options.platform) : std::nullopt)
+    , m_maintenance(m_platform
+              ? std::make_optional<MaintenanceController>(log, m_replica, m_backends, m_jobs, *m_platform)
+              : std::nullopt)
+    , m_documentApi(log, m_replica, m_submitter, m_nodes)
+    , m_fleetApi(log, m_replica, m_submitter, m_backends, m_gateway, m_jobs, m_rpc)
+    , m_statusApi({ m_replica, m_nodes, m_backends, m_gateway, m_maintenance ? &*m_maintenance : nullptr, m_network })
+    , m_adminServer(loop, serverOptions(m_options.adminListen, maxAdminBodyBytes),
+          [this](http::HttpRequest request, const http::Responder& responder) {
+              m_router.handle(std::move(request), responder);
+          })
+    , m_statusTimer(loop.runEvery(
+          statusInterval, [this] { broadcast(transport::MessageKind::NodeStatus, m_nodes.encodedOwnStatus()); }))
+    , m_leaderTimer(loop.runEvery(leaderInterval, [this] { tickLeader(); }))
+{
+    m_documentApi.addRoutes(m_router);
+    m_fleetApi.addRoutes(m_router);
+    m_statusApi.addRoutes(m_router);
+    if (m_options.isEntry) {
+        m_clientServer.emplace(loop, serverOptions(m_options.clientListen, maxClientBodyBytes),
+            [this](http::HttpRequest request, http::Responder responder) {
+                m_gateway.handle(std::move(request), std::move(responder));
+            });
+    }
+    m_gateway.updateDocuments();
+    m_log.info("node_started",
+        { { "client_port", m_clientServer ? m_clientServer->port() : 0 }, { "admin_port", m_adminServer.port() },
+            { "peer_listen", m_options.peerListen.text() }, { "seed", m_options.seed } });
+}
+
+void Node::receive(const transport::PeerMessage& message)
+{
+    try {
+        handlePeerMessage(message);
+    } catch (const storage::StorageError&) {
+        throw;
+    } catch (const std::exception& error) {
+        m_log.warning("peer_message_refused", { { "sender", message.sender.text() }, { "cause", error.what() } });
+    }
+}
+
+void Node::handlePeerMessage(const transport::PeerMessage& message)
+{
+    using transport::MessageKind;
+    switch (message.kind) {
+    case MessageKind::Consensus: {
+        const auto decoded = consensus::decodeMessage(message.payload);
+        if (decoded.from == message.sender) {
+            m_replica.step(decoded);
+        }
+        break;
+    }
+    case MessageKind::ForwardRequest:
+    case MessageKind::ForwardResponse:
+        m_rpc.receive(message);
+        break;
+    case MessageKind::Backends:
+        m_backends.receive(message.payload);
+        break;
+    case MessageKind::NodeStatus:
+        m_nodes.receive(message);
+        break;
+    case MessageKind::Membership:
+    case MessageKind::Slots:
+        break;
+    }
+}
+
+void Node::handleCall(Procedure procedure, const std::string& payload, const PeerRpc::Reply& reply)
+{
+    switch (procedure) {
+    case Procedure::SubmitCommand:
+        m_submitter.receive(payload, reply);
+        break;
+    case Procedure::WorkerReport:
+        m_fleetApi.receiveWorkerReport(payload, reply);
+        break;
+    }
+}
+
+void Node::broadcast(transport::MessageKind kind, const std::string& payload)
+{
+    std::ranges::for_each(m_options.peers, [&](const auto& peer) {
+        if (peer.first != m_options.node) {
+            m_network.send(peer.first, kind, payload);
+        }
+    });
+}
+
+void Node::roleChanged(const consensus::RoleChange& change)
+{
+    const bool isLeader = change.role == consensus::Role::Leader;
+    if (isLeader && !m_wasLeader) {
+        m_jobs.beginLeading(base::monotonicNow());
+        if (m_maintenance) {
+            m_maintenance->beginLeading();
+        }
+    }
+    m_wasLeader = isLeader;
+}
+
+void Node::tickLeader()
+{
+    if (!m_replica.isLeader()) {
+        return;
+    }
+    const auto now = base::monotonicNow();
+    m_jobs.tick(now);
+    if (m_maintenance) {
+        m_maintenance->tick(now);
+    }
+}
+
+void Node::beginStop()
+{
+    if (m_isStopping) {
+        return;
+    }
+    m_isStopping = true;
+    m_stopDeadline = base::monotonicNow() + stopTimeout;
+    m_nodes.beginStop();
+    if (m_clientServer) {
+        m_clientServer->stopAccepting();
+    }
+    m_log.info("stop_requested", { { "open_requests", m_gateway.openRequests() } });
+    m_stopTimer = m_loop.runEvery(stopPollInterval, [this] { finishStop(); });
+}
+
+void Node::finishStop()
+{
+    const bool isDone = m_gateway.openRequests() == 0 && (!m_clientServer || m_clientServer->openRequests() == 0);
+    if (isDone || m_stopDeadline <= base::monotonicNow()) {
+        m_log.info("node_stopped", { { "open_requests", m_gateway.openRequests() } });
+        m_loop.stop();
+    }
+}
+
+} // namespace crocuscove::server
--- /dev/null
+++ b/src/crocuscove/server/node.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "backend_registry.h"
+#include "command_submitter.h"
+#include "document_api.h"
+#include "fleet_api.h"
+#include "gateway.h"
+#include "http_router.h"
+#include "job_controller.h"
+#include "maintenance_controller.h"
+#include "node_table.h"
+#include "options.h"
+#include "peer_rpc.h"
+#include "platform_client.h"
+#include "replica.h"
+#include "status_api.h"
+
+#include "crocuscove/base/log.h"
+#include "crocuscove/http/event_loop.h"
+#include "crocuscove/http/http_server.h"
+#include "crocuscove/transport/peer_network.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace crocuscove::server {
+
+/// One process of the system: all modules on one event loop.
+class Node {
+public:
+    Node(http::EventLoop& loop, ServerOptions options, const base::Log& log);
+
+    /// Begins a graceful stop: readiness fails at once, running requests finish, then the loop stops.
+    void beginStop();
+
+private:
+    void receive(const transport::PeerMessage& message);
+    void handlePeerMessage(const transport::PeerMessage& message);
+    void handleCall(Procedure procedure, const std::string& payload, const PeerRpc::Reply& reply);
+    void broadcast(transport::MessageKind kind, const std::string& payload);
+    void roleChanged(const consensus::RoleChange& change);
+    void tickLeader();
+    void finishStop();
+
+    http::EventLoop& m_loop;
+    ServerOptions m_options;
+    const base::Log& m_log;
+    base::Random m_random;
+    transport::PeerNetwork m_network;
+    http::Watch m_networkWatch;
+    PeerRpc m_rpc;
+    Replica m_replica;
+    CommandSubmitter m_submitter;
+    NodeTable m_nodes;
+    BackendRegistry m_backends;
+    Gateway m_gateway;
+    JobController m_jobs;
+    std::optional<PlatformClient> m_platform;
+    std::optional<MaintenanceController> m_maintenance;
+    DocumentApi m_documentApi;
+    FleetApi m_fleetApi;
+    StatusApi m_statusApi;
+    HttpRouter m_router;
+    http::HttpServer m_adminServer;
+    std::optional<http::HttpServer> m_clientServer;
+    http::Timer m_statusTimer;
+    http::Timer m_leaderTimer;
+    http::Timer m_stopTimer;
+    base::MonotonicTime m_stopDeadline;
+    bool m_isStopping = false;
+    bool m_wasLeader = false;
+};
+
+} // namespace crocuscove::server
