Confirm reads of documents by a quorum

Cause: a node that lags could show an operator an older revision than another node had shown before. Change: list, get and history wait for a read index; without a quorum they answer after 1 s, marked Crocuscove-Stale. Conclusion: reads do not go backward while a quorum stands.

--- a/src/crocuscove/server/document_api.cpp
+++ b/src/crocuscove/server/document_api.cpp
@@ -16,6 +16,7 @@
 using Json = nlohmann::ordered_json;
 
 constexpr base::Milliseconds putTimeout { 5000 };
+constexpr base::Milliseconds readTimeout { 1000 };
 constexpr std::size_t maxRequestIdBytes = 128;
 
 Json problemJson(const document::Problem& problem)
@@ -54,8 +55,7 @@
 
 } // namespace
 
-DocumentApi::DocumentApi(
-    const base::Log& log, const Replica& replica, CommandSubmitter& submitter, const NodeTable& nodes)
+DocumentApi::DocumentApi(const base::Log& log, Replica& replica, CommandSubmitter& submitter, const NodeTable& nodes)
     : m_log(log)
     , m_replica(replica)
     , m_submitter(submitter)
@@ -65,15 +65,19 @@
 
 void DocumentApi::addRoutes(HttpRouter& router)
 {
-    router.add("GET", "/v1/documents", [this](const auto&, auto&, const auto& responder) { list(responder); });
+    router.add("GET", "/v1/documents",
+        [this](const auto&, auto&, const auto& responder) { readCurrent([this] { return list(); }, responder); });
     router.add("PUT", "/v1/documents/{service}", [this](const auto& parameters, auto& request, const auto& responder) {
         put(base::ServiceId(parameters[0]), request, responder);
     });
     router.add("GET", "/v1/documents/{service}", [this](const auto& parameters, auto& request, const auto& responder) {
-        get(base::ServiceId(parameters[0]), request, responder);
+        const auto wanted = http::queryParameter(request.query, "revision");
+        const auto revision = wanted ? std::optional(parseRevision(*wanted, "revision")) : std::nullopt;
+        readCurrent(
+            [this, service = base::ServiceId(parameters[0]), revision] { return get(service, revision); }, responder);
     });
     router.add("GET", "/v1/documents/{service}/history", [this](const auto& parameters, auto&, const auto& responder) {
-        history(base::ServiceId(parameters[0]), responder);
+        readCurrent([this, service = base::ServiceId(parameters[0])] { return history(service); }, responder);
     });
     router.add("GET", "/v1/documents/{service}/rollout", [this](const auto& parameters, auto&, const auto& responder) {
         rollout(base::ServiceId(parameters[0]), responder);
@@ -140,7 +144,18 @@
         responder, 409, "revision-conflict", { { "revisionInForce", result.number }, { "difference", difference } });
 }
 
-void DocumentApi::list(const http::Responder& responder) const
+void DocumentApi::readCurrent(std::function<http::HttpResponse()> read, const http::Responder& responder)
+{
+    m_replica.confirmCurrent(base::monotonicNow() + readTimeout, [read = std::move(read), responder](bool isCurrent) {
+        auto response = read();
+        if (!isCurrent) {
+            response.headers.add("Crocuscove-Stale", "1");
+        }
+        responder.respond(std::move(response));
+    });
+}
+
+http::HttpResponse DocumentApi::list() const
 {
     Json documents = Json::array();
     for (const auto& [service, record] : m_replica.state().documents()) {
@@ -148,40 +163,35 @@
         documents.push_back({ { "service", service.text() }, { "revision", record.revision() },
             { "team", document == nullptr ? "" : document->team.text() } });
     }
-    respondJson(responder, 200, { { "documents", documents } });
+    return jsonResponse(200, { { "documents", documents } });
 }
 
-void DocumentApi::get(
-    const base::ServiceId& service, const http::HttpRequest& request, const http::Responder& responder) const
+http::HttpResponse DocumentApi::get(const base::ServiceId& service, std::optional<std::uint64_t> wanted) const
 {
     const auto& documents = m_replica.state().documents();
     const auto record = documents.find(service);
     if (record == documents.end()) {
-        respondError(responder, 404, "not-found", { { "service", service.text() } });
-        return;
+        return errorResponse(404, "not-found", { { "service", service.text() } });
     }
-    const auto wanted = http::queryParameter(request.query, "revision");
-    const auto number = wanted ? parseRevision(*wanted, "revision") : record->second.revision();
+    const auto number = wanted.value_or(record->second.revision());
     const auto& revisions = record->second.revisions;
     const auto revision = std::ranges::find(revisions, number, &state::DocumentRevision::revision);
     if (revision == revisions.end()) {
-        respondError(responder, 404, "not-found", { { "service", service.text() }, { "revision", number } });
-        return;
+        return errorResponse(404, "not-found", { { "service", service.text() }, { "revision", number } });
     }
     http::HttpResponse response;
     response.headers.add("Content-Type", "application/yaml");
     response.headers.add("Crocuscove-Revision", std::to_string(number));
     response.body = revision->text;
-    responder.respond(std::move(response));
+    return response;
 }
 
-void DocumentApi::history(const base::ServiceId& service, const http::Responder& responder) const
+http::HttpResponse DocumentApi::history(const base::ServiceId& service) const
 {
     const auto& documents = m_replica.state().documents();
     const auto record = documents.find(service);
     if (record == documents.end()) {
-        respondError(responder, 404, "not-found", { { "service", service.text() } });
-        return;
+        return errorResponse(404, "not-found", { { "service", service.text() } });
     }
     Json revisions = Json::array();
     std::ranges::transform(
@@ -189,7 +199,7 @@
             return Json { { "revision", revision.revision },
                 { "appliedAtMs", revision.appliedAt.time_since_epoch().count() }, { "requestId", revision.requestId } };
         });
-    respondJson(responder, 200, { { "service", service.text() }, { "revisions", revisions } });
+    return jsonResponse(200, { { "service", service.text() }, { "revisions", revisions } });
 }
 
 void DocumentApi::rollout(const base::ServiceId& service, const http::Responder& responder) const
--- a/src/crocuscove/server/http_router.cpp
+++ b/src/crocuscove/server/http_router.cpp
@@ -68,21 +68,31 @@
     }
 }
 
-void respondJson(const http::Responder& responder, int status, const nlohmann::ordered_json& body)
+http::HttpResponse jsonResponse(int status, const nlohmann::ordered_json& body)
 {
     http::HttpResponse response;
     response.status = status;
     response.headers.add("Content-Type", "application/json");
     response.body = body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n";
-    responder.respond(std::move(response));
+    return response;
 }
 
-void respondError(
-    const http::Responder& responder, int status, std::string_view error, const nlohmann::ordered_json& details)
+http::HttpResponse errorResponse(int status, std::string_view error, const nlohmann::ordered_json& details)
 {
     nlohmann::ordered_json body { { "error", error } };
     body.update(details);
-    respondJson(responder, status, body);
+    return jsonResponse(status, body);
+}
+
+void respondJson(const http::Responder& responder, int status, const nlohmann::ordered_json& body)
+{
+    responder.respond(jsonResponse(status, body));
+}
+
+void respondError(
+    const http::Responder& responder, int status, std::string_view error, const nlohmann::ordered_json& details)
+{
+    responder.respond(errorResponse(status, error, details));
 }
 
 } // namespace crocuscove::server
--- a/src/crocuscove/server/http_router.h
+++ b/src/crocuscove/server/http_router.h
@@ -33,6 +33,13 @@
     std::vector<Route> m_routes;
 };
 
+/// Makes an answer with a JSON body.
+http::HttpResponse jsonResponse(int status, const nlohmann::ordered_json& body);
+
+/// Makes an answer {"error": error} with the fields of `details`.
+http::HttpResponse errorResponse(
+    int status, std::string_view error, const nlohmann::ordered_json& details = nlohmann::ordered_json::object());
+
 /// Answers with JSON.
 void respondJson(const http::Responder& responder, int status, const nlohmann::ordered_json& body);
 
