--- a/src/crocuscove/document/parse_test.cpp
+++ b/src/crocuscove/document/parse_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <utility>
+
 namespace crocuscove::document {
 namespace {
 
@@ -108,12 +111,28 @@
 TEST(Parse, ExamplesLoad)
 {
     const auto files = exampleFiles();
-    EXPECT_FALSE(files.empty());
+    EXPECT_GE(files.size(), 13U); // Two users with five services and a fleet each, and the quickstart.
     for (const auto& file : files) {
         const ParseResult result = parseDocument(readFile(file), file.string());
         EXPECT_TRUE(result.document) << describe(result.problems.front());
     }
 }
 
+// Guards against example documents of one user that take each other's service or pool.
+TEST(Parse, ExamplesOfAUserDoNotCollide)
+{
+    std::set<std::pair<std::filesystem::path, std::string>> ids;
+    std::set<std::pair<std::filesystem::path, std::string>> pools;
+    for (const auto& file : exampleFiles()) {
+        const ParseResult result = parseDocument(readFile(file), file.string());
+        ASSERT_TRUE(result.document) << file;
+        EXPECT_TRUE(ids.emplace(file.parent_path(), documentId(*result.document).text()).second) << file;
+        EXPECT_EQ(file.stem().string(), documentId(*result.document).text());
+        if (const auto* service = std::get_if<ServiceDocument>(&*result.document)) {
+            EXPECT_TRUE(pools.emplace(file.parent_path(), service->pool.name.text()).second) << file;
+        }
+    }
+}
+
 } // namespace
 } // namespace crocuscove::document
