Give the dispatcher classes, fair queues, retries and choice of backend server

Cause: one queue lets long work delay short work, and nothing retried, refused by estimate or preferred a healthy backend server. Change: separate weighted fair queues for short, long and patient work with floors against starvation; classes learned from the observed median; refusal by estimated wait; retries with backoff, budget and memory of what may have run; two-choice selection aware of data centre, errors, slowness, slow start, probes and slot deadlines. SlotLimit carries a deadline and an incarnation, so that a late caller can't use an expired lease.

--- a/include/crocuscove/routing/backend_view.h
+++ b/include/crocuscove/routing/backend_view.h
@@ -53,6 +53,11 @@
 struct SlotLimit {
     base::BackendId backend;
     std::uint32_t limit = 0;
+    /// From this moment on, `limitAfterDeadline` applies. A caller that is late can't use an expired lease.
+    base::MonotonicTime deadline = base::MonotonicTime::max();
+    std::uint32_t limitAfterDeadline = 0;
+    /// The incarnation that the limit is for; 0 stands for any.
+    std::uint64_t incarnation = 0;
 
     bool operator==(const SlotLimit&) const = default;
 };
--- a/include/crocuscove/routing/dispatcher.h
+++ b/include/crocuscove/routing/dispatcher.h
@@ -65,6 +65,17 @@
     base::Milliseconds retryBackoff { 5 };
     base::Milliseconds maxRetryBackoff { 500 };
     base::Milliseconds slowStart { 10000 };
+    /// A kind whose median run time is far beyond this is long, one far below it short, whatever it declares. A kind
+    /// declared patient stays patient, as that states that it may wait.
+    base::Milliseconds shortRunTime { 200 };
+    /// A request that runs this many times the median of its kind is a straggler.
+    double stragglerFactor = 10.0;
+    /// Slots that long and patient work get even while short work waits.
+    double longFloor = 0.1;
+    double patientFloor = 0.05;
+    /// Waits after which these floors apply.
+    base::Milliseconds longAge { 1000 };
+    base::Milliseconds patientAge { 2000 };
 };
 
 /// Use of one backend server by this entry node.
--- /dev/null
+++ b/src/crocuscove/routing/run_times.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "crocuscove/base/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace crocuscove::routing {
+
+/// Streaming estimate of the run times of one request kind. Recent samples weigh more.
+class RunTimes {
+public:
+    void add(base::Microseconds runTime);
+
+    [[nodiscard]] std::uint64_t samples() const { return m_samples; }
+    [[nodiscard]] base::Microseconds mean() const { return base::Microseconds(static_cast<std::int64_t>(m_mean)); }
+    [[nodiscard]] base::Microseconds median() const { return m_median; }
+    [[nodiscard]] base::Microseconds usual() const { return m_usual; }
+    [[nodiscard]] base::Microseconds slowest() const { return m_slowest; }
+
+private:
+    static constexpr std::size_t bucketsPerOctave = 4;
+    static constexpr std::size_t octaves = 40;
+
+    [[nodiscard]] base::Microseconds quantile(double fraction) const;
+    void refresh();
+
+    std::array<double, bucketsPerOctave * octaves> m_weights {};
+    double m_total = 0.0;
+    double m_sampleWeight = 1.0;
+    double m_mean = 0.0;
+    std::uint64_t m_samples = 0;
+    base::Microseconds m_median { 0 };
+    /// 90th percentile.
+    base::Microseconds m_usual { 0 };
+    /// 99th percentile.
+    base::Microseconds m_slowest { 0 };
+};
+
+} // namespace crocuscove::routing
