--- a/include/crocuscove/routing/announcement.h
+++ b/include/crocuscove/routing/announcement.h
@@ -1,12 +1,11 @@
 #pragma once
 
+#include "crocuscove/base/codec.h"
 #include "crocuscove/base/enum_names.h"
 #include "crocuscove/base/id.h"
 #include "crocuscove/base/settings.h"
 #include "crocuscove/base/time.h"
 
-#include <msgpack.hpp>
-
 #include <cstdint>
 #include <string>
 
@@ -52,5 +51,3 @@
 };
 
 } // namespace crocuscove::routing
-
-MSGPACK_ADD_ENUM(crocuscove::routing::BackendState)
