Test the maintenance planner and restore only useful drains

Cause: the planner had one test. A property over random histories showed that a drain was abandoned for a VM that had been ejected before it drained, which does not help a service below its budget. Change: unit tests of steps, pauses and budgets; three properties with fixed seeds, each with variants of the planner that it must reject. Only VMs that can serve are returned from a drain. Stops of a pool whose failure domain is a data centre keep to one data centre at a time.

--- a/src/crocuscove/maintenance/drains.cpp
+++ b/src/crocuscove/maintenance/drains.cpp
@@ -65,12 +65,22 @@
     }
 
 private:
+    /// Whether the VM may stop as far as itself is concerned. The platform must list it as running, because the boot
+    /// counter at the drain shows later whether it rebooted.
     [[nodiscard]] bool isCandidate(std::size_t vm) const
     {
+        const MaintenanceVm& entry = m_fleet.view.vms[vm];
         const Standing standing = m_fleet.standings[vm];
         const bool isEligible = (standing == Standing::InService && m_fleet.isDue(vm))
-            || (standing == Standing::Unwell && m_fleet.isOverdue(vm) && !m_fleet.view.vms[vm].observed.isSuspect);
-        return isEligible && !m_pauses.covers(*m_fleet.view.vms[vm].record);
+            || (standing == Standing::Unwell && m_fleet.isOverdue(vm) && !entry.observed.isSuspect);
+        return isEligible && entry.observed.platform == PlatformState::Running && !m_pauses.covers(*entry.record);
+    }
+
+    /// Whether the pool already has stops in another data centre and must finish those first.
+    [[nodiscard]] bool mustWaitForDataCentre(std::size_t pool, std::size_t vm) const
+    {
+        return m_fleet.pools[pool].isPerDataCentre && !m_openDataCentres[pool].empty()
+            && !m_openDataCentres[pool].contains(m_domains.dataCentreOf[vm]);
     }
 
     void survey()
@@ -116,11 +126,12 @@
             const bool isInService = m_fleet.standings[vm] == Standing::InService;
             const bool isWithinBudget
                 = isInService ? pool.allowsStop() : pool.inService >= pool.repaired + pool.required;
-            if (m_running >= fleetLimit() || !isWithinBudget) {
+            if (m_running >= fleetLimit() || !isWithinBudget || mustWaitForDataCentre(index, vm)) {
                 return;
             }
             pool.inService -= isInService ? 1 : 0;
             ++m_running;
+            m_openDataCentres[index].insert(m_domains.dataCentreOf[vm]);
             m_fleet.standings[vm] = Standing::Stopped;
             m_actions.push_back(makeAction(m_fleet.view.vms[vm], MaintenanceActionKind::BeginDrain,
                 m_fleet.isOverdue(vm) ? MaintenanceReason::Overdue : MaintenanceReason::Due,
--- a/src/crocuscove/maintenance/fleet.cpp
+++ b/src/crocuscove/maintenance/fleet.cpp
@@ -105,6 +105,7 @@
     for (const ServiceBudget& service : view.services) {
         PoolLedger& pool = fleet.pools[poolIndex(service.pool)];
         pool.hasService = true;
+        pool.isPerDataCentre |= service.failureDomain == document::FailureDomain::DataCentre;
         pool.wanted += service.wanted;
         pool.required += requiredAvailable(service.wanted, service.minAvailablePercent);
     }
--- a/src/crocuscove/maintenance/fleet.h
+++ b/src/crocuscove/maintenance/fleet.h
@@ -34,6 +34,8 @@
 struct PoolLedger {
     base::PoolId pool;
     bool hasService = false;
+    /// Planned stops keep to one data centre at a time.
+    bool isPerDataCentre = false;
     std::uint32_t wanted = 0;
     /// VMs that must stay in service.
     std::uint32_t required = 0;
--- a/src/crocuscove/maintenance/maintenance_plan_test.cpp
+++ b/src/crocuscove/maintenance/maintenance_plan_test.cpp
@@ -4,9 +4,13 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace crocuscove::maintenance {
 namespace {
 
+using state::VmPhase;
+using state::VmReason;
 using testing::FakeFleet;
 
 FakeFleet poolOfTen(double minAvailablePercent = 90.0)
@@ -42,5 +46,191 @@
     EXPECT_EQ(planFor(fleet).progress.done, 10U);
 }
 
+void runFor(FakeFleet& fleet, base::Milliseconds time)
+{
+    for (const base::WallTime end = fleet.now + time; fleet.now < end;) {
+        fleet.apply(planFor(fleet));
+        fleet.advance(std::chrono::seconds(5));
+    }
+}
+
+const MaintenanceAction* findAction(const MaintenancePlan& plan, MaintenanceActionKind kind)
+{
+    const auto action = std::ranges::find(plan.actions, kind, &MaintenanceAction::kind);
+    return action == plan.actions.end() ? nullptr : &*action;
+}
+
+std::size_t findDraining(const FakeFleet& fleet)
+{
+    const auto vm
+        = std::ranges::find(fleet.vms, VmPhase::Draining, [](const auto& entry) { return entry.record.phase; });
+    return static_cast<std::size_t>(vm - fleet.vms.begin());
+}
+
+// Guards against a graceful stop that cuts off requests or tasks.
+TEST(MaintenancePlan, RebootWaitsForRequestsAndForTasksWithoutACheckpoint)
+{
+    FakeFleet fleet = poolOfTen();
+    runFor(fleet, std::chrono::seconds(30));
+    const std::size_t vm = findDraining(fleet);
+    ASSERT_LT(vm, fleet.vms.size());
+    EXPECT_EQ(findAction(planFor(fleet), MaintenanceActionKind::BeginReboot), nullptr);
+
+    fleet.vms[vm].observed.requestsInFlight = 0;
+    fleet.vms[vm].observed.tasksRunning = 2;
+    fleet.vms[vm].observed.tasksCheckpointed = 1;
+    EXPECT_EQ(findAction(planFor(fleet), MaintenanceActionKind::BeginReboot), nullptr);
+
+    fleet.vms[vm].observed.tasksCheckpointed = 2;
+    const MaintenancePlan plan = planFor(fleet);
+    const MaintenanceAction* action = findAction(plan, MaintenanceActionKind::BeginReboot);
+    ASSERT_NE(action, nullptr);
+    EXPECT_EQ(action->command.vm, fleet.vms[vm].record.vm);
+    EXPECT_EQ(action->command.expected, VmPhase::Draining);
+    EXPECT_EQ(action->command.operation, fleet.vms[vm].record.operation);
+}
+
+// Guards against a report from before the drain, or from entry nodes that do not know of it yet, that says idle.
+TEST(MaintenancePlan, RebootNeedsAReportFromAfterTheDrainIsKnown)
+{
+    FakeFleet fleet = poolOfTen();
+    fleet.drainTime = base::Milliseconds(0);
+    fleet.apply(planFor(fleet));
+    fleet.advance(std::chrono::seconds(1));
+    EXPECT_EQ(findAction(planFor(fleet), MaintenanceActionKind::BeginReboot), nullptr);
+    fleet.advance(std::chrono::seconds(1));
+    EXPECT_NE(findAction(planFor(fleet), MaintenanceActionKind::BeginReboot), nullptr);
+}
+
+// Guards against a drain that keeps a VM away after an unplanned loss used up the budget.
+TEST(MaintenancePlan, AnUnplannedLossReturnsADrainingVmToService)
+{
+    FakeFleet fleet = poolOfTen();
+    runFor(fleet, std::chrono::seconds(10));
+    const std::size_t draining = findDraining(fleet);
+    fleet.vms[(draining + 1) % 10].observed.isSuspect = true;
+    const MaintenancePlan plan = planFor(fleet);
+    const MaintenanceAction* action = findAction(plan, MaintenanceActionKind::MarkServing);
+    ASSERT_NE(action, nullptr);
+    EXPECT_EQ(action->reason, MaintenanceReason::BudgetLost);
+    EXPECT_EQ(action->command.reason, VmReason::None);
+    EXPECT_EQ(action->command.vm, fleet.vms[draining].record.vm);
+}
+
+// Guards against the loss of a second VM, right after a repair, that breaks the budget through a planned stop.
+TEST(MaintenancePlan, ARepairedVmIsNotReliedOnAtOnce)
+{
+    FakeFleet fleet = poolOfTen();
+    std::ranges::for_each(fleet.vms, [&](auto& vm) { vm.record.lastMaintained = fleet.now; });
+    fleet.lose(0);
+    runFor(fleet, std::chrono::minutes(1));
+    EXPECT_EQ(fleet.vms[0].record.phase, VmPhase::Lost);
+    fleet.repair(0);
+    runFor(fleet, std::chrono::minutes(1));
+    ASSERT_EQ(fleet.vms[0].record.phase, VmPhase::Serving);
+    ASSERT_EQ(fleet.vms[0].record.reason, VmReason::Returned);
+
+    std::ranges::for_each(fleet.vms, [&](auto& vm) { vm.record.lastMaintained = fleet.now - fleet.period; });
+    EXPECT_EQ(findAction(planFor(fleet), MaintenanceActionKind::BeginDrain), nullptr);
+    fleet.lose(0);
+    fleet.advance(std::chrono::seconds(5));
+    EXPECT_EQ(fleet.serving(base::PoolId("pricing")), 9U);
+
+    fleet.repair(0);
+    runFor(fleet, std::chrono::minutes(12));
+    EXPECT_LT(fleet.serving(base::PoolId("pricing")), 10U);
+}
+
+// Guards against a move that nobody carries through, and against one that is counted as maintenance.
+TEST(MaintenancePlan, CarriesAMoveThroughToTheNewPool)
+{
+    FakeFleet fleet = poolOfTen();
+    const base::PoolId spare("spare");
+    std::ranges::for_each(fleet.vms, [&](auto& vm) { vm.record.lastMaintained = fleet.now; });
+    fleet.apply(state::MoveVm { fleet.vms[3].record.vm, base::PoolId("pricing"), spare, 1 });
+    runFor(fleet, std::chrono::minutes(5));
+    EXPECT_EQ(fleet.vms[3].record.pool, spare);
+    EXPECT_EQ(fleet.vms[3].record.phase, VmPhase::Serving);
+    EXPECT_EQ(fleet.vms[3].record.reason, VmReason::Move);
+    EXPECT_EQ(fleet.refused, 0U);
+}
+
+// Guards against idle VMs of the spare pool that count as silent, since nothing on them announces itself.
+TEST(MaintenancePlan, MaintainsIdleVmsThatOnlyThePlatformSees)
+{
+    FakeFleet fleet;
+    for (int vm = 0; vm < 3; ++vm) {
+        fleet.addVm("spare", "dc0", "rack0");
+        fleet.vms.back().isSilent = true;
+        fleet.vms.back().observed.observedAt.reset();
+        fleet.vms.back().observed.isAnnounced = false;
+    }
+    runFor(fleet, std::chrono::minutes(30));
+    EXPECT_TRUE(isMaintained(fleet));
+    EXPECT_EQ(fleet.countPhase(VmPhase::Serving), 3U);
+}
+
+// Guards against a VM that crashed while it drained and waits for ever for its reboot.
+TEST(MaintenancePlan, AVmThatRebootsByItselfWhileDrainingReturns)
+{
+    FakeFleet fleet = poolOfTen();
+    fleet.apply(planFor(fleet));
+    const std::size_t vm = findDraining(fleet);
+    ++fleet.vms[vm].observed.boots;
+    const MaintenancePlan plan = planFor(fleet);
+    const MaintenanceAction* action = findAction(plan, MaintenanceActionKind::MarkReturning);
+    ASSERT_NE(action, nullptr);
+    EXPECT_EQ(action->reason, MaintenanceReason::Rebooted);
+}
+
+// Guards against stops of one service in two data centres at once where a data centre is its failure domain.
+TEST(MaintenancePlan, StopsKeepToOneDataCentreWhereThatIsTheFailureDomain)
+{
+    FakeFleet fleet = poolOfTen(50.0);
+    fleet.services[0].failureDomain = document::FailureDomain::DataCentre;
+    const base::WallTime deadline = fleet.now + std::chrono::hours(2);
+    while (!isMaintained(fleet) && fleet.now < deadline) {
+        fleet.apply(planFor(fleet));
+        std::set<base::DataCentreId> stopped;
+        for (const auto& vm : fleet.vms) {
+            if (vm.record.phase != VmPhase::Serving) {
+                stopped.insert(vm.record.dataCentre);
+            }
+        }
+        ASSERT_LE(stopped.size(), 1U);
+        fleet.advance(std::chrono::seconds(5));
+    }
+    EXPECT_TRUE(isMaintained(fleet));
+}
+
+// Guards against more stops at once than the fleet may have, where the budgets of the pools would allow them.
+TEST(MaintenancePlan, TheFleetLimitHoldsOverAllPools)
+{
+    FakeFleet fleet;
+    for (int vm = 0; vm < 40; ++vm) {
+        fleet.addVm("pool" + std::to_string(vm % 4), "dc0", "rack" + std::to_string(vm / 4));
+    }
+    for (int pool = 0; pool < 4; ++pool) {
+        fleet.addService("pool" + std::to_string(pool), 10, 0.0);
+    }
+    EXPECT_EQ(planFor(fleet).actions.size(), 10U);
+    fleet.apply(planFor(fleet));
+    EXPECT_TRUE(planFor(fleet).actions.empty());
+}
+
+// Guards against progress that an operator cannot rely on.
+TEST(MaintenancePlan, ProgressCountsDoneRemainingAndTheExpectedEnd)
+{
+    FakeFleet fleet = poolOfTen();
+    for (std::size_t vm = 0; vm < 4; ++vm) {
+        fleet.vms[vm].record.lastMaintained = fleet.now;
+    }
+    const MaintenanceProgress progress = planFor(fleet).progress;
+    EXPECT_EQ(progress.done, 4U);
+    EXPECT_EQ(progress.remaining, 6U);
+    EXPECT_EQ(progress.overdue, 6U);
+    EXPECT_EQ(progress.expectedEnd, fleet.now + std::chrono::minutes(60));
+}
+
 } // namespace
 } // namespace crocuscove::maintenance
--- /dev/null
+++ b/src/crocuscove/maintenance/maintenance_property_test.cpp
@@ -0,0 +1,282 @@
+#include "crocuscove/maintenance/maintenance_plan.h"
+
+#include "crocuscove/maintenance/testing/fixed_seed.h"
+#include "crocuscove/maintenance/testing/history.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace crocuscove::maintenance {
+namespace {
+
+using state::VmPhase;
+using testing::Event;
+using testing::EventKind;
+using testing::FakeFleet;
+using testing::FakeVm;
+
+using Planner = std::function<MaintenancePlan(const MaintenanceView&, const MaintenanceOptions&, base::WallTime)>;
+
+constexpr base::Milliseconds roundTime { 5'000 };
+constexpr std::chrono::minutes repairWatch { 10 };
+
+// The oracles are written apart from the planner, from records and observations alone.
+
+bool isAvailable(const FakeFleet& fleet, const FakeVm& vm)
+{
+    const VmObservation& observed = vm.observed;
+    return vm.record.phase == VmPhase::Serving && !vm.hasPendingCommand && observed.observedAt
+        && fleet.now - *observed.observedAt <= std::chrono::seconds(5) && observed.isAnnounced && observed.isHealthy
+        && !observed.isSuspect && observed.platform != PlatformState::Off;
+}
+
+bool isFreshlyRepaired(const FakeFleet& fleet, const FakeVm& vm)
+{
+    return vm.record.reason == state::VmReason::Returned && fleet.now - vm.record.phaseSince < repairWatch;
+}
+
+/// Returns how many VMs a service has above its budget, negative below it. Nothing for a pool without a service.
+std::optional<int> slack(const FakeFleet& fleet, const base::PoolId& pool, bool countsRepaired)
+{
+    const auto service = std::ranges::find(fleet.services, pool, &ServiceBudget::pool);
+    if (service == fleet.services.end()) {
+        return std::nullopt;
+    }
+    int required = 0;
+    while (required * 100.0 < service->wanted * service->minAvailablePercent) {
+        ++required;
+    }
+    const auto available = std::ranges::count_if(fleet.vms, [&](const FakeVm& vm) {
+        return vm.record.pool == pool && isAvailable(fleet, vm) && (countsRepaired || !isFreshlyRepaired(fleet, vm));
+    });
+    return static_cast<int>(available) - required;
+}
+
+/// Applies a plan and checks every planned stop against the budget as it stands after the stop.
+void applyChecked(FakeFleet& fleet, const MaintenancePlan& plan)
+{
+    for (const MaintenanceAction& action : plan.actions) {
+        const FakeVm& vm = fleet.find(action.command.vm);
+        if (action.kind == MaintenanceActionKind::BeginReboot) {
+            RC_ASSERT(vm.observed.requestsInFlight == 0U);
+            RC_ASSERT(slack(fleet, action.pool, true).value_or(0) >= 0);
+        }
+        RC_ASSERT(!vm.hasPendingCommand);
+        fleet.apply(action.command);
+        if (action.kind == MaintenanceActionKind::BeginDrain) {
+            RC_ASSERT(slack(fleet, action.pool, false).value_or(0) >= 0);
+        }
+    }
+    RC_ASSERT(fleet.refused == 0U);
+}
+
+void runRound(FakeFleet& fleet, const Planner& planner)
+{
+    const MaintenancePlan plan = planner(fleet.view(), {}, fleet.now);
+    applyChecked(fleet, plan);
+    testing::applyPendingMoves(fleet);
+    fleet.advance(roundTime);
+}
+
+// A quarter of the events repairs everything, since a fleet that only loses VMs soon has no stops left to check.
+constexpr int repairWeight = 6;
+
+std::vector<Event> someHistory()
+{
+    const auto kind = rc::gen::map(rc::gen::inRange(0, static_cast<int>(EventKind::Count) + repairWeight),
+        [](int value) { return static_cast<EventKind>(value); });
+    const auto event = rc::gen::map(rc::gen::pair(kind, rc::gen::inRange<std::size_t>(0, 1000)), [](const auto& pair) {
+        return Event { pair.first < EventKind::Count ? pair.first : EventKind::RepairAll, pair.second };
+    });
+    return *rc::gen::container<std::vector<Event>>(event);
+}
+
+void runHistory(FakeFleet& fleet, const std::vector<Event>& history, const Planner& planner)
+{
+    for (const Event& event : history) {
+        testing::happen(fleet, event);
+        for (std::size_t round = 0; round <= event.argument % 8; ++round) {
+            runRound(fleet, planner);
+        }
+    }
+}
+
+std::string checkBudgets(const Planner& planner)
+{
+    return testing::counterexample(20261204, 60, [&] {
+        FakeFleet fleet = testing::smallFleet();
+        // So short a period makes every VM due at all times, and so keeps stops running through the whole history.
+        fleet.period = std::chrono::hours(1);
+        runHistory(fleet, someHistory(), planner);
+    });
+}
+
+/// Returns the planner with a decision changed for every VM of the view that it is given.
+Planner withBlindEye(const std::function<void(MaintenanceVm&, base::WallTime)>& change)
+{
+    return [change](MaintenanceView view, const MaintenanceOptions& options, base::WallTime now) {
+        std::ranges::for_each(view.vms, [&](MaintenanceVm& vm) { change(vm, now); });
+        return planMaintenance(view, options, now);
+    };
+}
+
+// Guards against a planned stop that breaks a budget, or a reboot with a request in progress, after any history of
+// losses, late observations, leader changes and document edits.
+TEST(MaintenanceProperty, NoPlannedStopBreaksABudget) { EXPECT_EQ(checkBudgets(planMaintenance), ""); }
+
+// Each variant leaves out one thing that the property is there to notice.
+TEST(MaintenanceProperty, BudgetPropertyNoticesIgnoredSuspects)
+{
+    EXPECT_NE(checkBudgets(withBlindEye([](auto& vm, auto) { vm.observed.isSuspect = false; })), "");
+}
+
+TEST(MaintenanceProperty, BudgetPropertyNoticesIgnoredEjections)
+{
+    EXPECT_NE(checkBudgets(withBlindEye([](auto& vm, auto) { vm.observed.isHealthy = true; })), "");
+}
+
+TEST(MaintenanceProperty, BudgetPropertyNoticesIgnoredAgeOfObservations)
+{
+    EXPECT_NE(checkBudgets(withBlindEye([](auto& vm, auto now) { vm.observed.observedAt = now; })), "");
+}
+
+TEST(MaintenanceProperty, BudgetPropertyNoticesIgnoredPendingMoves)
+{
+    EXPECT_NE(checkBudgets(withBlindEye([](auto& vm, auto) { vm.hasPendingCommand = false; })), "");
+}
+
+TEST(MaintenanceProperty, BudgetPropertyNoticesRequestsInFlight)
+{
+    EXPECT_NE(checkBudgets(withBlindEye([](auto& vm, auto) { vm.observed.requestsInFlight = 0; })), "");
+}
+
+TEST(MaintenanceProperty, BudgetPropertyNoticesRelianceOnRepairedVms)
+{
+    EXPECT_NE(checkBudgets([](const auto& view, MaintenanceOptions options, auto now) {
+        options.repairWatch = std::chrono::minutes(0);
+        return planMaintenance(view, options, now);
+    }),
+        "");
+}
+
+// Several stops of one plan must count against each other. The variant decides for each VM alone.
+TEST(MaintenanceProperty, BudgetPropertyNoticesStopsThatAreNotCountedTogether)
+{
+    EXPECT_NE(checkBudgets([](const MaintenanceView& view, const auto& options, auto now) {
+        MaintenancePlan merged;
+        for (const MaintenanceVm& vm : view.vms) {
+            MaintenanceView alone = view;
+            std::vector<state::VmRecord> records;
+            records.reserve(view.vms.size());
+            for (MaintenanceVm& other : alone.vms) {
+                records.push_back(*other.record);
+                if (other.record->vm != vm.record->vm) {
+                    records.back().lastMaintained = now;
+                }
+                other.record = &records.back();
+            }
+            for (const MaintenanceAction& action : planMaintenance(alone, options, now).actions) {
+                if (action.command.vm == vm.record->vm) {
+                    merged.actions.push_back(action);
+                }
+            }
+        }
+        return merged;
+    }),
+        "");
+}
+
+std::string checkCompletion(const Planner& planner)
+{
+    return testing::counterexample(20261205, 40, [&] {
+        FakeFleet fleet = testing::smallFleet();
+        const base::WallTime start = fleet.now;
+        runHistory(fleet, someHistory(), planner);
+        testing::healAll(fleet);
+        testing::allowOneStop(fleet);
+        const auto isDone = [&] {
+            return std::ranges::all_of(fleet.vms, [&](const FakeVm& vm) {
+                return vm.record.lastMaintained >= start && vm.record.phase == VmPhase::Serving;
+            });
+        };
+        // The longest pause is an hour. One stop takes a minute and every pool allows at least one at a time.
+        const base::WallTime deadline = fleet.now + std::chrono::hours(3);
+        while (!isDone() && fleet.now < deadline) {
+            runRound(fleet, planner);
+        }
+        RC_ASSERT(isDone());
+    });
+}
+
+// Guards against a wave that does not resume, and against a VM that stays in a phase or is never maintained.
+TEST(MaintenanceProperty, EveryVmIsMaintainedOnceFaultsEnd) { EXPECT_EQ(checkCompletion(planMaintenance), ""); }
+
+TEST(MaintenanceProperty, CompletionPropertyNoticesVmsThatAreNotRecovered)
+{
+    EXPECT_NE(checkCompletion([](const auto& view, const auto& options, auto now) {
+        MaintenancePlan plan = planMaintenance(view, options, now);
+        std::erase_if(plan.actions, [](const auto& action) { return action.kind == MaintenanceActionKind::Recover; });
+        return plan;
+    }),
+        "");
+}
+
+TEST(MaintenanceProperty, CompletionPropertyNoticesPausesThatDoNotEnd)
+{
+    EXPECT_NE(checkCompletion([isPaused = false](const auto& view, const auto& options, auto now) mutable {
+        MaintenancePlan plan = planMaintenance(view, options, now);
+        isPaused = isPaused || !plan.pauses.empty();
+        std::erase_if(plan.actions,
+            [&](const auto& action) { return isPaused && action.kind == MaintenanceActionKind::BeginDrain; });
+        return plan;
+    }),
+        "");
+}
+
+bool isBlind(const MaintenancePlan& plan)
+{
+    return std::ranges::any_of(plan.pauses, [](const MaintenancePause& pause) {
+        return pause.reason == PauseReason::ObservationLost || pause.reason == PauseReason::PlatformSilent;
+    });
+}
+
+std::string checkAbandonedDrains(const Planner& planner)
+{
+    return testing::counterexample(20261206, 60, [&] {
+        FakeFleet fleet = testing::smallFleet();
+        fleet.period = std::chrono::hours(1);
+        for (const Event& event : someHistory()) {
+            testing::happen(fleet, event);
+            const MaintenancePlan plan = planner(fleet.view(), {}, fleet.now);
+            fleet.apply(plan);
+            for (const FakeVm& vm : fleet.vms) {
+                const bool mayReturn = vm.record.phase == VmPhase::Draining && vm.observed.observedAt
+                    && fleet.now - *vm.observed.observedAt <= std::chrono::seconds(5) && vm.observed.isHealthy
+                    && !vm.observed.isSuspect;
+                RC_ASSERT(isBlind(plan) || !mayReturn || slack(fleet, vm.record.pool, true).value_or(0) >= 0);
+            }
+            testing::applyPendingMoves(fleet);
+            fleet.advance(roundTime);
+        }
+    });
+}
+
+// Guards against draining VMs that stay away from their service while it lacks them.
+TEST(MaintenanceProperty, DrainsAreAbandonedWhileAServiceIsBelowItsBudget)
+{
+    EXPECT_EQ(checkAbandonedDrains(planMaintenance), "");
+}
+
+TEST(MaintenanceProperty, AbandonmentPropertyNoticesDrainsThatGoOn)
+{
+    EXPECT_NE(checkAbandonedDrains([](const auto& view, const auto& options, auto now) {
+        MaintenancePlan plan = planMaintenance(view, options, now);
+        std::erase_if(plan.actions, [](const auto& action) { return action.reason == MaintenanceReason::BudgetLost; });
+        return plan;
+    }),
+        "");
+}
+
+} // namespace
+} // namespace crocuscove::maintenance
--- a/src/crocuscove/maintenance/pauses.cpp
+++ b/src/crocuscove/maintenance/pauses.cpp
@@ -141,7 +141,7 @@
         if (pool.due > 0 && !pool.canEverStop()) {
             pauses.list.push_back(
                 { .reason = PauseReason::BudgetAllowsNoStop, .pool = pool.pool, .vms = pool.members });
-        } else if (pool.due > 0 && pool.isBelowBudget()) {
+        } else if (pool.due > 0 && pool.isBelowBudget() && !pauses.scopes.isMostlySilent) {
             pauses.list.push_back(
                 { .reason = PauseReason::BelowBudget, .pool = pool.pool, .vms = pool.required - pool.inService });
         }
@@ -154,7 +154,9 @@
 {
     Pauses pauses;
     findLossOfObservation(fleet, pauses);
-    findCorrelatedFailures(fleet, pauses);
+    if (!pauses.scopes.isMostlySilent) {
+        findCorrelatedFailures(fleet, pauses);
+    }
     findVmsNotReturning(fleet, pauses);
     findExhaustedBudgets(fleet, pauses);
     return pauses;
--- a/src/crocuscove/maintenance/steps.cpp
+++ b/src/crocuscove/maintenance/steps.cpp
@@ -133,9 +133,13 @@
             && entry.observed.requestsInFlight == 0 && entry.observed.tasksRunning <= entry.observed.tasksCheckpointed;
     }
 
-    /// Returns a draining VM to service while the pool lacks VMs, each drain counted once.
+    /// Returns a draining VM to service while the pool lacks VMs, each drain counted once. A VM that was ejected
+    /// before it drained would not help.
     bool restoreIfBelowBudget(std::size_t vm)
     {
+        if (!entryOf(vm).observed.isHealthy || entryOf(vm).observed.isSuspect) {
+            return false;
+        }
         const PoolLedger& pool = m_fleet.pools[m_fleet.poolOf[vm]];
         std::uint32_t& restored = m_restored[m_fleet.poolOf[vm]];
         if (pool.inService + restored >= pool.required) {
--- a/src/crocuscove/maintenance/testing/fake_fleet.h
+++ b/src/crocuscove/maintenance/testing/fake_fleet.h
@@ -24,6 +24,8 @@
     bool isSilent = false;
     /// Does not come back from its next reboot.
     bool isStuck = false;
+    /// A command is proposed and not applied.
+    bool hasPendingCommand = false;
 };
 
 /// Records, platform and announcements of a fleet on a virtual clock, with the rules of state::State for VM phases.
@@ -71,7 +73,7 @@
             .services = services, .period = period, .platformSeenAt = platformSeenAt, .observingSince = observingSince
         };
         std::ranges::transform(vms, std::back_inserter(view.vms), [](const FakeVm& vm) {
-            return MaintenanceVm { &vm.record, vm.observed };
+            return MaintenanceVm { &vm.record, vm.observed, vm.hasPendingCommand };
         });
         return view;
     }
