--- a/src/crocuscove/maintenance/drains.cpp
+++ b/src/crocuscove/maintenance/drains.cpp
@@ -7,28 +7,33 @@
 
 namespace {
 
-/// Failure domains of the fleet as numbers, in the order of their names.
+/// Failure domains of some VMs as numbers, in the order of their names.
 struct Domains {
+    /// For each VM of the view. Only those of the given VMs are set.
     std::vector<std::size_t> dataCentreOf;
     std::vector<std::size_t> rackOf;
     std::size_t dataCentres = 0;
     std::size_t racks = 0;
 };
 
-Domains numberDomains(const std::vector<MaintenanceVm>& vms)
+Domains numberDomains(const std::vector<MaintenanceVm>& view, const std::vector<std::size_t>& vms)
 {
     Domains domains;
+    domains.dataCentreOf.resize(view.size());
+    domains.rackOf.resize(view.size());
     std::map<base::DataCentreId, std::size_t> dataCentres;
     std::map<std::pair<base::DataCentreId, base::RackId>, std::size_t> racks;
-    for (const MaintenanceVm& vm : vms) {
-        dataCentres.try_emplace(vm.record->dataCentre, 0);
-        racks.try_emplace({ vm.record->dataCentre, vm.record->rack }, 0);
+    for (const std::size_t vm : vms) {
+        const state::VmRecord& record = *view[vm].record;
+        dataCentres.try_emplace(record.dataCentre, 0);
+        racks.try_emplace({ record.dataCentre, record.rack }, 0);
     }
     std::ranges::for_each(dataCentres, [&](auto& entry) { entry.second = domains.dataCentres++; });
     std::ranges::for_each(racks, [&](auto& entry) { entry.second = domains.racks++; });
-    for (const MaintenanceVm& vm : vms) {
-        domains.dataCentreOf.push_back(dataCentres.at(vm.record->dataCentre));
-        domains.rackOf.push_back(racks.at({ vm.record->dataCentre, vm.record->rack }));
+    for (const std::size_t vm : vms) {
+        const state::VmRecord& record = *view[vm].record;
+        domains.dataCentreOf[vm] = dataCentres.at(record.dataCentre);
+        domains.rackOf[vm] = racks.at({ record.dataCentre, record.rack });
     }
     return domains;
 }
@@ -40,9 +45,6 @@
         : m_fleet(fleet)
         , m_pauses(pauses)
         , m_actions(actions)
-        , m_domains(numberDomains(fleet.view.vms))
-        , m_dataCentreAge(m_domains.dataCentres, base::WallTime::max())
-        , m_rackAge(m_domains.racks, base::WallTime::max())
         , m_candidates(fleet.pools.size())
         , m_openDataCentres(fleet.pools.size())
         , m_openRacks(fleet.pools.size())
@@ -85,21 +87,33 @@
 
     void survey()
     {
+        std::vector<std::size_t> running;
+        std::vector<std::size_t> candidates;
         for (std::size_t vm = 0; vm < m_fleet.view.vms.size(); ++vm) {
-            const state::VmRecord& record = *m_fleet.view.vms[vm].record;
-            const std::size_t pool = m_fleet.poolOf[vm];
-            if (isInMaintenance(record)) {
-                ++m_running;
-                m_openDataCentres[pool].insert(m_domains.dataCentreOf[vm]);
-                m_openRacks[pool].insert(m_domains.rackOf[vm]);
+            if (isInMaintenance(*m_fleet.view.vms[vm].record)) {
+                running.push_back(vm);
             } else if (isCandidate(vm)) {
-                m_candidates[pool].push_back(vm);
-                base::WallTime& dataCentreAge = m_dataCentreAge[m_domains.dataCentreOf[vm]];
-                base::WallTime& rackAge = m_rackAge[m_domains.rackOf[vm]];
-                dataCentreAge = std::min(dataCentreAge, record.lastMaintained);
-                rackAge = std::min(rackAge, record.lastMaintained);
+                candidates.push_back(vm);
             }
         }
+        std::vector<std::size_t> concerned = running;
+        concerned.insert(concerned.end(), candidates.begin(), candidates.end());
+        m_domains = numberDomains(m_fleet.view.vms, concerned);
+        m_running = static_cast<std::uint32_t>(running.size());
+        for (const std::size_t vm : running) {
+            m_openDataCentres[m_fleet.poolOf[vm]].insert(m_domains.dataCentreOf[vm]);
+            m_openRacks[m_fleet.poolOf[vm]].insert(m_domains.rackOf[vm]);
+        }
+        m_dataCentreAge.assign(m_domains.dataCentres, base::WallTime::max());
+        m_rackAge.assign(m_domains.racks, base::WallTime::max());
+        for (const std::size_t vm : candidates) {
+            const base::WallTime maintained = m_fleet.view.vms[vm].record->lastMaintained;
+            m_candidates[m_fleet.poolOf[vm]].push_back(vm);
+            base::WallTime& dataCentreAge = m_dataCentreAge[m_domains.dataCentreOf[vm]];
+            base::WallTime& rackAge = m_rackAge[m_domains.rackOf[vm]];
+            dataCentreAge = std::min(dataCentreAge, maintained);
+            rackAge = std::min(rackAge, maintained);
+        }
     }
 
     void sortCandidates(std::size_t pool)
--- a/src/crocuscove/maintenance/testing/fake_fleet.h
+++ b/src/crocuscove/maintenance/testing/fake_fleet.h
@@ -15,6 +15,9 @@
 struct FakeVm {
     state::VmRecord record;
     VmObservation observed;
+    /// Added to the fleet's drain and reboot time.
+    base::Milliseconds extraDrain { 0 };
+    base::Milliseconds extraReboot { 0 };
     /// Moment at which the requests in flight at the start of the drain are finished.
     base::WallTime drainedAt;
     /// Moment at which the running reboot completes.
@@ -80,7 +83,8 @@
 
     FakeVm& find(const base::VmId& vm)
     {
-        return *std::ranges::find(vms, vm, [](const FakeVm& entry) { return entry.record.vm; });
+        // The number of a VM stands in its id.
+        return vms.at(std::stoul(vm.text().substr(2)));
     }
 
     void apply(const state::SetVmPhase& command)
@@ -95,7 +99,7 @@
         if (command.phase == state::VmPhase::Draining) {
             beginDrain(vm, command.boots);
         } else if (command.phase == state::VmPhase::Rebooting) {
-            vm.bootedAt = now + rebootTime;
+            vm.bootedAt = now + rebootTime + vm.extraReboot;
             vm.observed.platform = PlatformState::Rebooting;
             vm.observed.isAnnounced = false;
         } else if (command.phase == state::VmPhase::Returning && command.reason == state::VmReason::Move) {
@@ -179,7 +183,7 @@
     {
         vm.record.operation = index;
         vm.record.bootsAtDrain = boots;
-        vm.drainedAt = now + drainTime;
+        vm.drainedAt = now + drainTime + vm.extraDrain;
     }
 
     void setPhase(state::VmRecord& record, state::VmPhase phase, state::VmReason reason) const
