Split text without std::views, and split the status by service

Cause: clang 14, which runs the linter, cannot compile std::views::split of libstdc++ 12. Change: base::split; the status of one service in a function of its own; requests are passed by reference.

--- a/src/crocuscove/server/document_api.cpp
+++ b/src/crocuscove/server/document_api.cpp
@@ -151,7 +151,7 @@
         if (!isCurrent) {
             response.headers.add("Crocuscove-Stale", "1");
         }
-        responder.respond(std::move(response));
+        responder.respond(response);
     });
 }
 
--- a/src/crocuscove/server/gateway.cpp
+++ b/src/crocuscove/server/gateway.cpp
@@ -293,7 +293,7 @@
     std::ranges::for_each(node.mapped().attempts, [](auto& attempt) { attempt.second.call.cancel(); });
     settleClaim(active, id, outcome, response);
     prepareAnswer(response, outcome, requestName(id));
-    active.responder.respond(std::move(response));
+    active.responder.respond(response);
 }
 
 http::HttpRequest Gateway::forwarded(routing::RequestId id, const ActiveRequest& request) const
--- a/src/crocuscove/server/http_router.cpp
+++ b/src/crocuscove/server/http_router.cpp
@@ -1,9 +1,9 @@
 #include "http_router.h"
 
 #include "crocuscove/base/error.h"
+#include "crocuscove/base/text.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace crocuscove::server {
@@ -12,12 +12,8 @@
 
 std::vector<std::string> splitPath(std::string_view path)
 {
-    std::vector<std::string> segments;
-    for (const auto segment : path | std::views::split('/')) {
-        if (!segment.empty()) {
-            segments.emplace_back(segment.begin(), segment.end());
-        }
-    }
+    auto segments = base::split(path, '/');
+    std::erase(segments, "");
     return segments;
 }
 
--- a/src/crocuscove/server/options.cpp
+++ b/src/crocuscove/server/options.cpp
@@ -2,6 +2,7 @@
 
 #include "crocuscove/base/enum_names.h"
 #include "crocuscove/base/error.h"
+#include "crocuscove/base/text.h"
 
 #include <fmt/format.h>
 
@@ -9,7 +10,6 @@
 #include <cstdlib>
 #include <limits>
 #include <random>
-#include <ranges>
 
 namespace crocuscove::server {
 
@@ -26,20 +26,11 @@
     { base::LogLevel::Error, "error" },
 });
 
-std::vector<std::string> splitList(std::string_view text)
-{
-    std::vector<std::string> parts;
-    for (const auto part : text | std::views::split(',')) {
-        parts.emplace_back(part.begin(), part.end());
-    }
-    return parts;
-}
-
 void readRoles(ServerOptions& options, std::string_view text)
 {
     options.isEntry = false;
     options.isVoter = false;
-    for (const std::string& role : splitList(text)) {
+    for (const std::string& role : base::split(text, ',')) {
         if (role == "entry") {
             options.isEntry = true;
         } else if (role == "voter") {
@@ -53,7 +44,7 @@
 void readPeers(ServerOptions& options, std::string_view text)
 {
     options.peers.clear();
-    for (const std::string& peer : splitList(text)) {
+    for (const std::string& peer : base::split(text, ',')) {
         const auto equals = peer.find('=');
         if (equals == std::string::npos) {
             throw base::InvalidInput("'" + peer + "' lacks '='");
@@ -71,7 +62,7 @@
 void readVoters(ServerOptions& options, std::string_view text)
 {
     options.voters.clear();
-    for (const std::string& voter : splitList(text)) {
+    for (const std::string& voter : base::split(text, ',')) {
         options.voters.emplace(voter);
     }
     if (options.voters.size() > maxVoters || options.voters.size() % 2 == 0) {
--- a/src/crocuscove/server/platform_client.cpp
+++ b/src/crocuscove/server/platform_client.cpp
@@ -76,11 +76,10 @@
     m_isRefreshing = true;
     http::HttpRequest request;
     request.path = "/v1/vms";
-    m_client.call(
-        m_platform, std::move(request), base::monotonicNow() + callTimeout, [this](const http::ExchangeResult& result) {
-            m_isRefreshing = false;
-            receiveList(result);
-        });
+    m_client.call(m_platform, request, base::monotonicNow() + callTimeout, [this](const http::ExchangeResult& result) {
+        m_isRefreshing = false;
+        receiveList(result);
+    });
 }
 
 void PlatformClient::receiveList(const http::ExchangeResult& result)
@@ -113,7 +112,7 @@
     const nlohmann::ordered_json body { { "operation", fmt::format("{}-{}", name, operation) }, { "epoch", epoch },
         { "pool", pool.text() } };
     request.body = body.dump();
-    m_client.call(m_platform, std::move(request), base::monotonicNow() + callTimeout,
+    m_client.call(m_platform, request, base::monotonicNow() + callTimeout,
         [this, vm, name, operation](const http::ExchangeResult& result) {
             if (!result.response || result.response->status != 200) {
                 m_log.warning("platform_command_failed",
--- a/src/crocuscove/server/status_api.cpp
+++ b/src/crocuscove/server/status_api.cpp
@@ -64,38 +64,39 @@
     Json list = Json::array();
     for (const auto& [id, record] : m_sources.replica.state().documents()) {
         const auto* document = m_sources.replica.state().serviceDocument(id);
-        if (document == nullptr) {
-            continue;
+        if (document != nullptr) {
+            list.push_back(service(*document, record));
         }
-        const auto views = m_sources.backends.directory().views(id);
-        const auto inService = static_cast<std::uint32_t>(std::ranges::count_if(views, isInService));
-        Json reasons = Json::array();
-        std::ranges::for_each(views, [&](const routing::BackendView& view) {
-            if (!isInService(view)) {
-                reasons.push_back(
-                    fmt::format("{} is {}", view.backend.text(), routing::backendPhaseNames.name(view.phase)));
-            }
-        });
-        const auto wanted = document->pool.executors.minimum;
-        if (views.size() < wanted) {
-            reasons.push_back(fmt::format("{} of {} executors announce themselves", views.size(), wanted));
-        }
-        const auto nodes = m_sources.nodes.nodes();
-        const auto index = record.revisions.back().index;
-        std::ranges::for_each(nodes, [&](const NodeView& node) {
-            if (!node.isReachable) {
-                reasons.push_back(fmt::format("node {} is unreachable", node.status.node.text()));
-            } else if (node.status.applied < index) {
-                reasons.push_back(
-                    fmt::format("node {} has not applied revision {}", node.status.node.text(), record.revision()));
-            }
-        });
-        list.push_back({ { "service", id.text() }, { "revision", record.revision() }, { "wanted", wanted },
-            { "inService", inService }, { "reasons", reasons } });
     }
     return list;
 }
 
+Json StatusApi::service(const document::ServiceDocument& document, const state::DocumentRecord& record) const
+{
+    const auto views = m_sources.backends.directory().views(document.service);
+    const auto wanted = document.pool.executors.minimum;
+    Json reasons = Json::array();
+    std::ranges::for_each(views, [&](const routing::BackendView& view) {
+        if (!isInService(view)) {
+            reasons.push_back(
+                fmt::format("{} is {}", view.backend.text(), routing::backendPhaseNames.name(view.phase)));
+        }
+    });
+    if (views.size() < wanted) {
+        reasons.push_back(fmt::format("{} of {} executors announce themselves", views.size(), wanted));
+    }
+    std::ranges::for_each(m_sources.nodes.nodes(), [&](const NodeView& node) {
+        if (!node.isReachable) {
+            reasons.push_back(fmt::format("node {} is unreachable", node.status.node.text()));
+        } else if (node.status.applied < record.revisions.back().index) {
+            reasons.push_back(
+                fmt::format("node {} has not applied revision {}", node.status.node.text(), record.revision()));
+        }
+    });
+    return { { "service", document.service.text() }, { "revision", record.revision() }, { "wanted", wanted },
+        { "inService", std::ranges::count_if(views, isInService) }, { "reasons", reasons } };
+}
+
 Json StatusApi::nodes() const
 {
     Json list = Json::array();
@@ -175,7 +176,7 @@
     http::HttpResponse response;
     response.headers.add("Content-Type", "text/plain; version=0.0.4");
     response.body = prometheus::TextSerializer().Serialize(registry.Collect());
-    responder.respond(std::move(response));
+    responder.respond(response);
 }
 
 } // namespace crocuscove::server
--- a/src/crocuscove/server/status_api.h
+++ b/src/crocuscove/server/status_api.h
@@ -32,6 +32,8 @@
     void status(const http::Responder& responder) const;
     void metrics(const http::Responder& responder) const;
     [[nodiscard]] nlohmann::ordered_json services() const;
+    [[nodiscard]] nlohmann::ordered_json service(
+        const document::ServiceDocument& document, const state::DocumentRecord& record) const;
     [[nodiscard]] nlohmann::ordered_json nodes() const;
     [[nodiscard]] nlohmann::ordered_json vms() const;
     [[nodiscard]] nlohmann::ordered_json maintenance() const;
