Add demand-driven slot leases: holder, grantor and their messages

Cause: the requests in flight at an executor must not pass its slots over six entry nodes, without a message a request. Change: SlotHolder and SlotGrantor with batched, sequenced messages. The grantor keeps an upper bound of what each holder may have in flight and grants only below the slots. A base share is kept, or lent by consent; leases end by the holder's own clock; unknown or leased slots come back only by a report made after the lease.

--- /dev/null
+++ b/src/crocuscove/routing/slot_lease.cpp
@@ -0,0 +1,27 @@
+#include "crocuscove/routing/slot_lease.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace crocuscove::routing {
+namespace {
+
+std::uint64_t weight(const base::NodeId& node, const base::BackendId& backend)
+{
+    const auto seed = XXH64(node.text().data(), node.text().size(), 0);
+    return XXH64(backend.text().data(), backend.text().size(), seed);
+}
+
+} // namespace
+
+base::NodeId grantorOf(const EntryEpoch& epoch, const base::BackendId& backend)
+{
+    const auto grantor = std::ranges::max_element(
+        epoch.nodes, {}, [&](const auto& node) { return std::pair(weight(node, backend), node.text()); });
+    return grantor == epoch.nodes.end() ? base::NodeId() : *grantor;
+}
+
+std::uint32_t baseShare(const EntryEpoch& epoch, std::uint32_t slots) { return slots / std::max(epoch.shareNodes, 1U); }
+
+} // namespace crocuscove::routing
--- /dev/null
+++ b/src/crocuscove/routing/slot_lease_test.cpp
@@ -0,0 +1,182 @@
+#include "crocuscove/routing/slot_grantor.h"
+#include "crocuscove/routing/slot_holder.h"
+
+#include "crocuscove/routing/test_support.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace crocuscove::routing {
+namespace {
+
+using testing::at;
+
+const base::ServiceId pricing("pricing");
+const base::BackendId backend("b1");
+
+/// Six entry nodes and one backend server with eight slots, over a network that delivers at once.
+class SlotLease : public ::testing::Test {
+protected:
+    SlotLease()
+    {
+        m_epoch.number = 1;
+        m_epoch.shareNodes = 6;
+        for (int i = 0; i < 6; ++i) {
+            m_epoch.nodes.emplace_back("n" + std::to_string(i));
+        }
+        for (const auto& node : m_epoch.nodes) {
+            m_holders.emplace(node, SlotHolder(node, 1));
+            m_holders.at(node).updateEpoch(m_epoch);
+            m_holders.at(node).updateExecutors(pricing, { m_view });
+        }
+        m_grantor.updateEpoch(at(0), m_epoch);
+        m_grantor.updateExecutors(at(0), { m_view });
+        m_grantor.report(backend, 0, 0, at(10000));
+        m_now = 10000;
+    }
+
+    void round(const std::map<base::NodeId, std::uint32_t>& demands, const std::string& silent = "")
+    {
+        m_now += 50;
+        m_grantor.confirmEpoch(1, at(m_now));
+        for (auto& [node, holder] : m_holders) {
+            holder.observe(at(m_now), backend, inFlight[node], demands.contains(node) ? demands.at(node) : 0);
+            for (const auto& demand : holder.takeDemands(at(m_now))) {
+                if (node.text() != silent) {
+                    m_grantor.receive(at(m_now), demand);
+                }
+            }
+        }
+        for (const auto& grant : m_grantor.takeGrants(at(m_now))) {
+            if (grant.holder.text() != silent) {
+                m_holders.at(grant.holder).receive(at(m_now), grant);
+            }
+        }
+    }
+
+    void rounds(int count, const std::map<base::NodeId, std::uint32_t>& demands, const std::string& silent = "")
+    {
+        for (int i = 0; i < count; ++i) {
+            round(demands, silent);
+        }
+    }
+
+    std::uint32_t limit(const base::NodeId& node)
+    {
+        const auto limits = m_holders.at(node).limits(pricing);
+        return at(m_now) < limits.at(0).deadline ? limits.at(0).limit : limits.at(0).limitAfterDeadline;
+    }
+
+    BackendView m_view = testing::view("b1", 8);
+    EntryEpoch m_epoch;
+    std::map<base::NodeId, SlotHolder> m_holders;
+    SlotGrantor m_grantor { grantorOf(epochOfSix(), backend), 1 };
+    std::map<base::NodeId, std::uint32_t> inFlight;
+    std::int64_t m_now = 0;
+
+private:
+    static EntryEpoch epochOfSix()
+    {
+        EntryEpoch epoch;
+        for (int i = 0; i < 6; ++i) {
+            epoch.nodes.emplace_back("n" + std::to_string(i));
+        }
+        return epoch;
+    }
+};
+
+// Guards against slots that stay unused while work is queued on one node.
+TEST_F(SlotLease, LendsToTheNodeWithWork)
+{
+    const base::NodeId busy("n2");
+    rounds(40, { { busy, 8 } });
+    // With one backend server in the service every other node keeps its base share there.
+    EXPECT_EQ(limit(busy), 3U);
+}
+
+// Guards against a node without a slot when it gets work again.
+TEST_F(SlotLease, TakesBackForNewDemand)
+{
+    const base::NodeId first("n0");
+    const base::NodeId second("n1");
+    rounds(40, { { first, 8 } });
+    rounds(4, { { first, 8 }, { second, 8 } });
+    EXPECT_EQ(limit(first), 2U);
+    EXPECT_EQ(limit(second), 2U);
+}
+
+// Guards against a node that is cut off using leased slots on, or losing its base share.
+TEST_F(SlotLease, EndsLeasesButKeepsBaseShare)
+{
+    const base::NodeId node("n3");
+    rounds(40, { { node, 8 } });
+    ASSERT_EQ(limit(node), 3U);
+    rounds(21, { { node, 8 } }, "n3");
+    EXPECT_EQ(limit(node), 1U);
+}
+
+// Guards against leasing out again a slot on which a node that is cut off still runs a request.
+TEST_F(SlotLease, WaitsForTheReportBeforeLeasingAgain)
+{
+    const base::NodeId lost("n3");
+    const base::NodeId other("n4");
+    rounds(40, { { lost, 8 } });
+    inFlight[lost] = 3;
+    rounds(60, { { other, 8 } }, "n3");
+    EXPECT_EQ(limit(other), 1U);
+    m_grantor.report(backend, 0, 3, at(m_now));
+    rounds(4, { { other, 8 } }, "n3");
+    EXPECT_EQ(limit(other), 1U);
+    m_grantor.report(backend, 0, 2, at(m_now));
+    rounds(4, { { other, 8 } }, "n3");
+    EXPECT_EQ(limit(other), 2U);
+    m_grantor.report(backend, 0, 0, at(m_now));
+    rounds(4, { { other, 8 } }, "n3");
+    EXPECT_EQ(limit(other), 3U);
+}
+
+// Guards against a new grantor that grants what an earlier one may have given.
+TEST_F(SlotLease, NewGrantorWaits)
+{
+    m_epoch.number = 2;
+    m_grantor.updateEpoch(at(m_now), m_epoch);
+    m_grantor.updateExecutors(at(m_now), { m_view });
+    m_grantor.confirmEpoch(2, at(m_now));
+    m_grantor.report(backend, 0, 0, at(m_now + 1000));
+    SlotDemand demand { 2, base::NodeId("n0"), 1, grantorOf(m_epoch, backend), 1, 100, 0, { { backend, 0, 8, 0, 0 } } };
+    m_grantor.receive(at(m_now + 1000), demand);
+    const auto early = m_grantor.takeGrants(at(m_now + 1000));
+    ASSERT_EQ(early.size(), 1U);
+    ASSERT_EQ(early[0].entries.size(), 1U);
+    EXPECT_EQ(early[0].entries[0].allotment, 0U);
+    m_grantor.confirmEpoch(2, at(m_now + 3600));
+    m_grantor.report(backend, 0, 0, at(m_now + 3600));
+    demand.sequence = 101;
+    m_grantor.receive(at(m_now + 3600), demand);
+    const auto late = m_grantor.takeGrants(at(m_now + 3600));
+    ASSERT_EQ(late.size(), 1U);
+    EXPECT_EQ(late[0].entries.at(0).allotment, 3U);
+}
+
+// Guards against a grantor that was deposed without learning it and goes on granting.
+TEST_F(SlotLease, GrantsNothingWithoutConfirmedEpoch)
+{
+    rounds(2, {});
+    SlotDemand demand { 1, base::NodeId("n0"), 1, grantorOf(m_epoch, backend), 1, 1000, 0, {} };
+    m_grantor.receive(at(m_now + 2000), demand);
+    EXPECT_TRUE(m_grantor.takeGrants(at(m_now + 2000)).empty());
+}
+
+// Guards against messages that don't survive the codec.
+TEST(SlotMessages, RoundTrip)
+{
+    const base::NodeId node("n1");
+    const SlotDemand demand { 1, node, 2, node, 3, 4, 5, { { backend, 6, 7, 8, 9 } } };
+    EXPECT_EQ(base::decode<SlotDemand>(base::encode(demand)), demand);
+    const SlotGrant grant { 1, node, 2, node, 3, 4, 5, { { backend, 6, 7, 1 } } };
+    EXPECT_EQ(base::decode<SlotGrant>(base::encode(grant)), grant);
+}
+
+} // namespace
+} // namespace crocuscove::routing
