--- a/src/crocuscove/maintenance/testing/fake_fleet.h
+++ b/src/crocuscove/maintenance/testing/fake_fleet.h
@@ -15,6 +15,9 @@
 struct FakeVm {
     state::VmRecord record;
     VmObservation observed;
+    /// Added to the fleet's drain and reboot time.
+    base::Milliseconds extraDrain { 0 };
+    base::Milliseconds extraReboot { 0 };
     /// Moment at which the requests in flight at the start of the drain are finished.
     base::WallTime drainedAt;
     /// Moment at which the running reboot completes.
@@ -24,6 +27,8 @@
     bool isSilent = false;
     /// Does not come back from its next reboot.
     bool isStuck = false;
+    /// A command is proposed and not applied.
+    bool hasPendingCommand = false;
 };
 
 /// Records, platform and announcements of a fleet on a virtual clock, with the rules of state::State for VM phases.
@@ -71,14 +76,15 @@
             .services = services, .period = period, .platformSeenAt = platformSeenAt, .observingSince = observingSince
         };
         std::ranges::transform(vms, std::back_inserter(view.vms), [](const FakeVm& vm) {
-            return MaintenanceVm { &vm.record, vm.observed };
+            return MaintenanceVm { &vm.record, vm.observed, vm.hasPendingCommand };
         });
         return view;
     }
 
     FakeVm& find(const base::VmId& vm)
     {
-        return *std::ranges::find(vms, vm, [](const FakeVm& entry) { return entry.record.vm; });
+        // The number of a VM stands in its id.
+        return vms.at(std::stoul(vm.text().substr(2)));
     }
 
     void apply(const state::SetVmPhase& command)
@@ -93,7 +99,7 @@
         if (command.phase == state::VmPhase::Draining) {
             beginDrain(vm, command.boots);
         } else if (command.phase == state::VmPhase::Rebooting) {
-            vm.bootedAt = now + rebootTime;
+            vm.bootedAt = now + rebootTime + vm.extraReboot;
             vm.observed.platform = PlatformState::Rebooting;
             vm.observed.isAnnounced = false;
         } else if (command.phase == state::VmPhase::Returning && command.reason == state::VmReason::Move) {
@@ -177,7 +183,7 @@
     {
         vm.record.operation = index;
         vm.record.bootsAtDrain = boots;
-        vm.drainedAt = now + drainTime;
+        vm.drainedAt = now + drainTime + vm.extraDrain;
     }
 
     void setPhase(state::VmRecord& record, state::VmPhase phase, state::VmReason reason) const
