Add the command line for operators

Cause: operators act by editing documents and observing whether the fleet matches them, and had no program for it. Change: commands check, diff, apply, get, history, list, status, version and help, each in a file; a blocking evhttp client with a deadline and bounded answers; apply sends a request id again after a lost answer and reports an unknown outcome with the commands that determine it; completion for bash; docs/cli.md.

--- /dev/null
+++ b/src/crocuscove/cli/command_table.cpp
@@ -0,0 +1,14 @@
+#include "crocuscove/cli/commands.h"
+
+#include <array>
+
+namespace crocuscove::cli {
+
+std::span<const Command> commandTable()
+{
+    static const std::array commands { checkCommand(), diffCommand(), applyCommand(), getCommand(), historyCommand(),
+        listCommand(), statusCommand(), versionCommand(), helpCommand() };
+    return commands;
+}
+
+} // namespace crocuscove::cli
