--- a/src/crocuscove/http/client_connection.cpp
+++ b/src/crocuscove/http/client_connection.cpp
@@ -23,6 +23,8 @@
 ClientConnection::~ClientConnection()
 {
     if (m_stream != nullptr) {
+        // libevent closes the socket only on a later turn of the loop.
+        shutdown(bufferevent_getfd(m_stream), SHUT_RDWR);
         bufferevent_free(m_stream);
     }
 }
--- a/tests/support/fault_proxy_test.cpp
+++ b/tests/support/fault_proxy_test.cpp
@@ -121,6 +121,9 @@
     bool isReversed = false;
     for (int attempt = 0; attempt < 20 && !isReversed; ++attempt) {
         proxy.setFaults({ .reorderWindowMs = 200 });
+        // The three pieces must fall into one window, unless the machine stalls.
+        const base::Microseconds window = base::Milliseconds(200);
+        ASSERT_TRUE(waitFor([&] { return base::monotonicNow().time_since_epoch() % window < window / 5; }));
         const std::string expected = server.connections[0]->received() + "12";
         clients[0]->send("1");
         runFor(20);
