Lease slots between entry nodes; add the serve and storage-check commands

Cause: the fixed split gave an entry node one of eight slots at each backend server, whatever the load of the others. Change: SlotCoordinator exchanges demands and grants every 50 ms; the entry nodes of an epoch are committed by the leader; a report of requests in flight is bound to clock readings that came back through the backend server, so that a grantor knows that it was made later. The binary runs a node and checks data folders.

--- a/src/crocuscove/server/options.h
+++ b/include/crocuscove/server/server_options.h
@@ -29,14 +29,15 @@
     /// The nodes that vote in a new cluster. Empty for a single node.
     std::set<base::NodeId> voters;
     std::optional<base::Endpoint> platform;
-    std::uint64_t seed = 0;
+    /// Seed of all randomness of the node. A random one when absent.
+    std::optional<std::uint64_t> seed;
     base::LogLevel logLevel = base::LogLevel::Info;
 };
 
 /// The settings of `serve`, which write into `options`.
 std::vector<base::Setting> serverSettings(ServerOptions& options);
 
-/// Reads and checks the settings. Throws base::InvalidInput.
-ServerOptions readServerOptions(const std::vector<std::string>& arguments);
+/// Checks the settings that depend on each other and fills in those of a single node. Throws base::InvalidInput.
+void completeServerOptions(ServerOptions& options);
 
 } // namespace crocuscove::server
--- a/include/crocuscove/state/command.h
+++ b/include/crocuscove/state/command.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace crocuscove::state {
 
@@ -106,13 +107,20 @@
     StoredAnswer answer;
 };
 
+/// Replaces the entry nodes. Refused unless `expected` is the number in force. `shareNodes` counts in the first one.
+struct SetEntryNodes {
+    std::uint64_t expected = 0;
+    std::vector<base::NodeId> nodes;
+    std::uint32_t shareNodes = 0;
+};
+
 /// Moves the replicated clock forward. Drops what has expired.
 struct AdvanceTime {
     base::WallTime now;
 };
 
 using Command = std::variant<PutDocument, RegisterVm, MoveVm, SetVmPhase, RemoveVm, SubmitJob, StartJob, FinishJob,
-    CancelJob, ExpireLease, RejectJob, ClaimIdempotencyKey, SettleIdempotencyKey, AdvanceTime>;
+    CancelJob, ExpireLease, RejectJob, ClaimIdempotencyKey, SettleIdempotencyKey, AdvanceTime, SetEntryNodes>;
 
 enum class ResultCode {
     Ok,
--- a/include/crocuscove/state/records.h
+++ b/include/crocuscove/state/records.h
@@ -143,6 +143,14 @@
     base::WallTime retainUntil;
 };
 
+/// The entry nodes that lease out the slots of backend servers. `number` rises with every change.
+struct EntryNodes {
+    std::uint64_t number = 0;
+    std::vector<base::NodeId> nodes;
+    /// Divisor of the slots that every entry node keeps without a lease. Set once for a cluster.
+    std::uint32_t shareNodes = 0;
+};
+
 /// A claim is named by its service and the client's Idempotency-Key.
 using ClaimKey = std::pair<base::ServiceId, std::string>;
 
--- a/include/crocuscove/state/state.h
+++ b/include/crocuscove/state/state.h
@@ -36,6 +36,8 @@
     [[nodiscard]] const std::map<base::JobId, JobRecord>& jobs() const { return m_jobs; }
     [[nodiscard]] const std::map<ClaimKey, ClaimRecord>& claims() const { return m_claims; }
 
+    [[nodiscard]] const EntryNodes& entryNodes() const { return m_entryNodes; }
+
     /// Returns the document in force, or nothing.
     [[nodiscard]] const document::ServiceDocument* serviceDocument(const base::ServiceId& service) const;
     [[nodiscard]] const document::FleetDocument* fleetDocument() const;
@@ -69,6 +71,7 @@
     CommandResult run(std::uint64_t index, const ClaimIdempotencyKey& command);
     CommandResult run(std::uint64_t index, const SettleIdempotencyKey& command);
     CommandResult run(std::uint64_t index, const AdvanceTime& command);
+    CommandResult run(std::uint64_t index, const SetEntryNodes& command);
 
     CommandResult storeRevision(std::uint64_t index, const PutDocument& command, document::Document document);
     void rememberRequest(const std::string& requestId, const CommandResult& result);
@@ -82,6 +85,7 @@
     std::map<base::VmId, VmRecord> m_vms;
     std::map<base::JobId, JobRecord> m_jobs;
     std::map<ClaimKey, ClaimRecord> m_claims;
+    EntryNodes m_entryNodes;
     std::map<std::string, CommandResult> m_requestResults;
     std::deque<std::string> m_requestOrder;
 };
--- a/src/crocuscove/cli/command_table.cpp
+++ b/src/crocuscove/cli/command_table.cpp
@@ -6,8 +6,8 @@
 
 std::span<const Command> commandTable()
 {
-    static const std::array commands { checkCommand(), diffCommand(), applyCommand(), getCommand(), historyCommand(),
-        listCommand(), statusCommand(), versionCommand(), helpCommand() };
+    static const std::array commands { serveCommand(), checkCommand(), diffCommand(), applyCommand(), getCommand(),
+        historyCommand(), listCommand(), statusCommand(), storageCheckCommand(), versionCommand(), helpCommand() };
     return commands;
 }
 
--- a/src/crocuscove/cli/commands.h
+++ b/src/crocuscove/cli/commands.h
@@ -4,6 +4,7 @@
 
 namespace crocuscove::cli {
 
+Command serveCommand();
 Command checkCommand();
 Command diffCommand();
 Command applyCommand();
@@ -11,6 +12,7 @@
 Command historyCommand();
 Command listCommand();
 Command statusCommand();
+Command storageCheckCommand();
 Command versionCommand();
 Command helpCommand();
 
--- a/src/crocuscove/server/backend_registry.cpp
+++ b/src/crocuscove/server/backend_registry.cpp
@@ -14,11 +14,21 @@
 constexpr base::Milliseconds flushInterval { 200 };
 constexpr base::Milliseconds tickInterval { 100 };
 
+/// An announcement as nodes spread it. The report in it was made after the moments of `stamps`.
+struct SpreadAnnouncement {
+    routing::Announcement announcement;
+    ClockStamps stamps;
+};
+
+CROCUSCOVE_FIELDS(SpreadAnnouncement, v.announcement, v.stamps)
+
 } // namespace
 
-BackendRegistry::BackendRegistry(http::EventLoop& loop, const base::Log& log, BackendRegistryHooks hooks)
+BackendRegistry::BackendRegistry(
+    http::EventLoop& loop, const base::Log& log, base::NodeId self, BackendRegistryHooks hooks)
     : m_log(log)
     , m_hooks(std::move(hooks))
+    , m_self(std::move(self))
     , m_flushTimer(loop.runEvery(flushInterval, [this] { flush(); }))
     , m_tickTimer(loop.runEvery(tickInterval, [this] { tick(); }))
 {
@@ -31,6 +41,8 @@
     const bool isAccepted = result.reason == routing::MergeReason::Added
         || result.reason == routing::MergeReason::Renewed || result.reason == routing::MergeReason::Restarted;
     if (isAccepted) {
+        noteAnswer(announcement);
+        reportInFlight(announcement, m_answered.at(announcement.backend).earlierStamps);
         m_unsent.insert(announcement.backend);
     }
     if (result.isNewlyLeaving) {
@@ -42,8 +54,27 @@
 void BackendRegistry::receive(const std::string& payload)
 {
     const auto now = base::monotonicNow();
-    for (const auto& announcement : base::decode<std::vector<routing::Announcement>>(payload)) {
-        notify(announcement, m_directory.merge(now, announcement));
+    for (const auto& spread : base::decode<std::vector<SpreadAnnouncement>>(payload)) {
+        notify(spread.announcement, m_directory.merge(now, spread.announcement));
+        reportInFlight(spread.announcement, spread.stamps);
+    }
+}
+
+void BackendRegistry::noteAnswer(const routing::Announcement& announcement)
+{
+    Answered& answered = m_answered[announcement.backend];
+    const bool isSameProcess = answered.incarnation == announcement.incarnation;
+    answered.earlierStamps = isSameProcess ? std::move(answered.stamps) : ClockStamps();
+    answered.incarnation = announcement.incarnation;
+    answered.stamps = m_hooks.clockStamps();
+}
+
+void BackendRegistry::reportInFlight(const routing::Announcement& announcement, const ClockStamps& stamps) const
+{
+    const auto own = stamps.find(m_self);
+    if (own != stamps.end()) {
+        m_hooks.onReport({ announcement.backend, announcement.incarnation, announcement.inFlight,
+            base::MonotonicTime(base::Microseconds(own->second)) });
     }
 }
 
@@ -72,10 +103,10 @@
         return;
     }
     const auto now = base::monotonicNow();
-    std::vector<routing::Announcement> announcements;
+    std::vector<SpreadAnnouncement> announcements;
     for (const base::BackendId& backend : m_unsent) {
         if (auto announcement = m_directory.announcement(now, backend)) {
-            announcements.push_back(std::move(*announcement));
+            announcements.push_back({ std::move(*announcement), m_answered.at(backend).earlierStamps });
         }
     }
     m_unsent.clear();
@@ -94,6 +125,10 @@
         { { "backend", change.backend.text() }, { "service", change.service.text() },
             { "phase", change.phase ? routing::backendPhaseNames.name(*change.phase) : "expired" },
             { "reason", routing::phaseReasonNames.name(change.reason) } });
+    if (!change.phase) {
+        m_answered.erase(change.backend);
+        m_unsent.erase(change.backend);
+    }
     m_hooks.onChanged(change.service);
 }
 
--- a/src/crocuscove/server/gateway.cpp
+++ b/src/crocuscove/server/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -26,6 +27,8 @@
 {
     http::HttpClientOptions options;
     options.maxIdlePerEndpoint = 64;
+    // The slot leases rely on it that a request which starts late is not sent.
+    options.connectTimeout = routing::SlotOptions().startMargin;
     return options;
 }
 
@@ -61,7 +64,8 @@
 } // namespace
 
 Gateway::Gateway(http::EventLoop& loop, const ServerOptions& options, const base::Log& log, base::Random& random,
-    Replica& replica, CommandSubmitter& submitter, BackendRegistry& backends)
+    Replica& replica, CommandSubmitter& submitter, BackendRegistry& backends,
+    std::function<void(const base::ServiceId&)> onServiceAdded)
     : m_loop(loop)
     , m_options(options)
     , m_log(log)
@@ -69,6 +73,7 @@
     , m_replica(replica)
     , m_submitter(submitter)
     , m_backends(backends)
+    , m_onServiceAdded(std::move(onServiceAdded))
     , m_client(loop, clientOptions())
     , m_requestPrefix(fmt::format("{}-{:x}", options.node.text(), base::wallNow().time_since_epoch().count()))
 {
@@ -329,7 +334,7 @@
             m_services.emplace(id,
                 Service { record.revision(), routing::Dispatcher(*document, options, base::Random(m_random())),
                     http::Timer() });
-            updateBackends(id);
+            m_onServiceAdded(id);
         } else {
             known->second.revision = record.revision();
             apply(id, known->second.dispatcher.updateDocument(base::monotonicNow(), *document));
@@ -337,16 +342,40 @@
     }
 }
 
-void Gateway::updateBackends(const base::ServiceId& service)
+void Gateway::updateBackends(const base::ServiceId& service, const std::vector<routing::BackendView>& views)
+{
+    const auto entry = m_services.find(service);
+    if (entry != m_services.end()) {
+        apply(service, entry->second.dispatcher.updateBackends(base::monotonicNow(), views));
+    }
+}
+
+void Gateway::updateSlots(const base::ServiceId& service, const std::vector<routing::SlotLimit>& limits)
+{
+    const auto entry = m_services.find(service);
+    if (entry != m_services.end()) {
+        apply(service, entry->second.dispatcher.updateSlots(base::monotonicNow(), limits));
+    }
+}
+
+std::vector<SlotUsage> Gateway::slotUsage(const base::ServiceId& service) const
 {
     const auto entry = m_services.find(service);
     if (entry == m_services.end()) {
-        return;
+        return {};
     }
-    const auto now = base::monotonicNow();
+    const auto usage = entry->second.dispatcher.usage();
     const auto views = m_backends.directory().views(service);
-    apply(service, entry->second.dispatcher.updateSlots(now, routing::fixedSplit(views, m_options.peers.size())));
-    apply(service, entry->second.dispatcher.updateBackends(now, views));
+    const std::size_t backends = std::max<std::size_t>(1, views.size());
+    // The queue asks for its share at each backend server, rounded up, so that it is served wherever a slot is free.
+    const auto wanted = static_cast<std::uint32_t>((entry->second.dispatcher.queued() + backends - 1) / backends);
+    std::vector<SlotUsage> result;
+    std::ranges::transform(views, std::back_inserter(result), [&](const routing::BackendView& view) {
+        const auto used = std::ranges::find(usage, view.backend, &routing::BackendUsage::backend);
+        const auto inFlight = used == usage.end() ? 0 : used->inFlight;
+        return SlotUsage { view.backend, inFlight, inFlight + wanted };
+    });
+    return result;
 }
 
 std::uint32_t Gateway::inFlightAt(const base::ServiceId& service, const base::BackendId& backend) const
--- a/src/crocuscove/server/gateway.h
+++ b/src/crocuscove/server/gateway.h
@@ -2,7 +2,8 @@
 
 #include "backend_registry.h"
 #include "command_submitter.h"
-#include "options.h"
+#include "crocuscove/server/server_options.h"
+#include "slot_coordinator.h"
 
 #include "crocuscove/base/log.h"
 #include "crocuscove/base/random.h"
@@ -12,6 +13,7 @@
 #include "crocuscove/routing/route_match.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,9 +34,10 @@
 /// and tells every client one outcome.
 class Gateway {
 public:
-    /// The references must outlive this.
+    /// The references must outlive this. `onServiceAdded` runs when a service gets its first document here.
     Gateway(http::EventLoop& loop, const ServerOptions& options, const base::Log& log, base::Random& random,
-        Replica& replica, CommandSubmitter& submitter, BackendRegistry& backends);
+        Replica& replica, CommandSubmitter& submitter, BackendRegistry& backends,
+        std::function<void(const base::ServiceId&)> onServiceAdded);
 
     /// Takes a client's request. Bound to the client listener.
     void handle(http::HttpRequest request, http::Responder responder);
@@ -43,7 +46,13 @@
     void updateDocuments();
 
     /// Hands the known backend servers of a service to its dispatcher.
-    void updateBackends(const base::ServiceId& service);
+    void updateBackends(const base::ServiceId& service, const std::vector<routing::BackendView>& views);
+
+    /// Puts new slot limits of a service in force.
+    void updateSlots(const base::ServiceId& service, const std::vector<routing::SlotLimit>& limits);
+
+    /// What this node uses and could use at the backend servers of a service.
+    [[nodiscard]] std::vector<SlotUsage> slotUsage(const base::ServiceId& service) const;
 
     /// Requests in flight from this node at a backend server.
     [[nodiscard]] std::uint32_t inFlightAt(const base::ServiceId& service, const base::BackendId& backend) const;
@@ -104,6 +113,7 @@
     Replica& m_replica;
     CommandSubmitter& m_submitter;
     BackendRegistry& m_backends;
+    std::function<void(const base::ServiceId&)> m_onServiceAdded;
     http::HttpClient m_client;
     routing::DocumentMap m_documents;
     std::map<base::ServiceId, Service> m_services;
--- a/src/crocuscove/server/node.cpp
+++ b/src/crocuscove/server/node.cpp
@@ -39,7 +39,7 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_log(log)
-    , m_random(m_options.seed)
+    , m_random(*m_options.seed)
     , m_network(networkOptions(m_options), [this](const transport::PeerMessage& message) { receive(message); })
     , m_networkWatch(loop.onReadable(m_network.descriptor(), [this] { m_network.receive(); }))
     , m_rpc(
@@ -52,14 +52,25 @@
           { [this](const consensus::Message& message) {
                m_network.send(message.to, transport::MessageKind::Consensus, consensus::encodeMessage(message));
            },
-              [this] { m_gateway.updateDocuments(); },
-              [this](const consensus::RoleChange& change) { roleChanged(change); } })
+              [this] { applied(); }, [this](const consensus::RoleChange& change) { roleChanged(change); } })
     , m_submitter(loop, m_replica, m_rpc)
     , m_nodes(m_options, m_replica)
-    , m_backends(loop, log,
+    , m_backends(loop, log, m_options.node,
           { [this](const std::string& payload) { broadcast(transport::MessageKind::Backends, payload); },
-              [this](const base::ServiceId& service) { m_gateway.updateBackends(service); } })
-    , m_gateway(loop, m_options, log, m_random, m_replica, m_submitter, m_backends)
+              [this](const base::ServiceId& service) { backendsChanged(service); },
+              [this](const InFlightReport& report) { m_slots.report(report); },
+              [this] { return m_nodes.clockStamps(); } })
+    , m_gateway(loop, m_options, log, m_random, m_replica, m_submitter, m_backends,
+          [this](const base::ServiceId& service) { backendsChanged(service); })
+    , m_slots(loop, m_options, log, m_replica,
+          { [this](const base::NodeId& node, const std::string& payload) {
+               m_network.send(node, transport::MessageKind::Slots, payload);
+           },
+              [this](const base::ServiceId& service) { return m_gateway.slotUsage(service); },
+              [this](const base::ServiceId& service, const std::vector<routing::SlotLimit>& limits) {
+                  m_gateway.updateSlots(service, limits);
+              } })
+    , m_entryNodes(log, m_options, m_replica, m_nodes)
     , m_jobs(log, m_replica)
     , m_platform(m_options.platform ? std::make_optional<PlatformClient>(loop, log, *m_options.platform) : std::nullopt)
     , m_maintenance(m_platform
@@ -85,10 +96,10 @@
                 m_gateway.handle(std::move(request), std::move(responder));
             });
     }
-    m_gateway.updateDocuments();
+    applied();
     m_log.info("node_started",
         { { "client_port", m_clientServer ? m_clientServer->port() : 0 }, { "admin_port", m_adminServer.port() },
-            { "peer_listen", m_options.peerListen.text() }, { "seed", m_options.seed } });
+            { "peer_listen", m_options.peerListen.text() }, { "seed", *m_options.seed } });
 }
 
 void Node::receive(const transport::PeerMessage& message)
@@ -123,8 +134,10 @@
     case MessageKind::NodeStatus:
         m_nodes.receive(message);
         break;
-    case MessageKind::Membership:
     case MessageKind::Slots:
+        m_slots.receive(message.sender, message.payload);
+        break;
+    case MessageKind::Membership:
         break;
     }
 }
@@ -150,11 +163,26 @@
     });
 }
 
+void Node::applied()
+{
+    m_gateway.updateDocuments();
+    m_slots.updateEntryNodes();
+}
+
+// The dispatcher learns of backend servers before it gets slots at them.
+void Node::backendsChanged(const base::ServiceId& service)
+{
+    const auto views = m_backends.directory().views(service);
+    m_gateway.updateBackends(service, views);
+    m_slots.updateBackends(service, views);
+}
+
 void Node::roleChanged(const consensus::RoleChange& change)
 {
     const bool isLeader = change.role == consensus::Role::Leader;
     if (isLeader && !m_wasLeader) {
         m_jobs.beginLeading(base::monotonicNow());
+        m_entryNodes.beginLeading(base::monotonicNow());
         if (m_maintenance) {
             m_maintenance->beginLeading();
         }
@@ -168,6 +196,7 @@
         return;
     }
     const auto now = base::monotonicNow();
+    m_entryNodes.tick(now);
     m_jobs.tick(now);
     if (m_maintenance) {
         m_maintenance->tick(now);
--- a/src/crocuscove/server/node.h
+++ b/src/crocuscove/server/node.h
@@ -2,17 +2,19 @@
 
 #include "backend_registry.h"
 #include "command_submitter.h"
+#include "crocuscove/server/server_options.h"
 #include "document_api.h"
+#include "entry_node_controller.h"
 #include "fleet_api.h"
 #include "gateway.h"
 #include "http_router.h"
 #include "job_controller.h"
 #include "maintenance_controller.h"
 #include "node_table.h"
-#include "options.h"
 #include "peer_rpc.h"
 #include "platform_client.h"
 #include "replica.h"
+#include "slot_coordinator.h"
 #include "status_api.h"
 
 #include "crocuscove/base/log.h"
@@ -41,6 +43,8 @@
     void broadcast(transport::MessageKind kind, const std::string& payload);
     void roleChanged(const consensus::RoleChange& change);
     void tickLeader();
+    void applied();
+    void backendsChanged(const base::ServiceId& service);
     void finishStop();
 
     http::EventLoop& m_loop;
@@ -55,6 +59,8 @@
     NodeTable m_nodes;
     BackendRegistry m_backends;
     Gateway m_gateway;
+    SlotCoordinator m_slots;
+    EntryNodeController m_entryNodes;
     JobController m_jobs;
     std::optional<PlatformClient> m_platform;
     std::optional<MaintenanceController> m_maintenance;
--- a/src/crocuscove/server/node_table.cpp
+++ b/src/crocuscove/server/node_table.cpp
@@ -7,7 +7,8 @@
 
 namespace crocuscove::server {
 
-CROCUSCOVE_FIELDS(NodeStatus, v.node, v.dataCentre, v.isEntry, v.isVoter, v.isLeader, v.isReady, v.applied, v.term)
+CROCUSCOVE_FIELDS(
+    NodeStatus, v.node, v.dataCentre, v.isEntry, v.isVoter, v.isLeader, v.isReady, v.applied, v.term, v.clockUs)
 
 namespace {
 
@@ -25,7 +26,7 @@
 NodeStatus NodeTable::ownStatus() const
 {
     return { m_options.node, m_options.dataCentre, m_options.isEntry, m_options.isVoter, m_replica.isLeader(),
-        isReady(), m_replica.appliedIndex(), m_replica.raft().term() };
+        isReady(), m_replica.appliedIndex(), m_replica.raft().term(), base::monotonicNow().time_since_epoch().count() };
 }
 
 std::string NodeTable::encodedOwnStatus() const { return base::encode(ownStatus()); }
@@ -57,6 +58,15 @@
     return views;
 }
 
+ClockStamps NodeTable::clockStamps() const
+{
+    ClockStamps stamps;
+    std::ranges::for_each(
+        m_known, [&](const auto& known) { stamps.emplace(known.first, known.second.status.clockUs); });
+    stamps.emplace(m_options.node, base::monotonicNow().time_since_epoch().count());
+    return stamps;
+}
+
 bool NodeTable::isReady() const { return !m_isStopping && m_replica.isCurrent(base::monotonicNow()); }
 
 } // namespace crocuscove::server
--- a/src/crocuscove/server/node_table.h
+++ b/src/crocuscove/server/node_table.h
@@ -22,8 +22,13 @@
     bool isReady = false;
     std::uint64_t applied = 0;
     std::uint64_t term = 0;
+    /// The sender's monotonic clock. It comes back in reports that were certainly made later.
+    std::int64_t clockUs = 0;
 };
 
+/// Readings of the nodes' own monotonic clocks.
+using ClockStamps = std::map<base::NodeId, std::int64_t>;
+
 struct NodeView {
     NodeStatus status;
     /// A status arrived within the last seconds.
@@ -43,6 +48,9 @@
     /// All nodes of the cluster, this one included.
     [[nodiscard]] std::vector<NodeView> nodes() const;
 
+    /// The latest clock reading of every node that has been received here, and this node's own.
+    [[nodiscard]] ClockStamps clockStamps() const;
+
     [[nodiscard]] bool isReady() const;
 
     /// Makes this node report that it is not ready, before it stops.
--- a/src/crocuscove/server/replica.h
+++ b/src/crocuscove/server/replica.h
@@ -5,9 +5,9 @@
 #include "crocuscove/base/time.h"
 #include "crocuscove/consensus/raft.h"
 #include "crocuscove/http/event_loop.h"
+#include "crocuscove/server/server_options.h"
 #include "crocuscove/state/state.h"
 #include "crocuscove/storage/data_folder.h"
-#include "options.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/crocuscove/server/options.cpp
+++ b/src/crocuscove/server/server_options.cpp
@@ -1,4 +1,4 @@
-#include "options.h"
+#include "crocuscove/server/server_options.h"
 
 #include "crocuscove/base/enum_names.h"
 #include "crocuscove/base/error.h"
@@ -7,7 +7,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <limits>
 #include <random>
 
@@ -153,18 +152,13 @@
     };
 }
 
-ServerOptions readServerOptions(const std::vector<std::string>& arguments)
+void completeServerOptions(ServerOptions& options)
 {
-    ServerOptions options;
-    options.seed = std::random_device {}();
-    const auto positional = base::readSettings(
-        serverSettings(options), arguments, [](const std::string& name) { return std::getenv(name.c_str()); });
-    if (!positional.empty()) {
-        throw base::InvalidInput("unexpected argument '" + positional.front() + "'; see --help");
-    }
     checkTogether(options);
     completeSingleNode(options);
-    return options;
+    if (!options.seed) {
+        options.seed = std::random_device {}();
+    }
 }
 
 } // namespace crocuscove::server
--- /dev/null
+++ b/src/crocuscove/server/slot_coordinator.cpp
@@ -0,0 +1,136 @@
+#include "slot_coordinator.h"
+
+#include "crocuscove/base/codec.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+namespace crocuscove::server {
+
+namespace {
+
+using SlotMessage = std::variant<routing::SlotDemand, routing::SlotGrant>;
+
+constexpr routing::SlotOptions slotOptions;
+/// A grantor's authority lasts 2 s after a confirmation, so that a missed one does not end it.
+constexpr base::Milliseconds confirmInterval { 500 };
+constexpr base::Milliseconds confirmTimeout { 1500 };
+
+std::uint64_t processIncarnation() { return static_cast<std::uint64_t>(base::wallNow().time_since_epoch().count()); }
+
+} // namespace
+
+SlotCoordinator::SlotCoordinator(
+    http::EventLoop& loop, const ServerOptions& options, const base::Log& log, Replica& replica, SlotHooks hooks)
+    : m_options(options)
+    , m_log(log)
+    , m_replica(replica)
+    , m_hooks(std::move(hooks))
+    , m_holder(options.node, processIncarnation(), slotOptions)
+    , m_grantor(options.node, processIncarnation(), slotOptions)
+    , m_exchangeTimer(loop.runEvery(slotOptions.batchInterval, [this] { exchange(); }))
+    , m_confirmTimer(loop.runEvery(confirmInterval, [this] { confirmEpoch(); }))
+{
+}
+
+void SlotCoordinator::updateEntryNodes()
+{
+    const auto& entryNodes = m_replica.state().entryNodes();
+    if (entryNodes.number == m_epoch) {
+        return;
+    }
+    m_epoch = entryNodes.number;
+    const routing::EntryEpoch epoch { entryNodes.number, entryNodes.nodes, entryNodes.shareNodes };
+    m_holder.updateEpoch(epoch);
+    m_grantor.updateEpoch(base::monotonicNow(), epoch);
+    m_log.info("entry_nodes_changed", { { "epoch", m_epoch }, { "entry_nodes", entryNodes.nodes.size() } });
+    confirmEpoch();
+}
+
+void SlotCoordinator::updateBackends(const base::ServiceId& service, const std::vector<routing::BackendView>& views)
+{
+    m_views.insert_or_assign(service, views);
+    m_holder.updateExecutors(service, views);
+    std::vector<routing::BackendView> all;
+    std::ranges::for_each(
+        m_views, [&](const auto& entry) { std::ranges::copy(entry.second, std::back_inserter(all)); });
+    m_grantor.updateExecutors(base::monotonicNow(), all);
+    applyLimits();
+}
+
+void SlotCoordinator::report(const InFlightReport& report)
+{
+    m_grantor.report(report.backend, report.incarnation, report.inFlight, report.madeNotBefore);
+}
+
+void SlotCoordinator::receive(const base::NodeId& sender, const std::string& payload)
+{
+    const auto now = base::monotonicNow();
+    const auto message = base::decode<SlotMessage>(payload);
+    if (const auto* demand = std::get_if<routing::SlotDemand>(&message);
+        demand != nullptr && demand->holder == sender) {
+        m_grantor.receive(now, *demand);
+    } else if (const auto* grant = std::get_if<routing::SlotGrant>(&message);
+               grant != nullptr && grant->grantor == sender) {
+        receiveGrant(now, *grant);
+    }
+}
+
+void SlotCoordinator::exchange()
+{
+    const auto now = base::monotonicNow();
+    for (const auto& [service, views] : m_views) {
+        std::ranges::for_each(m_hooks.usage(service),
+            [&](const SlotUsage& usage) { m_holder.observe(now, usage.backend, usage.inFlight, usage.demand); });
+    }
+    for (const routing::SlotDemand& demand : m_holder.takeDemands(now)) {
+        if (demand.grantor == m_options.node) {
+            m_grantor.receive(now, demand);
+        } else {
+            m_hooks.send(demand.grantor, base::encode(SlotMessage(demand)));
+        }
+    }
+    for (const routing::SlotGrant& grant : m_grantor.takeGrants(now)) {
+        if (grant.holder == m_options.node) {
+            receiveGrant(now, grant);
+        } else {
+            m_hooks.send(grant.holder, base::encode(SlotMessage(grant)));
+        }
+    }
+    applyLimits();
+}
+
+void SlotCoordinator::receiveGrant(base::MonotonicTime now, const routing::SlotGrant& grant)
+{
+    m_holder.receive(now, grant);
+    applyLimits();
+}
+
+void SlotCoordinator::applyLimits()
+{
+    for (const auto& [service, views] : m_views) {
+        auto limits = m_holder.limits(service);
+        auto& applied = m_applied[service];
+        if (limits != applied) {
+            applied = std::move(limits);
+            m_hooks.apply(service, applied);
+        }
+    }
+}
+
+void SlotCoordinator::confirmEpoch()
+{
+    if (m_epoch == 0) {
+        return;
+    }
+    const auto startedAt = base::monotonicNow();
+    m_replica.confirmCurrent(startedAt + confirmTimeout, [this, startedAt](bool isCurrent) {
+        if (isCurrent) {
+            m_grantor.confirmEpoch(m_replica.state().entryNodes().number, startedAt);
+        }
+    });
+}
+
+} // namespace crocuscove::server
--- a/src/crocuscove/state/snapshot.cpp
+++ b/src/crocuscove/state/snapshot.cpp
@@ -19,6 +19,7 @@
     std::map<base::VmId, VmRecord> vms;
     std::map<base::JobId, JobRecord> jobs;
     std::map<ClaimKey, ClaimRecord> claims;
+    EntryNodes entryNodes;
     std::map<std::string, CommandResult> requestResults;
     std::deque<std::string> requestOrder;
 };
@@ -50,6 +51,7 @@
     encoded.vms = m_vms;
     encoded.jobs = m_jobs;
     encoded.claims = m_claims;
+    encoded.entryNodes = m_entryNodes;
     encoded.requestResults = m_requestResults;
     encoded.requestOrder = m_requestOrder;
     return base::encode(encoded);
@@ -70,6 +72,7 @@
     restored.m_vms = std::move(encoded.vms);
     restored.m_jobs = std::move(encoded.jobs);
     restored.m_claims = std::move(encoded.claims);
+    restored.m_entryNodes = std::move(encoded.entryNodes);
     restored.m_requestResults = std::move(encoded.requestResults);
     restored.m_requestOrder = std::move(encoded.requestOrder);
     *this = std::move(restored);
--- a/src/crocuscove/state/state.cpp
+++ b/src/crocuscove/state/state.cpp
@@ -87,6 +87,17 @@
     }
 }
 
+CommandResult State::run(std::uint64_t index, const SetEntryNodes& command)
+{
+    if (command.expected != m_entryNodes.number || command.nodes.empty()) {
+        return refuse(ResultCode::Refused, "other entry nodes are in force", m_entryNodes.number);
+    }
+    // A node that lags behind would keep a larger share than others reserve for it, if the divisor could change.
+    const std::uint32_t shareNodes = m_entryNodes.number == 0 ? command.shareNodes : m_entryNodes.shareNodes;
+    m_entryNodes = { index, command.nodes, shareNodes };
+    return { ResultCode::Ok, index, "", {} };
+}
+
 CommandResult State::run(std::uint64_t, const AdvanceTime& command)
 {
     // A new leader's clock may be behind the old one's; replicated time never goes back.
--- a/src/crocuscove/state/state_test.cpp
+++ b/src/crocuscove/state/state_test.cpp
@@ -175,6 +175,17 @@
     EXPECT_TRUE(state.claims().empty());
 }
 
+// Guards against two leaders' changes of the entry nodes both counting, and against base shares of different sizes.
+TEST(StateEntryNodes, ChangeNeedsTheNumberInForceAndKeepsTheShare)
+{
+    State state;
+    EXPECT_EQ(state.apply(1, SetEntryNodes { 0, { base::NodeId("n1"), base::NodeId("n2") }, 6 }).code, ResultCode::Ok);
+    EXPECT_EQ(state.apply(2, SetEntryNodes { 0, { base::NodeId("n2") }, 6 }).code, ResultCode::Refused);
+    EXPECT_EQ(state.apply(3, SetEntryNodes { 1, { base::NodeId("n2") }, 2 }).code, ResultCode::Ok);
+    EXPECT_EQ(state.entryNodes().number, 3U);
+    EXPECT_EQ(state.entryNodes().shareNodes, 6U);
+}
+
 // Guards against a new leader with a slow clock that makes replicated time run backward.
 TEST(StateTime, NeverGoesBack)
 {
