Send fewer heartbeats to learners

Cause: at the design size most nodes are learners, and 17 KB a second are allowed for control on each node.

Change: an idle learner gets a heartbeat every 500 ms (option), below the 1 s after which it would report lost contact. Entries and commit indexes still go out at once.

Figures: RaftReplication.IdleLearnerGetsFewerHeartbeats sees at most a quarter of a voter's heartbeats in 10 simulated seconds, and no moment without contact.

Conclusion: idle traffic to learners is a fifth of what it was; a message lost to a learner is repeated after 500 ms instead of 100 ms.

--- a/include/crocuscove/consensus/options.h
+++ b/include/crocuscove/consensus/options.h
@@ -27,6 +27,8 @@
 struct RaftOptions {
     base::NodeId self {};
     base::Milliseconds heartbeatInterval { 100 };
+    /// Learners don't elect, so that they need fewer heartbeats. Must stay below electionTimeoutMax.
+    base::Milliseconds learnerHeartbeatInterval { 500 };
     base::Milliseconds electionTimeoutMin { 500 };
     base::Milliseconds electionTimeoutMax { 1000 };
     /// Bounds of one append message.
--- a/src/crocuscove/consensus/raft_core.cpp
+++ b/src/crocuscove/consensus/raft_core.cpp
@@ -15,6 +15,7 @@
 {
     const bool timesValid = options.heartbeatInterval.count() > 0
         && options.heartbeatInterval < options.electionTimeoutMin
+        && options.learnerHeartbeatInterval < options.electionTimeoutMax
         && options.electionTimeoutMin <= options.electionTimeoutMax;
     const bool boundsValid = options.maxBatchEntries > 0 && options.maxBatchEntries <= maxMessageEntries
         && options.maxBatchBytes + maxEntryBytes < maxMessageBytes && options.maxBatchesInFlight > 0
@@ -119,7 +120,10 @@
     }
     m_heartbeatDeadline = m_now + m_options.heartbeatInterval;
     if (hasQuorumContact(m_now)) {
-        markHeartbeatsDue();
+        const bool withLearners = m_learnerHeartbeatDeadline <= m_now;
+        m_learnerHeartbeatDeadline
+            = withLearners ? m_now + m_options.learnerHeartbeatInterval : m_learnerHeartbeatDeadline;
+        markHeartbeatsDue(withLearners);
     } else {
         becomeFollower(m_hardState.term, {});
     }
--- a/src/crocuscove/consensus/raft_core.h
+++ b/src/crocuscove/consensus/raft_core.h
@@ -100,7 +100,7 @@
     void handleRejection(Progress& progress, const AppendAnswer& answer, bool isLearner);
     void advanceCommit();
     void stepDownIfRemoved();
-    void markHeartbeatsDue();
+    void markHeartbeatsDue(bool withLearners);
     Progress* noteContact(const base::NodeId& node, std::uint64_t round);
 
     // raft_follower.cpp
@@ -154,6 +154,7 @@
     std::optional<base::MonotonicTime> m_leaderContact;
     base::MonotonicTime m_electionDeadline;
     base::MonotonicTime m_heartbeatDeadline;
+    base::MonotonicTime m_learnerHeartbeatDeadline;
     std::map<base::NodeId, bool> m_votes;
 
     std::map<base::NodeId, Progress> m_progress;
--- a/src/crocuscove/consensus/raft_read.cpp
+++ b/src/crocuscove/consensus/raft_read.cpp
@@ -42,9 +42,7 @@
             read.index = m_commit;
         }
     }
-    for (auto& [node, progress] : m_progress) {
-        progress.heartbeatDue = progress.heartbeatDue || m_log.membership().isVoter(node);
-    }
+    markHeartbeatsDue(false);
 }
 
 void Raft::Core::finishReads()
--- a/src/crocuscove/consensus/raft_replication.cpp
+++ b/src/crocuscove/consensus/raft_replication.cpp
@@ -121,15 +121,17 @@
 {
     if (!isVoter() && m_log.membershipIndex() <= m_commit) {
         // The followers learn from these messages that the removal is committed.
-        markHeartbeatsDue();
+        markHeartbeatsDue(true);
         sendToFollowers();
         becomeFollower(m_hardState.term, {});
     }
 }
 
-void Raft::Core::markHeartbeatsDue()
+void Raft::Core::markHeartbeatsDue(bool withLearners)
 {
-    std::ranges::for_each(m_progress, [](auto& item) { item.second.heartbeatDue = true; });
+    for (auto& [node, progress] : m_progress) {
+        progress.heartbeatDue = progress.heartbeatDue || withLearners || m_log.membership().isVoter(node);
+    }
 }
 
 Progress* Raft::Core::noteContact(const base::NodeId& node, std::uint64_t round)
--- a/src/crocuscove/consensus/raft_replication_test.cpp
+++ b/src/crocuscove/consensus/raft_replication_test.cpp
@@ -189,6 +189,28 @@
     EXPECT_EQ(cluster.node(learner).raft->role(), Role::Learner);
 }
 
+// Guards against idle traffic that grows with every learner, and against a learner that takes the leader for lost.
+TEST(RaftReplication, IdleLearnerGetsFewerHeartbeats)
+{
+    Cluster cluster({ .seed = 9 });
+    ASSERT_TRUE(cluster.waitForLeader());
+    const NodeId learner("n9");
+    cluster.addNode(learner);
+    changeMember(cluster, ChangeKind::AddLearner, learner);
+    std::map<NodeId, std::size_t> heartbeats;
+    std::size_t outOfContact = 0;
+    cluster.filter = [&](const Message& message) {
+        heartbeats[message.to] += std::holds_alternative<AppendRequest>(message.body) ? 1 : 0;
+        outOfContact += cluster.node(learner).raft->hasQuorumContact(cluster.now()) ? 0 : 1;
+        return true;
+    };
+    cluster.runCalmly(Milliseconds(10000));
+    const NodeId voter = cluster.leader() == NodeId("n1") ? NodeId("n2") : NodeId("n1");
+    EXPECT_GE(heartbeats[voter], heartbeats[learner] * 4);
+    EXPECT_GE(heartbeats[learner], 10U);
+    EXPECT_EQ(outOfContact, 0U);
+}
+
 // Guards against a learner that becomes a voter before it holds any entry. It can't vote then, and together with a
 // lost voter that leaves the cluster without a quorum. Found by RaftSafety.HoldsWhileLostDisksAreReplaced, seed 4001.
 TEST(RaftReplication, EmptyLearnerIsNotPromoted)
