--- a/bench/maintenance_bench.cpp
+++ b/bench/maintenance_bench.cpp
@@ -219,7 +219,7 @@
 {
     constexpr std::size_t vms = 1'000;
     constexpr base::Milliseconds step { 120'000 };
-    constexpr std::size_t roundsPerWeek = 7 * 720;
+    constexpr std::size_t roundsPerWeek = 5'040;
     constexpr double lossesPerRound = 220.0 / 25'000 * vms * 120.0 / 86'400;
     base::Random random(seed);
     FakeFleet fleet = largeFleet(vms, random);
--- a/include/crocuscove/maintenance/maintenance_plan.h
+++ b/include/crocuscove/maintenance/maintenance_plan.h
@@ -96,10 +96,22 @@
     std::optional<base::WallTime> expectedEnd {};
 };
 
+/// Budget and maintenance of one pool, for status and for the capacity planner.
+struct PoolProgress {
+    base::PoolId pool {};
+    /// VMs that are due, including those that are stopped now. Not lost ones.
+    std::uint32_t due = 0;
+    std::uint32_t wanted = 0;
+    /// VMs that must stay in service.
+    std::uint32_t required = 0;
+    std::uint32_t inService = 0;
+};
+
 struct MaintenancePlan {
     std::vector<MaintenanceAction> actions {};
     std::vector<MaintenancePause> pauses {};
     MaintenanceProgress progress {};
+    std::vector<PoolProgress> pools {};
 };
 
 struct MaintenanceOptions {
--- a/src/crocuscove/maintenance/maintenance_plan.cpp
+++ b/src/crocuscove/maintenance/maintenance_plan.cpp
@@ -2,6 +2,9 @@
 
 #include "steps.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace crocuscove::maintenance {
 
 MaintenancePlan planMaintenance(const MaintenanceView& view, const MaintenanceOptions& options, base::WallTime now)
@@ -9,6 +12,13 @@
     Fleet fleet = describeFleet(view, options, now);
     Pauses pauses = findPauses(fleet);
     MaintenancePlan plan { .progress = measureProgress(fleet) };
+    std::ranges::transform(fleet.pools, std::back_inserter(plan.pools), [](const PoolLedger& pool) {
+        return PoolProgress { .pool = pool.pool,
+            .due = pool.due,
+            .wanted = pool.wanted,
+            .required = pool.required,
+            .inService = pool.inService };
+    });
     planSteps(fleet, pauses.scopes, plan.actions);
     planDrains(fleet, pauses.scopes, plan.actions);
     plan.pauses = std::move(pauses.list);
--- a/src/crocuscove/maintenance/maintenance_plan_test.cpp
+++ b/src/crocuscove/maintenance/maintenance_plan_test.cpp
@@ -225,7 +225,12 @@
     for (std::size_t vm = 0; vm < 4; ++vm) {
         fleet.vms[vm].record.lastMaintained = fleet.now;
     }
-    const MaintenanceProgress progress = planFor(fleet).progress;
+    const MaintenancePlan plan = planFor(fleet);
+    ASSERT_EQ(plan.pools.size(), 1U);
+    EXPECT_EQ(plan.pools[0].due, 6U);
+    EXPECT_EQ(plan.pools[0].required, 9U);
+    EXPECT_EQ(plan.pools[0].inService, 10U);
+    const MaintenanceProgress progress = plan.progress;
     EXPECT_EQ(progress.done, 4U);
     EXPECT_EQ(progress.remaining, 6U);
     EXPECT_EQ(progress.overdue, 6U);
