--- a/include/crocuscove/routing/slot_grantor.h
+++ b/include/crocuscove/routing/slot_grantor.h
@@ -70,6 +70,7 @@
         base::MonotonicTime leaseEnd;
     };
 
+    [[nodiscard]] base::Milliseconds earlierAuthority() const;
     Executor freshExecutor(const base::BackendId& backend, const BackendView& view) const;
     void restartHolder(base::MonotonicTime now, const base::NodeId& node, Holder& holder, std::uint64_t incarnation);
     static void noteApplied(Share& share, const Holder& holder);
--- a/include/crocuscove/routing/slot_lease.h
+++ b/include/crocuscove/routing/slot_lease.h
@@ -15,6 +15,8 @@
     /// Base shares are floor(slots / shareNodes). At least the number of entry nodes, and the same in every epoch, so
     /// that a node which lags behind keeps no larger share than others reserve for it.
     std::uint32_t shareNodes = 1;
+    /// Tells that no epoch came before, so that no earlier grantor can still have authority.
+    bool isFirst = false;
 
     bool operator==(const EntryEpoch&) const = default;
 };
--- a/include/crocuscove/state/command.h
+++ b/include/crocuscove/state/command.h
@@ -3,6 +3,7 @@
 #include "crocuscove/state/records.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -25,6 +26,8 @@
     base::RackId rack;
     Resources capacity;
     base::PoolId pool;
+    /// When a VM that is new here was last maintained, if the platform knows it. Otherwise it counts as maintained now.
+    std::optional<base::WallTime> lastMaintained;
 };
 
 /// Starts the move of a serving VM to another pool. Refused unless the VM is serving in `from`.
--- a/include/crocuscove/state/records.h
+++ b/include/crocuscove/state/records.h
@@ -149,6 +149,8 @@
     std::vector<base::NodeId> nodes;
     /// Divisor of the slots that every entry node keeps without a lease. Set once for a cluster.
     std::uint32_t shareNodes = 0;
+    /// No other entry nodes were in force before.
+    bool isFirst = false;
 };
 
 /// A claim is named by its service and the client's Idempotency-Key.
--- a/src/crocuscove/routing/slot_grantor.cpp
+++ b/src/crocuscove/routing/slot_grantor.cpp
@@ -38,6 +38,13 @@
     }
 }
 
+// A grantor of an earlier epoch may have granted until its authority ended. A former process of this node in the same
+// epoch has no authority any more, only leases that still run.
+base::Milliseconds SlotGrantor::earlierAuthority() const
+{
+    return m_epoch.isFirst ? base::Milliseconds(0) : m_options.authority;
+}
+
 SlotGrantor::Executor SlotGrantor::freshExecutor(const base::BackendId& backend, const BackendView& view) const
 {
     Executor executor;
@@ -45,8 +52,7 @@
     executor.slots = view.slots;
     executor.orphans = view.slots;
     const auto margins = m_options.lease + m_options.clockMargin + m_options.startMargin;
-    // An earlier grantor may have granted until its authority ended.
-    executor.orphansSince = m_epochSince + m_options.authority + margins;
+    executor.orphansSince = m_epochSince + earlierAuthority() + margins;
     if (const auto dropped = m_dropped.find(backend); dropped != m_dropped.end()) {
         executor.orphansSince = std::max<base::MonotonicTime>(executor.orphansSince, dropped->second + margins);
     }
@@ -124,7 +130,7 @@
     holder = Holder();
     holder.incarnation = incarnation;
     // It may hold leases of an earlier grantor.
-    holder.leaseEnd = m_epochSince + m_options.authority + m_options.lease + m_options.clockMargin;
+    holder.leaseEnd = m_epochSince + earlierAuthority() + m_options.lease + m_options.clockMargin;
 }
 
 void SlotGrantor::receive(base::MonotonicTime now, const SlotDemand& demand)
--- a/src/crocuscove/server/backend_registry.cpp
+++ b/src/crocuscove/server/backend_registry.cpp
@@ -86,15 +86,23 @@
 
 void BackendRegistry::notify(const routing::Announcement& announcement, const routing::MergeResult& result)
 {
-    if (!result.hasChanged) {
-        return;
+    const bool isNews = result.reason != routing::MergeReason::Renewed || result.isNewlyLeaving;
+    if (result.hasChanged && isNews) {
+        logAnnouncement(announcement, result);
+    }
+    if (result.hasChanged) {
+        m_hooks.onChanged(announcement.service);
     }
+}
+
+void BackendRegistry::logAnnouncement(
+    const routing::Announcement& announcement, const routing::MergeResult& result) const
+{
     m_log.info("backend_announced",
         { { "backend", announcement.backend.text() }, { "service", announcement.service.text() },
             { "vm", announcement.vm.text() }, { "incarnation", announcement.incarnation },
             { "state", routing::backendStateNames.name(announcement.state) },
             { "reason", routing::mergeReasonNames.name(result.reason) } });
-    m_hooks.onChanged(announcement.service);
 }
 
 void BackendRegistry::flush()
--- a/src/crocuscove/server/backend_registry.h
+++ b/src/crocuscove/server/backend_registry.h
@@ -61,6 +61,7 @@
     void flush();
     void tick();
     void report(const routing::PhaseChange& change);
+    void logAnnouncement(const routing::Announcement& announcement, const routing::MergeResult& result) const;
     void notify(const routing::Announcement& announcement, const routing::MergeResult& result);
 
     const base::Log& m_log;
--- a/src/crocuscove/server/fleet_api.cpp
+++ b/src/crocuscove/server/fleet_api.cpp
@@ -16,6 +16,8 @@
 
 constexpr base::Milliseconds forwardTimeout { 2000 };
 constexpr base::Milliseconds jobTimeout { 5000 };
+/// Slots are leased only after a second announcement, so a new backend server is asked for it early.
+constexpr base::Milliseconds firstRenewal { 100 };
 constexpr std::uint64_t maxExpectedSeconds = 366ULL * 24 * 3600;
 
 std::uint32_t readCount(const nlohmann::json& body, const char* field, std::uint32_t minimum, std::uint32_t maximum)
@@ -114,7 +116,7 @@
     const auto reason = m_backends.announce(announcement);
     using routing::MergeReason;
     if (reason == MergeReason::Added || reason == MergeReason::Renewed || reason == MergeReason::Restarted) {
-        respondJson(responder, 200, backendAnswer(announcement));
+        respondJson(responder, 200, backendAnswer(announcement, reason != MergeReason::Renewed));
         return;
     }
     m_log.warning("announcement_refused",
@@ -123,18 +125,18 @@
     respondError(responder, 409, routing::mergeReasonNames.name(reason));
 }
 
-Json FleetApi::backendAnswer(const routing::Announcement& announcement) const
+Json FleetApi::backendAnswer(const routing::Announcement& announcement, bool isFirst) const
 {
     const auto record = m_replica.state().vms().find(announcement.vm);
     const bool isKnown = record != m_replica.state().vms().end();
     const bool isDraining = isKnown && record->second.phase == state::VmPhase::Draining;
     const bool isRebooting = isKnown && record->second.phase == state::VmPhase::Rebooting;
+    const auto renewal = isFirst ? firstRenewal : routing::announcementRenewal;
     const auto inFlight = m_gateway.inFlightAt(announcement.service, announcement.backend);
     const auto stop = m_backends.directory().mayStop(base::monotonicNow(), announcement.backend, inFlight);
     // While its VM drains, a backend server keeps announcing itself, so that the drain can still be abandoned.
     const bool mayStop = stop == routing::StopReason::MayStop && !isDraining;
-    return { { "renewWithinMs", routing::announcementRenewal.count() }, { "drain", isDraining || isRebooting },
-        { "mayStop", mayStop } };
+    return { { "renewWithinMs", renewal.count() }, { "drain", isDraining || isRebooting }, { "mayStop", mayStop } };
 }
 
 void FleetApi::announceWorker(const http::HttpRequest& request, const http::Responder& responder)
--- a/src/crocuscove/server/fleet_api.h
+++ b/src/crocuscove/server/fleet_api.h
@@ -27,7 +27,7 @@
     void submitJob(const http::HttpRequest& request, const http::Responder& responder);
     void getJob(const base::JobId& job, const http::Responder& responder) const;
     void cancelJob(const base::JobId& job, const http::Responder& responder);
-    [[nodiscard]] nlohmann::ordered_json backendAnswer(const routing::Announcement& announcement) const;
+    [[nodiscard]] nlohmann::ordered_json backendAnswer(const routing::Announcement& announcement, bool isFirst) const;
 
     const base::Log& m_log;
     Replica& m_replica;
--- a/src/crocuscove/server/maintenance_controller.cpp
+++ b/src/crocuscove/server/maintenance_controller.cpp
@@ -99,7 +99,7 @@
                 { { "vm", id.text() }, { "pool", pool.text() }, { "rack", vm.rack.text() },
                     { "data_centre", vm.dataCentre.text() } });
         }
-        propose(id, state::RegisterVm { id, vm.dataCentre, vm.rack, vm.capacity, pool });
+        propose(id, state::RegisterVm { id, vm.dataCentre, vm.rack, vm.capacity, pool, vm.maintainedAt });
     }
 }
 
--- a/src/crocuscove/server/platform_client.cpp
+++ b/src/crocuscove/server/platform_client.cpp
@@ -41,6 +41,9 @@
     vm.boots = body.at("boots").get<std::uint64_t>();
     vm.capacity = { body.at("cores").get<std::uint32_t>(), body.at("memoryMb").get<std::uint64_t>(),
         body.value("accelerators", std::uint32_t { 0 }) };
+    if (body.contains("maintainedAtMs")) {
+        vm.maintainedAt = base::WallTime(base::Milliseconds(body.at("maintainedAtMs").get<std::int64_t>()));
+    }
     return vm;
 }
 
--- a/src/crocuscove/server/platform_client.h
+++ b/src/crocuscove/server/platform_client.h
@@ -31,6 +31,8 @@
     PlatformVmState state = PlatformVmState::Running;
     std::uint64_t boots = 0;
     state::Resources capacity;
+    /// Nothing when the platform does not know it.
+    std::optional<base::WallTime> maintainedAt;
 };
 
 enum class PlatformCommand {
--- a/src/crocuscove/server/slot_coordinator.cpp
+++ b/src/crocuscove/server/slot_coordinator.cpp
@@ -42,7 +42,7 @@
         return;
     }
     m_epoch = entryNodes.number;
-    const routing::EntryEpoch epoch { entryNodes.number, entryNodes.nodes, entryNodes.shareNodes };
+    const routing::EntryEpoch epoch { entryNodes.number, entryNodes.nodes, entryNodes.shareNodes, entryNodes.isFirst };
     m_holder.updateEpoch(epoch);
     m_grantor.updateEpoch(base::monotonicNow(), epoch);
     m_log.info("entry_nodes_changed", { { "epoch", m_epoch }, { "entry_nodes", entryNodes.nodes.size() } });
--- a/src/crocuscove/state/apply_vm.cpp
+++ b/src/crocuscove/state/apply_vm.cpp
@@ -35,7 +35,7 @@
         record.vm = command.vm;
         record.pool = command.pool;
         record.phaseSince = m_now;
-        record.lastMaintained = m_now;
+        record.lastMaintained = command.lastMaintained.value_or(m_now);
         m_vms.emplace(command.vm, std::move(record));
     }
     VmRecord& record = m_vms[command.vm];
--- a/src/crocuscove/state/state_test.cpp
+++ b/src/crocuscove/state/state_test.cpp
@@ -85,7 +85,7 @@
     State state;
     const base::VmId vm("vm-1");
     state.apply(
-        1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), { 64, 1024, 0 }, base::PoolId("spare") });
+        1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), { 64, 1024, 0 }, base::PoolId("spare"), {} });
     EXPECT_EQ(state.apply(2, MoveVm { vm, base::PoolId("other"), base::PoolId("main"), 0 }).code, ResultCode::Refused);
     EXPECT_EQ(state.apply(3, MoveVm { vm, base::PoolId("spare"), base::PoolId("main"), 0 }).code, ResultCode::Ok);
     EXPECT_EQ(state.apply(4, MoveVm { vm, base::PoolId("spare"), base::PoolId("other"), 0 }).code, ResultCode::Refused);
@@ -103,7 +103,7 @@
 {
     State state;
     const base::VmId vm("vm-1");
-    state.apply(1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), {}, base::PoolId("spare") });
+    state.apply(1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), {}, base::PoolId("spare"), {} });
     state.apply(2, AdvanceTime { base::WallTime(5000ms) });
     state.apply(3, MoveVm { vm, base::PoolId("spare"), base::PoolId("main"), 0 });
     state.apply(4, SetVmPhase { vm, VmPhase::Draining, VmPhase::Serving, VmReason::None, 3, 0 });
@@ -118,7 +118,7 @@
 {
     State state;
     const base::VmId vm("vm-1");
-    state.apply(1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), {}, base::PoolId("main") });
+    state.apply(1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), {}, base::PoolId("main"), {} });
     state.apply(2, SetVmPhase { vm, VmPhase::Serving, VmPhase::Draining, VmReason::Maintenance, 0, 7 });
     EXPECT_EQ(state.vms().at(vm).operation, 2U);
     EXPECT_EQ(state.vms().at(vm).bootsAtDrain, 7U);
@@ -207,7 +207,7 @@
         case 0:
             return putDocument("r" + std::to_string(*rc::gen::inRange(0, 20)), index % 4);
         case 1:
-            return RegisterVm { vm, base::DataCentreId("dc"), base::RackId("r"), { 1, 2, 3 }, base::PoolId("main") };
+            return RegisterVm { vm, base::DataCentreId("dc"), base::RackId("r"), { 1, 2, 3 }, base::PoolId("main"), {} };
         case 2:
             return MoveVm { vm, base::PoolId("main"), base::PoolId("other"), 0 };
         case 3:
--- a/tests/support/standin_platform.cpp
+++ b/tests/support/standin_platform.cpp
@@ -33,6 +33,9 @@
         }
         vms.push_back({ entry["vm"], entry["dataCentre"], entry["rack"], "running", 1, entry.value("cores", 8),
             entry.value("memoryMb", 16'384), entry.value("accelerators", 0) });
+        if (entry.contains("maintainedAtMs")) {
+            vms.back().maintainedAtMs = entry["maintainedAtMs"].get<std::int64_t>();
+        }
     }
     return vms;
 }
@@ -88,6 +91,9 @@
         vms.push_back({ { "vm", vm.vm }, { "dataCentre", vm.dataCentre }, { "rack", vm.rack }, { "state", vm.state },
             { "boots", vm.boots }, { "cores", vm.cores }, { "memoryMb", vm.memoryMb },
             { "accelerators", vm.accelerators } });
+        if (vm.maintainedAtMs) {
+            vms.back()["maintainedAtMs"] = *vm.maintainedAtMs;
+        }
     }
     return json(200, { { "vms", vms } });
 }
--- a/tests/support/standin_platform.h
+++ b/tests/support/standin_platform.h
@@ -21,9 +21,12 @@
     std::int64_t cores = 0;
     std::int64_t memoryMb = 0;
     std::int64_t accelerators = 0;
+    /// When the VM was last maintained, if the platform is to tell it.
+    std::optional<std::int64_t> maintainedAtMs {};
 };
 
-/// Parses a JSON list of VMs: {"vm","dataCentre","rack"} and optionally "cores", "memoryMb", "accelerators".
+/// Parses a JSON list of VMs: {"vm","dataCentre","rack"} and optionally "cores", "memoryMb", "accelerators",
+/// "maintainedAtMs".
 std::vector<PlatformVm> parsePlatformVms(const nlohmann::json& json);
 
 struct StandinPlatformOptions {
