--- a/src/crocuscove/http/http_client_test.cpp
+++ b/src/crocuscove/http/http_client_test.cpp
@@ -143,6 +143,25 @@
     EXPECT_FALSE(results[2].mayHaveStarted);
 }
 
+// Guards against a peer that never completes the connection: the request certainly didn't start.
+TEST_F(HttpClientTest, UnansweredConnectIsCertainlyNotStarted)
+{
+    // The kernel drops further connection attempts when the backlog of a socket that accepts nothing is full.
+    const testing::SilentServer silent;
+    HttpClientOptions options;
+    options.connectTimeout = base::Milliseconds(100);
+    HttpClient impatient(loop, options);
+    const auto collect = [this](ExchangeResult result) { results.push_back(std::move(result)); };
+    impatient.call(silent.endpoint(), {}, after(30'000), collect);
+    ASSERT_TRUE(waitForResults(1));
+    client.call(silent.endpoint(), {}, after(100), collect);
+    ASSERT_TRUE(waitForResults(2));
+    EXPECT_EQ(results[0].failure, ExchangeFailure::ConnectFailed);
+    EXPECT_EQ(results[1].failure, ExchangeFailure::Deadline);
+    EXPECT_FALSE(results[0].mayHaveStarted);
+    EXPECT_FALSE(results[1].mayHaveStarted);
+}
+
 // Guards against a cancelled call that keeps its connection, and a callback that runs twice.
 TEST_F(HttpClientTest, CancelClosesTheConnection)
 {
--- a/src/crocuscove/http/socket_testing.h
+++ b/src/crocuscove/http/socket_testing.h
@@ -3,12 +3,15 @@
 #include "crocuscove/base/error.h"
 #include "crocuscove/base/settings.h"
 #include "crocuscove/http/event_loop.h"
+#include "crocuscove/http/socket_address.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <functional>
@@ -56,6 +59,9 @@
         : m_fd(fd)
         , m_watch(loop.onReadable(fd, [this] { receive(); }))
     {
+        // Without it, a second small piece waits about 40 ms for the acknowledgement of the first.
+        const int enable = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
     }
 
     RawConnection(EventLoop& loop, std::uint16_t port)
@@ -148,13 +154,7 @@
     RawServer(const RawServer&) = delete;
     RawServer& operator=(const RawServer&) = delete;
 
-    [[nodiscard]] base::Endpoint endpoint() const
-    {
-        sockaddr_in address {};
-        socklen_t size = sizeof(address);
-        getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size);
-        return { "127.0.0.1", ntohs(address.sin_port) };
-    }
+    [[nodiscard]] base::Endpoint endpoint() const { return { "127.0.0.1", boundPort(m_fd) }; }
 
     std::vector<std::unique_ptr<RawConnection>> connections;
 
@@ -163,4 +163,40 @@
     Watch m_watch;
 };
 
+/// Listens with a full backlog, so that connecting hangs.
+class SilentServer {
+public:
+    SilentServer()
+        : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const sockaddr_in any = loopbackAddress(0);
+        if (bind(m_fd, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) != 0 || listen(m_fd, 0) != 0) {
+            throw base::Error("can't listen on a loopback port");
+        }
+        const sockaddr_in address = loopbackAddress(endpoint().port);
+        for (int& filler : m_fillers) {
+            filler = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+            if (connect(filler, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0
+                && errno != EINPROGRESS) {
+                throw base::Error("can't fill the backlog");
+            }
+        }
+    }
+
+    ~SilentServer()
+    {
+        std::ranges::for_each(m_fillers, [](int fd) { ::close(fd); });
+        ::close(m_fd);
+    }
+
+    SilentServer(const SilentServer&) = delete;
+    SilentServer& operator=(const SilentServer&) = delete;
+
+    [[nodiscard]] base::Endpoint endpoint() const { return { "127.0.0.1", boundPort(m_fd) }; }
+
+private:
+    int m_fd;
+    std::array<int, 4> m_fillers {};
+};
+
 } // namespace crocuscove::http::testing
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -134,23 +134,39 @@
     return m_exitCode;
 }
 
-nlohmann::json ChildProcess::waitForReady()
+nlohmann::json ChildProcess::waitForLine(
+    const std::function<std::optional<nlohmann::json>()>& find, std::string_view what)
 {
-    std::optional<nlohmann::json> ready;
+    std::optional<nlohmann::json> line;
     const auto isSettled = [&] {
-        const bool hasEnded = !isRunning();
-        const auto lines = outputLines();
-        const auto line = std::ranges::find_if(lines, [](const auto& fields) { return fields.contains("ready"); });
-        if (line != lines.end()) {
-            ready = *line;
-        }
-        return ready || hasEnded;
+        const bool hasEnded = !isRunning(); // Looked at first, so that the last lines of an ended process are seen.
+        line = find();
+        return line || hasEnded;
     };
     waitUntil(isSettled);
-    if (!ready) {
-        throw base::Error(fmt::format("{} didn't become ready: {}", m_name, errorText()));
+    if (!line) {
+        throw base::Error(fmt::format("{}: no {}: {}", m_name, what, errorText()));
     }
-    return *ready;
+    return *line;
+}
+
+nlohmann::json ChildProcess::waitForReady()
+{
+    const auto find = [this]() -> std::optional<nlohmann::json> {
+        const auto lines = outputLines();
+        const auto line = std::ranges::find_if(lines, [](const auto& fields) { return fields.contains("ready"); });
+        return line == lines.end() ? std::nullopt : std::optional(*line);
+    };
+    return waitForLine(find, "ready line");
+}
+
+nlohmann::json ChildProcess::waitForLog(std::string_view event)
+{
+    const auto find = [&]() -> std::optional<nlohmann::json> {
+        const auto lines = logLines(event);
+        return lines.empty() ? std::nullopt : std::optional(lines.front());
+    };
+    return waitForLine(find, fmt::format("log line '{}'", event));
 }
 
 std::vector<nlohmann::json> ChildProcess::outputLines() const
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -46,6 +46,9 @@
     /// Waits for the first JSON line with "ready" on standard output. Throws base::Error when the process ends first.
     nlohmann::json waitForReady();
 
+    /// Waits for the first log line with the event. Throws base::Error when the process ends first.
+    nlohmann::json waitForLog(std::string_view event);
+
     /// Returns the JSON lines on standard output of this run.
     [[nodiscard]] std::vector<nlohmann::json> outputLines() const;
 
@@ -57,6 +60,8 @@
     [[nodiscard]] std::string errorText() const;
 
 private:
+    nlohmann::json waitForLine(const std::function<std::optional<nlohmann::json>()>& find, std::string_view what);
+
     std::string m_name;
     std::string m_outputPath;
     std::string m_errorPath;
--- a/tests/support/commands_test.cpp
+++ b/tests/support/commands_test.cpp
@@ -73,14 +73,16 @@
 // Guards against a harness that leaves processes behind, or mistakes a dead process for a running one.
 TEST_F(CommandsTest, HarnessKillsAndNoticesExits)
 {
-    startBackend({});
+    const base::Endpoint endpoint = startBackend({});
     ChildProcess& backend = cluster.process("backend");
     EXPECT_TRUE(backend.isRunning());
+    EXPECT_EQ(backend.waitForLog("started").at("port"), endpoint.port);
     const int pid = backend.pid();
     backend.kill();
     EXPECT_FALSE(backend.isRunning());
     EXPECT_EQ(backend.waitForExit(), 128 + SIGKILL);
     EXPECT_NE(::kill(pid, 0), 0);
+    EXPECT_ANY_THROW(backend.waitForLog("no-such-event"));
     nlohmann::json ready;
     EXPECT_ANY_THROW(
         cluster.startAndWait("broken", standinProgram("standin_platform"), { "--vms=/nonexistent" }, ready));
