Let bytes arrive during handling in the pipelining test

Cause: with evhttp's read callback left in place during handling, evhttp ends the process on bytes that arrive then ("illegal connection state"), but the test answered before its loop had read them, so it passed. Conclusion: the guard against evhttp's exit is now tested.

--- a/src/crocuscove/http/http_server_property_test.cpp
+++ b/src/crocuscove/http/http_server_property_test.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using testing::RawConnection;
+using testing::runTurns;
 using testing::runUntil;
 
 const std::vector<std::string> validRequests {
@@ -21,19 +22,6 @@
 
 class HttpServerProperty : public ::testing::Test {
 protected:
-    /// Runs the loop for a few turns.
-    void runTurns(int count)
-    {
-        int turns = 0;
-        std::function<void()> next = [&] {
-            if (++turns < count) {
-                loop.post(next);
-            }
-        };
-        loop.post(next);
-        RC_ASSERT(runUntil(loop, [&] { return turns == count; }));
-    }
-
     EventLoop loop;
     int handled = 0;
     std::vector<Timer> answers;
@@ -69,7 +57,7 @@
         const std::size_t begin = text.size() * static_cast<std::size_t>(piece) / static_cast<std::size_t>(pieces);
         const std::size_t end = text.size() * static_cast<std::size_t>(piece + 1) / static_cast<std::size_t>(pieces);
         mutated.send(std::string_view(text).substr(begin, end - begin));
-        runTurns(*rc::gen::inRange(1, 8));
+        runTurns(loop, *rc::gen::inRange(1, 8));
     }
     *rc::gen::arbitrary<bool>() ? mutated.reset() : mutated.close();
     healthy.send("st: h\r\nConnection: close\r\n\r\n");
@@ -87,7 +75,7 @@
     const auto cut = *rc::gen::inRange<std::size_t>(1, text.size());
     for (int round = 1; round <= 2; ++round) {
         client.send(std::string_view(text).substr(0, cut));
-        runTurns(4);
+        runTurns(loop, 4);
         client.send(std::string_view(text).substr(cut));
         RC_ASSERT(runUntil(loop, [&] { return handled == round && server.openRequests() == 0; }));
     }
--- a/src/crocuscove/http/http_server_test.cpp
+++ b/src/crocuscove/http/http_server_test.cpp
@@ -81,6 +81,7 @@
     client.send(head + "1" + head + "2");
     ASSERT_TRUE(runUntil(loop, [&] { return waiting.size() == 1; }));
     client.send(head + "3");
+    testing::runTurns(loop, 20);
     for (std::size_t index = 0; index < 3; ++index) {
         ASSERT_TRUE(runUntil(loop, [&] { return waiting.size() == index + 1; }));
         EXPECT_EQ(waiting[index].first, std::to_string(index + 1));
--- a/src/crocuscove/http/socket_testing.h
+++ b/src/crocuscove/http/socket_testing.h
@@ -43,6 +43,21 @@
     return holds;
 }
 
+/// Runs the loop for a few turns, so that I/O that is ready happens.
+inline void runTurns(EventLoop& loop, int count)
+{
+    int turns = 0;
+    std::function<void()> next = [&] {
+        if (++turns < count) {
+            loop.post(next);
+        }
+    };
+    loop.post(next);
+    if (!runUntil(loop, [&] { return turns == count; })) {
+        throw base::Error("the loop doesn't turn");
+    }
+}
+
 inline sockaddr_in loopbackAddress(std::uint16_t port)
 {
     sockaddr_in address {};
