Test that a connection the server asks to close is not kept

Cause: with the check for "Connection: close" removed (trial), the test passed, because its server closed anyway. Change: the server in the test leaves the closing to the client. Conclusion: the check is now tested.

--- a/src/crocuscove/http/http_client_test.cpp
+++ b/src/crocuscove/http/http_client_test.cpp
@@ -260,10 +260,16 @@
     EXPECT_EQ(bounded.idleConnections(), 2U);
     EXPECT_TRUE(runUntil(loop, [&] { return bounded.idleConnections() == 0; }));
 
-    EXPECT_EQ(
-        resultOf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").failure, ExchangeFailure::None);
-    EXPECT_EQ(resultOf("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n").failure, ExchangeFailure::None);
-    EXPECT_TRUE(runUntil(loop, [&] { return client.idleConnections() == 0; }));
+    for (const std::string_view last : { "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n" }) {
+        const std::size_t index = server.connections.size();
+        call(after(30'000));
+        ASSERT_TRUE(waitForRequest(index));
+        server.connections[index]->send(last); // The server leaves it to the client to close.
+        ASSERT_TRUE(waitForResults(results.size() + 1));
+        EXPECT_EQ(results.back().failure, ExchangeFailure::None);
+        EXPECT_EQ(client.idleConnections(), 0U);
+    }
 }
 
 // Guards against requests smuggled in through a header value or target.
