--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -8,7 +8,8 @@
 function(crocuscove_add_test target)
     target_link_libraries(${target} PRIVATE GTest::gtest GTest::gtest_main rapidcheck rapidcheck_gtest)
     crocuscove_target_defaults(${target})
-    gtest_discover_tests(${target} TEST_PREFIX "${target}." DISCOVERY_MODE PRE_TEST PROPERTIES TIMEOUT 300)
+    gtest_discover_tests(${target} TEST_PREFIX "${target}." DISCOVERY_MODE PRE_TEST 
+        PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=1")
 endfunction()
 
 # Adds the library crocuscove_<name> from src/crocuscove/<name>/*.cpp, and crocuscove_<name>_test from the
