--- a/completions/crocuscove.bash
+++ b/completions/crocuscove.bash
@@ -5,7 +5,11 @@
     local common="--help --version"
     local server="--output= --server= --timeout-ms= $common"
     case "$1" in
-    check | version) echo "--output= $common" ;;
+    serve)
+        echo "--node= --cluster= --data-centre= --roles= --data-folder= --client-listen= --admin-listen= --peer-listen=" \
+            "--peers= --voters= --platform= --seed= --log-level= $common"
+        ;;
+    check | storage-check | version) echo "--output= $common" ;;
     diff | history | list) echo "$server" ;;
     get) echo "--revision= $server" ;;
     apply) echo "--wait --request-id= --expected-revision= $server" ;;
@@ -26,7 +30,7 @@
 
 _crocuscove()
 {
-    local commands="check diff apply get history list status version help"
+    local commands="serve check diff apply get history list status storage-check version help"
     local line="${COMP_LINE:0:COMP_POINT}"
     local current="${line##* }"
     local command="${COMP_WORDS[1]}"
@@ -51,6 +55,10 @@
         compopt -o filenames
         mapfile -t COMPREPLY < <(compgen -f -X '!*.yaml' -- "$current"; compgen -d -- "$current")
         ;;
+    storage-check)
+        compopt -o filenames
+        mapfile -t COMPREPLY < <(compgen -d -- "$current")
+        ;;
     get | history) mapfile -t COMPREPLY < <(compgen -W "$(_crocuscove_services)" -- "$current") ;;
     help) mapfile -t COMPREPLY < <(compgen -W "$commands" -- "$current") ;;
     esac
