Tell the cause of a refused write and equal contents in a conflict

Cause: apply hid the error and cause of a 400 that isn't about the document's content, and called the difference to an equal document in force "not reported" (seen against a running node). Change: the message of a refusal names the body's error and cause; a conflict with equal contents says so. Conclusion: an operator sees why a write was refused.

--- a/src/crocuscove/cli/admin_answers.cpp
+++ b/src/crocuscove/cli/admin_answers.cpp
@@ -118,12 +118,12 @@
 Conflict readConflict(std::string_view body)
 {
     const JsonValue answer = JsonValue::parse(body);
-    Conflict conflict { number(answer, "revisionInForce"), {} };
+    Conflict conflict { number(answer, "revisionInForce"), std::nullopt };
     const JsonValue difference = answer.value("difference", JsonValue());
     if (difference.is_array()) {
         conflict.difference = list<std::string>(difference, describeDifference);
     } else if (!difference.is_null()) {
-        conflict.difference = { textOf(difference) };
+        conflict.difference = std::vector { textOf(difference) };
     }
     return conflict;
 }
--- a/src/crocuscove/cli/admin_answers.h
+++ b/src/crocuscove/cli/admin_answers.h
@@ -4,6 +4,7 @@
 #include "crocuscove/document/parse.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,8 +66,8 @@
 
 struct Conflict {
     std::uint64_t revisionInForce = 0;
-    /// One line for each difference.
-    std::vector<std::string> difference;
+    /// One line for each difference, none when the contents are equal. Absent when the server doesn't tell.
+    std::optional<std::vector<std::string>> difference;
 };
 
 // Each function reads the JSON body of an answer and throws nlohmann::json::exception when it has another form.
--- a/src/crocuscove/cli/apply_command.cpp
+++ b/src/crocuscove/cli/apply_command.cpp
@@ -4,6 +4,7 @@
 #include "crocuscove/cli/rollout_wait.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <cctype>
@@ -56,20 +57,22 @@
     return settings;
 }
 
-[[noreturn]] void throwConflict(const DocumentWrite& write, const Conflict& conflict)
+std::string describeDifference(const std::optional<std::vector<std::string>>& difference)
 {
-    std::string lines;
-    JsonValue difference = JsonValue::array();
-    for (const std::string& line : conflict.difference) {
-        lines += "\n" + line;
-        difference.push_back(line);
+    if (!difference) {
+        return "The server does not tell the difference.";
     }
+    return difference->empty() ? "Its content is the same."
+                               : fmt::format("The difference to it:\n{}", fmt::join(*difference, "\n"));
+}
+
+[[noreturn]] void throwConflict(const DocumentWrite& write, const Conflict& conflict)
+{
     throw CommandError(ExitCode::Conflict,
-        fmt::format("{}: revision {} is in force, not {}; nothing was changed. The difference to it:{}",
-            write.service.text(), conflict.revisionInForce, write.expectedRevision,
-            lines.empty() ? " not reported" : lines),
+        fmt::format("{}: revision {} is in force, not {}; nothing was changed. {}", write.service.text(),
+            conflict.revisionInForce, write.expectedRevision, describeDifference(conflict.difference)),
         { { "service", write.service.text() }, { "revisionInForce", conflict.revisionInForce },
-            { "difference", difference } });
+            { "difference", conflict.difference ? JsonValue(*conflict.difference) : JsonValue() } });
 }
 
 [[noreturn]] void throwUnknown(
--- a/src/crocuscove/cli/apply_command_test.cpp
+++ b/src/crocuscove/cli/apply_command_test.cpp
@@ -132,7 +132,13 @@
     const auto json = nlohmann::json::parse(apply({ "--expected-revision=0", "--output=json" }).out);
     EXPECT_EQ(json.at("error"), "conflict");
     EXPECT_EQ(json.at("revisionInForce"), 1);
+    EXPECT_EQ(json.at("difference").size(), 1U);
     EXPECT_EQ(m_server.revisions("hello").size(), 1U);
+
+    m_server.put("hello", m_text);
+    const RunResult same = apply({ "--expected-revision=0" });
+    EXPECT_EQ(same.code, 3);
+    EXPECT_NE(same.err.find("nothing was changed. Its content is the same."), std::string::npos) << same.err;
 }
 
 // Guards against an invalid document that reaches the server, and a server's problems that are lost.
@@ -145,6 +151,16 @@
     EXPECT_TRUE(m_server.requests("PUT").empty());
 }
 
+// Guards against a refusal that hides the server's reason.
+TEST_F(ApplyCommand, RefusalNamesTheCause)
+{
+    m_server.script("PUT", { Behaviour::BadRequest });
+    const RunResult result = apply();
+    EXPECT_EQ(result.code, 1);
+    EXPECT_EQ(result.err,
+        "crocuscove: hello: refused: the server answered with status 400 (invalid-request: too many documents)\n");
+}
+
 // Guards against --wait that ends before the document is in force everywhere, or never.
 TEST_F(ApplyCommand, WaitsUntilInForceOnEveryNode)
 {
--- a/src/crocuscove/cli/fake_admin_server.h
+++ b/src/crocuscove/cli/fake_admin_server.h
@@ -46,6 +46,8 @@
         Unavailable,
         /// Answers 504 with outcome unknown, without executing the request.
         Timeout,
+        /// Answers 400 for another reason than the document's content.
+        BadRequest,
         /// Answers 413.
         TooLarge,
         /// Answers without a length.
@@ -230,6 +232,9 @@
         case Behaviour::Timeout:
             sendAnswer(request, { 504, R"({"error":"timeout","outcome":"unknown"})" });
             break;
+        case Behaviour::BadRequest:
+            sendAnswer(request, { 400, R"({"error":"invalid-request","cause":"too many documents"})" });
+            break;
         case Behaviour::TooLarge:
             sendAnswer(request, { 413, "" });
             break;
--- a/src/crocuscove/cli/fake_document_store.h
+++ b/src/crocuscove/cli/fake_document_store.h
@@ -100,12 +100,13 @@
             return known->second;
         }
         std::vector<FakeRevision>& revisions = documents[service];
+        const bool isSame = !revisions.empty() && revisions.back().text == record.body;
         FakeAnswer answer;
         if (std::to_string(revisions.size()) != record.expectedRevision) {
             answer = { 409,
                 fmt::format(R"({{"error":"revision-conflict","revisionInForce":{},)"
-                            R"("difference":[{{"field":"team","before":"shops","after":"desks"}}]}})",
-                    revisions.size()) };
+                            R"("difference":[{}]}})",
+                    revisions.size(), isSame ? "" : R"({"field":"team","before":"shops","after":"desks"})") };
         } else {
             revisions.push_back({ record.body, record.requestId });
             answer = { 200, fmt::format(R"({{"service":"{}","revision":{}}})", service, revisions.size()) };
--- a/src/crocuscove/cli/put_document.cpp
+++ b/src/crocuscove/cli/put_document.cpp
@@ -45,6 +45,9 @@
         result.revision = readAppliedRevision(answer.body);
         return result;
     case statusBadRequest:
+        if (!JsonValue::parse(answer.body).contains("problems")) {
+            return std::nullopt;
+        }
         result.outcome = WriteOutcome::InvalidDocument;
         result.problems = readProblems(answer.body);
         return result;
@@ -62,6 +65,23 @@
     }
 }
 
+/// Returns the error and the cause that the body of a failure may name, in brackets.
+std::string failureDetail(const std::string& body)
+{
+    const JsonValue answer = JsonValue::parse(body, nullptr, false);
+    if (!answer.is_object()) {
+        return "";
+    }
+    std::string detail;
+    for (const char* key : { "error", "cause" }) {
+        const JsonValue value = answer.value(key, JsonValue());
+        if (value.is_string()) {
+            detail += (detail.empty() ? "" : ": ") + value.get<std::string>();
+        }
+    }
+    return detail.empty() ? "" : fmt::format(" ({})", detail);
+}
+
 WriteResult interpretOther(int status, const std::string& detail)
 {
     const bool isRefusal = status >= firstRefusal && status < firstServerError;
@@ -93,7 +113,7 @@
     } catch (const nlohmann::json::exception& error) {
         return interpretOther(answer.status, fmt::format(" and a body that can't be read: {}", error.what()));
     }
-    return interpretOther(answer.status, "");
+    return interpretOther(answer.status, failureDetail(answer.body));
 }
 
 WriteResult writeDocument(const ServerOptions& options, const DocumentWrite& write)
