--- a/include/crocuscove/capacity/capacity_plan.h
+++ b/include/crocuscove/capacity/capacity_plan.h
@@ -103,11 +103,12 @@
     std::chrono::minutes replaceAfter { 3 };
     /// Utilisation that a pool is filled up to, and the one above which it grows.
     double targetUtilisation = 0.65;
-    double highestUtilisation = 0.8;
+    double highestUtilisation = 0.77;
     /// Standard error of the reported load, relative.
     double reportError = 0.08;
-    /// Standard errors that the buffer covers: one miss in a hundred.
-    double errorQuantile = 2.33;
+    /// Standard errors that the buffer covers. With 3 it covers the loss of a failure domain at least as often as
+    /// buffers of 2.33 for each service alone do.
+    double errorQuantile = 3.0;
     /// Share of the fleet that may be on the move, at least `minRunningMoves`.
     double maxRunningShare = 0.01;
     std::uint32_t minRunningMoves = 3;
--- a/src/crocuscove/capacity/buffer.cpp
+++ b/src/crocuscove/capacity/buffer.cpp
@@ -79,17 +79,27 @@
     std::uint32_t alone = 0;
 };
 
-/// Errors of different services are independent, so that their squares add up.
+// Mean and variance of the positive part of a standard normal error. Only a demand that was reported too low takes
+// from the buffer, so the sum over many services has a mean above 0.
+constexpr double positivePartMean = 0.3989;
+constexpr double positivePartVariance = 0.3408;
+
+/// Errors of different services are independent, so that their squares add up. With few services the quantile of the
+/// plain sum is the larger bound, with many that of the positive parts.
 Uncertainty reportErrors(const Fleet& fleet)
 {
     Uncertainty errors;
+    double sum = 0.0;
     double squares = 0.0;
     for (const Need& need : fleet.needs) {
-        const double error = fleet.options.errorQuantile * fleet.options.reportError * need.wanted;
+        const double error = fleet.options.reportError * need.wanted;
+        sum += error;
         squares += error * error;
-        errors.alone += roundUp(error);
+        errors.alone += roundUp(fleet.options.errorQuantile * error);
     }
-    errors.joint = std::sqrt(squares);
+    const double quantile = fleet.options.errorQuantile;
+    errors.joint = std::max(
+        quantile * std::sqrt(squares), positivePartMean * sum + quantile * std::sqrt(positivePartVariance * squares));
     return errors;
 }
 
