--- a/include/crocuscove/capacity/capacity_plan.h
+++ b/include/crocuscove/capacity/capacity_plan.h
@@ -103,7 +103,7 @@
     std::chrono::minutes replaceAfter { 3 };
     /// Utilisation that a pool is filled up to, and the one above which it grows.
     double targetUtilisation = 0.65;
-    double highestUtilisation = 0.77;
+    double highestUtilisation = 0.75;
     /// Standard error of the reported load, relative.
     double reportError = 0.08;
     /// Standard errors that the buffer covers. With 3 it covers the loss of a failure domain at least as often as
--- a/src/crocuscove/capacity/capacity_plan_test.cpp
+++ b/src/crocuscove/capacity/capacity_plan_test.cpp
@@ -74,13 +74,13 @@
     EXPECT_EQ(pools.moves, 0U);
 }
 
-// Guards against a pool that is left overloaded, and against VMs that are never given back. Ten executors carry 61
+// Guards against a pool that is left overloaded, and against VMs that are never given back. Ten executors carry 59
 // slots. What the spare pool has beyond its buffer may add headroom.
 TEST(CapacityPlan, LendsForLastingDemandAndTakesBackLater)
 {
     FakePools pools = settledPools();
     addSpares(pools, 4);
-    pools.services[0].busySlots = 61.0;
+    pools.services[0].busySlots = 59.0;
     runFor(pools, std::chrono::minutes(20));
     const std::uint32_t grown = members(pools, "pool0");
     EXPECT_GE(grown, 10U);
@@ -98,7 +98,7 @@
 TEST(CapacityPlan, TakesFromAPoolWithIdleVmsWhenNoneIsSpare)
 {
     FakePools pools = settledPools();
-    pools.services[1].busySlots = 61.0;
+    pools.services[1].busySlots = 59.0;
     runFor(pools, std::chrono::minutes(20));
     std::erase_if(pools.vms, [](const FakeVm& vm) { return vm.record.pool == base::PoolId("spare"); });
     for (std::size_t vm = 0; vm < pools.vms.size(); ++vm) {
@@ -107,7 +107,7 @@
     pools.services[1].busySlots = 30.0;
     runFor(pools, std::chrono::minutes(70));
     const std::uint64_t before = pools.moves;
-    pools.services[0].busySlots = 55.0;
+    pools.services[0].busySlots = 53.0;
     runFor(pools, std::chrono::minutes(20));
     EXPECT_EQ(members(pools, "pool0"), 9U);
     EXPECT_EQ(pools.moves, before + 1);
@@ -117,7 +117,7 @@
 TEST(CapacityPlan, ANewLeaderKeepsEveryPoolUntilItKnowsTheLoad)
 {
     FakePools pools = settledPools();
-    pools.services[0].busySlots = 61.0;
+    pools.services[0].busySlots = 59.0;
     runFor(pools, std::chrono::minutes(20));
     pools.services[0].busySlots = 10.0;
     std::ranges::for_each(pools.services, [](auto& service) { service.samples.clear(); });
@@ -208,7 +208,7 @@
 TEST(CapacityPlan, MovesAreBoundedAndHeldWithoutPlatformOrObservation)
 {
     FakePools pools = settledPools();
-    std::ranges::for_each(pools.services, [](auto& service) { service.busySlots = 61.0; });
+    std::ranges::for_each(pools.services, [](auto& service) { service.busySlots = 59.0; });
     std::uint32_t most = 0;
     for (int round = 0; round < 60; ++round) {
         pools.apply(planFor(pools));
@@ -237,7 +237,7 @@
         FakePools pools = settledPools();
         addSpares(pools, 4);
         pools.fleet.weights.moves = weight;
-        pools.services[0].busySlots = 61.0;
+        pools.services[0].busySlots = 59.0;
         runFor(pools, std::chrono::minutes(30));
         pools.services[0].busySlots = 40.0;
         runFor(pools, std::chrono::hours(3));
