Keep more slots for short work while it needs them, and report the use of every backend server

Cause: in a fivefold surge long work took slots before short work queued, and stragglers were recognised late. Requests that ran too late were cut at their deadline. usage() left out backend servers without slots, so nobody asked for them. Change: the reserve follows the observed need of short work (times 1.5, at most 85%); stragglers count from 4 times the median; the estimated wait is taken 1.25 times; usage() lists every backend server.

--- a/include/crocuscove/routing/dispatcher.h
+++ b/include/crocuscove/routing/dispatcher.h
@@ -55,6 +55,13 @@
     base::DataCentreId dataCentre;
     /// Share of the slots kept for short work.
     double shortReserve = 0.25;
+    /// Largest such share. While short work arrives that needs more than shortReserve, more is kept for it.
+    double maxShortReserve = 0.85;
+    /// Slots kept for each slot that the short work of late needs. Below the saturation of its slots short work waits
+    /// little.
+    double shortHeadroom = 1.5;
+    /// Time over which the need of short work is averaged.
+    base::Milliseconds shortNeedPeriod { 250 };
     /// Share of the slots that stragglers may hold.
     double stragglerShare = 0.5;
     /// Retries for each first attempt, over time.
@@ -69,7 +76,7 @@
     /// declared patient stays patient, as that states that it may wait.
     base::Milliseconds shortRunTime { 200 };
     /// A request that runs this many times the median of its kind is a straggler.
-    double stragglerFactor = 10.0;
+    double stragglerFactor = 4.0;
     /// Slots that long and patient work get even while short work waits.
     double longFloor = 0.1;
     double patientFloor = 0.05;
@@ -115,7 +122,7 @@
 
     [[nodiscard]] std::size_t queued() const;
     [[nodiscard]] std::size_t inFlight() const;
-    /// In-flight requests and limit of each backend server that has either.
+    /// In-flight requests and limit of every backend server that is listed or still has requests in flight.
     [[nodiscard]] std::vector<BackendUsage> usage() const;
 
 private:
--- a/src/crocuscove/routing/backend_pool.cpp
+++ b/src/crocuscove/routing/backend_pool.cpp
@@ -266,9 +266,7 @@
 {
     std::vector<BackendUsage> usage;
     for (const auto& [id, backend] : m_backends) {
-        if (backend.inFlight != 0 || backend.limit != 0) {
-            usage.push_back({ id, backend.inFlight, backend.limit });
-        }
+        usage.push_back({ id, backend.inFlight, backend.limit });
     }
     return usage;
 }
--- a/src/crocuscove/routing/dispatcher_admission.cpp
+++ b/src/crocuscove/routing/dispatcher_admission.cpp
@@ -16,6 +16,9 @@
 /// Largest part of the time to the deadline that is set aside for a slow run. Without it a kind whose slowest
 /// runs take longer than its deadline would be refused always.
 constexpr double maxRunShare = 0.5;
+/// Allowance for the error of the estimated wait. Too low an estimate wastes slots on work that is cut at its deadline;
+/// too high a one only shortens the queue.
+constexpr double waitMargin = 1.25;
 
 base::Microseconds seconds(double value) { return base::Microseconds(static_cast<std::int64_t>(value * 1e6)); }
 
@@ -56,8 +59,9 @@
         kind.runTimes.slowest(), seconds(maxRunShare * std::chrono::duration<double>(deadline - now).count()));
     const auto run = std::max(slowRun, kind.runTimes.usual());
     const auto wait = estimateWait(kind, request.client);
-    return wait.count() > 0 && now + wait + run > deadline ? std::optional(RefuseReason::DeadlineUnreachable)
-                                                           : std::nullopt;
+    return wait.count() > 0 && now + std::chrono::duration_cast<base::Microseconds>(wait * waitMargin) + run > deadline
+        ? std::optional(RefuseReason::DeadlineUnreachable)
+        : std::nullopt;
 }
 
 base::Microseconds Dispatcher::Core::estimateWait(const KindStatistics& kind, const base::TeamId& client) const
--- a/src/crocuscove/routing/dispatcher_core.cpp
+++ b/src/crocuscove/routing/dispatcher_core.cpp
@@ -49,6 +49,9 @@
         throw base::Error(fmt::format("request id {} is in use", request.id));
     }
     const bool isKnown = request.kind < m_document.requests.size();
+    if (isKnown) {
+        noteShortArrival(now, *m_kindsInForce[request.kind]);
+    }
     const auto kindDeadline = isKnown ? m_document.requests[request.kind].deadline : base::Milliseconds(0);
     const auto deadline = request.deadline.value_or(now + kindDeadline);
     if (const auto reason = refusal(now, request, deadline)) {
--- a/src/crocuscove/routing/dispatcher_core.h
+++ b/src/crocuscove/routing/dispatcher_core.h
@@ -141,6 +141,10 @@
     }
     /// Slots that long and patient work may hold together.
     [[nodiscard]] std::size_t longSlots() const;
+    /// The same, less the slots that the short work of late needs beyond its reserve.
+    [[nodiscard]] std::size_t longSlotsNow(base::MonotonicTime now) const;
+    void noteShortArrival(base::MonotonicTime now, const KindStatistics& kind);
+    [[nodiscard]] double shortNeed(base::MonotonicTime now) const;
 
     document::ServiceDocument m_document;
     DispatcherOptions m_options;
@@ -161,6 +165,9 @@
     std::uint64_t m_lastSerial = 0;
     AttemptId m_lastAttempt = 0;
     double m_retryTokens;
+    /// Slots that the arriving short work needs, at the moment of its last arrival.
+    double m_shortNeed = 0.0;
+    base::MonotonicTime m_shortNeedSince;
     Actions m_actions;
 };
 
--- a/src/crocuscove/routing/dispatcher_scheduling.cpp
+++ b/src/crocuscove/routing/dispatcher_scheduling.cpp
@@ -21,6 +21,31 @@
     return static_cast<std::size_t>(std::max(slots - reserved, 1.0));
 }
 
+void Dispatcher::Core::noteShortArrival(base::MonotonicTime now, const KindStatistics& kind)
+{
+    if (kind.learned != WorkClass::Short) {
+        return;
+    }
+    m_shortNeed = shortNeed(now)
+        + static_cast<double>(kind.runTimes.mean().count())
+            / static_cast<double>(base::Microseconds(m_options.shortNeedPeriod).count());
+    m_shortNeedSince = now;
+}
+
+double Dispatcher::Core::shortNeed(base::MonotonicTime now) const
+{
+    const auto passed = std::chrono::duration<double>(now - m_shortNeedSince);
+    return m_shortNeed * std::exp(-passed / std::chrono::duration<double>(m_options.shortNeedPeriod));
+}
+
+std::size_t Dispatcher::Core::longSlotsNow(base::MonotonicTime now) const
+{
+    const auto slots = static_cast<double>(m_pool.slots());
+    const double reserve = std::min(shortNeed(now) * m_options.shortHeadroom, slots * m_options.maxShortReserve);
+    const auto left = static_cast<std::size_t>(std::max(std::floor(slots - reserve), 1.0));
+    return std::min(left, longSlots());
+}
+
 void Dispatcher::Core::enqueue(base::MonotonicTime now, PendingRequest& request)
 {
     const auto& runTimes = request.kind->runTimes;
@@ -39,7 +64,8 @@
 
 std::optional<WorkClass> Dispatcher::Core::nextClass(base::MonotonicTime now) const
 {
-    const bool hasLongSlot = runningOf(WorkClass::Long) + runningOf(WorkClass::Patient) < longSlots();
+    const auto longRunning = runningOf(WorkClass::Long) + runningOf(WorkClass::Patient);
+    const bool hasLongSlot = longRunning < longSlots();
     if (hasLongSlot && isOwedFloor(now, WorkClass::Patient, m_options.patientFloor, m_options.patientAge)) {
         return WorkClass::Patient;
     }
@@ -51,7 +77,7 @@
     }
     const bool hasStragglerSlot
         = static_cast<double>(m_stragglers) < std::max(m_options.stragglerShare * m_pool.slots(), 1.0);
-    if (!hasLongSlot || !hasStragglerSlot) {
+    if (longRunning >= longSlotsNow(now) || !hasStragglerSlot) {
         return std::nullopt;
     }
     if (!queueOf(WorkClass::Long).empty()) {
--- a/src/crocuscove/routing/dispatcher_test.cpp
+++ b/src/crocuscove/routing/dispatcher_test.cpp
@@ -51,6 +51,14 @@
     EXPECT_EQ(only<Refuse>(actions)[0].reason, RefuseReason::DeadlinePassed);
 }
 
+// Guards against a backend server without slots being left out of the reported use, so that none are asked for.
+TEST(Dispatcher, ReportsUseOfEveryBackend)
+{
+    Dispatcher routing(serviceDocument({ kind(WorkClass::Short, 1000, true) }), {}, base::Random(1));
+    EXPECT_TRUE(routing.updateBackends(at(0), { view("b1"), view("b2") }).empty());
+    EXPECT_EQ(routing.usage().size(), 2U);
+}
+
 // Guards against work for a client that has gone.
 TEST(Dispatcher, CancelsQueuedAndRunning)
 {
