Keep base shares by the need of a service, and ask for queued work once

Cause: a node kept its base share wherever it had run a request lately, and asked for a slot at every executor for each queued request. Both held slots that others needed. Change: the shares a node does not lend add up to what the service needed lately; queuedShare spreads the queue.

--- a/include/crocuscove/routing/slot_holder.h
+++ b/include/crocuscove/routing/slot_holder.h
@@ -46,12 +46,18 @@
         Term term;
         std::uint32_t inFlight = 0;
         std::uint32_t demand = 0;
+        /// The part of the base share that is not lent.
+        std::uint32_t floor = 0;
+        SlotDemandEntry reported;
+        std::uint64_t changedAt = 0;
+    };
+    struct Service {
         /// Highest demand of this and the previous period of SlotOptions::lendAfter.
         std::uint32_t peak = 0;
         std::uint32_t previousPeak = 0;
         base::MonotonicTime peakSince;
-        SlotDemandEntry reported;
-        std::uint64_t changedAt = 0;
+        /// In the order in which this node keeps its base shares; it never lends the first one.
+        std::vector<base::BackendId> order;
     };
     struct Link {
         std::uint64_t grantorIncarnation = 0;
@@ -60,8 +66,8 @@
         std::deque<std::pair<std::uint64_t, base::MonotonicTime>> sent;
     };
 
-    SlotDemandEntry entryOf(base::MonotonicTime now, const base::BackendId& backend, Executor& executor) const;
-    [[nodiscard]] bool isRetained(const base::BackendId& backend, const Executor& executor) const;
+    static SlotDemandEntry entryOf(base::MonotonicTime now, const base::BackendId& backend, Executor& executor);
+    void setFloors(Service& service);
     void apply(const SlotGrant& grant, const SlotGrantEntry& entry);
 
     base::NodeId m_self;
@@ -69,8 +75,7 @@
     SlotOptions m_options;
     EntryEpoch m_epoch;
     std::map<base::BackendId, Executor> m_executors;
-    /// The backend server of each service where this node never lends its base share.
-    std::map<base::ServiceId, base::BackendId> m_retained;
+    std::map<base::ServiceId, Service> m_services;
     std::map<base::NodeId, Link> m_links;
     std::uint64_t m_sequence = 0;
 };
--- a/include/crocuscove/routing/slot_lease.h
+++ b/include/crocuscove/routing/slot_lease.h
@@ -3,6 +3,7 @@
 #include "crocuscove/base/id.h"
 #include "crocuscove/base/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -36,6 +37,10 @@
 /// The entry node that leases out the slots of a backend server, by rendezvous hashing. Empty without entry nodes.
 base::NodeId grantorOf(const EntryEpoch& epoch, const base::BackendId& backend);
 
+/// The part of the queued requests that an entry node asks slots for at one of its executors, so that the parts add up
+/// to the queue. Asking for more at each would take slots from nodes that need them.
+std::uint32_t queuedShare(std::size_t queued, std::size_t executors, std::size_t position);
+
 /// Slots of a backend server that every entry node keeps.
 std::uint32_t baseShare(const EntryEpoch& epoch, std::uint32_t slots);
 
--- a/src/crocuscove/routing/slot_holder.cpp
+++ b/src/crocuscove/routing/slot_holder.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace crocuscove::routing {
 namespace {
@@ -44,7 +45,8 @@
         return each.second.service == service
             && std::ranges::find(views, each.first, &BackendView::backend) == views.end();
     });
-    m_retained.erase(service);
+    auto& order = m_services[service].order;
+    order.clear();
     for (const auto& view : views) {
         auto& executor = m_executors[view.backend];
         if (executor.incarnation != view.incarnation) {
@@ -54,10 +56,11 @@
         }
         executor.service = service;
         executor.slots = view.slots;
-        auto& retained = m_retained[service];
-        if (retained.empty() || retentionWeight(m_self, view.backend) > retentionWeight(m_self, retained)) {
-            retained = view.backend;
-        }
+        order.push_back(view.backend);
+    }
+    std::ranges::sort(order, std::greater(), [this](const auto& backend) { return retentionWeight(m_self, backend); });
+    if (views.empty()) {
+        m_services.erase(service);
     }
 }
 
@@ -68,28 +71,53 @@
     if (found == m_executors.end()) {
         return;
     }
-    auto& executor = found->second;
-    executor.inFlight = inFlight;
-    executor.demand = std::min(std::max(demand, inFlight), executor.slots);
-    if (now >= executor.peakSince + m_options.lendAfter) {
-        executor.previousPeak = now < executor.peakSince + 2 * m_options.lendAfter ? executor.peak : executor.demand;
-        executor.peak = executor.demand;
-        executor.peakSince = now;
-    }
-    executor.peak = std::max(executor.peak, executor.demand);
+    found->second.inFlight = inFlight;
+    found->second.demand = std::min(std::max(demand, inFlight), found->second.slots);
+    auto& service = m_services.at(found->second.service);
+    if (now >= service.peakSince + m_options.lendAfter) {
+        service.previousPeak = now < service.peakSince + 2 * m_options.lendAfter ? service.peak : 0;
+        service.peak = 0;
+        service.peakSince = now;
+    }
 }
 
-SlotDemandEntry SlotHolder::entryOf(base::MonotonicTime now, const base::BackendId& backend, Executor& executor) const
+void SlotHolder::setFloors(Service& service)
+{
+    std::uint32_t demand = 0;
+    for (const auto& backend : service.order) {
+        demand += m_executors.at(backend).demand;
+    }
+    service.peak = std::max(service.peak, demand);
+    // The node keeps no more slots in all than it needed lately: where it runs requests, then in its own order.
+    auto left = std::max(service.peak, service.previousPeak);
+    const auto keep = [&](Executor& executor, std::uint32_t most) {
+        const auto more = std::min(left, std::min(most, baseShare(m_epoch, executor.slots)) - executor.floor);
+        executor.floor += more;
+        left -= more;
+    };
+    for (const auto& backend : service.order) {
+        auto& executor = m_executors.at(backend);
+        executor.floor = 0;
+        keep(executor, executor.inFlight);
+    }
+    for (const auto& backend : service.order) {
+        auto& executor = m_executors.at(backend);
+        keep(executor, executor.slots);
+    }
+    if (!service.order.empty()) {
+        auto& retained = m_executors.at(service.order.front());
+        retained.floor = baseShare(m_epoch, retained.slots);
+    }
+}
+
+SlotDemandEntry SlotHolder::entryOf(base::MonotonicTime now, const base::BackendId& backend, Executor& executor)
 {
     if (now >= executor.deadline) {
         // The grantor will rely on the bound below, so a late renewal must not bring the leased slots back.
         executor.allotment = std::min(executor.allotment, executor.base);
     }
-    const auto base = baseShare(m_epoch, executor.slots);
-    const auto isRetained = m_retained.at(executor.service) == backend;
-    const auto needed = std::max({ executor.peak, executor.previousPeak, executor.demand });
     return { backend, executor.incarnation, executor.demand, std::max(executor.allotment, executor.inFlight),
-        isRetained ? base : std::min(base, needed) };
+        executor.floor };
 }
 
 std::vector<SlotDemand> SlotHolder::takeDemands(base::MonotonicTime now)
@@ -98,6 +126,9 @@
         return {};
     }
     ++m_sequence;
+    for (auto& [id, service] : m_services) {
+        setFloors(service);
+    }
     std::map<base::NodeId, SlotDemand> demands;
     for (auto& [backend, executor] : m_executors) {
         const auto grantor = grantorOf(m_epoch, backend);
--- a/src/crocuscove/routing/slot_lease.cpp
+++ b/src/crocuscove/routing/slot_lease.cpp
@@ -22,6 +22,14 @@
     return grantor == epoch.nodes.end() ? base::NodeId() : *grantor;
 }
 
+std::uint32_t queuedShare(std::size_t queued, std::size_t executors, std::size_t position)
+{
+    if (executors == 0) {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(queued / executors + (position < queued % executors ? 1 : 0));
+}
+
 std::uint32_t baseShare(const EntryEpoch& epoch, std::uint32_t slots) { return slots / std::max(epoch.shareNodes, 1U); }
 
 } // namespace crocuscove::routing
--- a/src/crocuscove/routing/slot_lease_test.cpp
+++ b/src/crocuscove/routing/slot_lease_test.cpp
@@ -168,6 +168,19 @@
     EXPECT_TRUE(m_grantor.takeGrants(at(m_now + 2000)).empty());
 }
 
+// Guards against a node that asks for more slots than it has requests, and so takes them from others.
+TEST(SlotDemands, QueuedSharesAddUp)
+{
+    for (const std::size_t queued : { 0U, 1U, 9U, 10U, 37U }) {
+        std::size_t sum = 0;
+        for (std::size_t position = 0; position < 10; ++position) {
+            sum += queuedShare(queued, 10, position);
+        }
+        EXPECT_EQ(sum, queued);
+    }
+    EXPECT_EQ(queuedShare(5, 0, 0), 0U);
+}
+
 // Guards against messages that don't survive the codec.
 TEST(SlotMessages, RoundTrip)
 {
