Plan moves between pools from sampled load; spread queued demand for slots

Cause: the leader planned maintenance for the documents' minimum only and moved no VM; the demand for slots was rounded up at every backend server; a backend server that hangs was never ejected; a VM that failed during a move kept its target.

--- a/src/crocuscove/server/gateway.cpp
+++ b/src/crocuscove/server/gateway.cpp
@@ -262,6 +262,10 @@
             { { "request", requestName(action.request) }, { "backend", attempt->second.backend.text() },
                 { "attempt", action.attempt }, { "reason", routing::abortReasonNames.name(action.reason) } });
         attempt->second.call.cancel();
+        if (action.reason == routing::AbortReason::DeadlinePassed) {
+            // A backend server that hangs ends no attempt by itself and would never be ejected.
+            m_backends.observe(attempt->second.backend, routing::AttemptEnd::Broken);
+        }
     }
 }
 
@@ -366,14 +370,13 @@
     }
     const auto usage = entry->second.dispatcher.usage();
     const auto views = m_backends.directory().views(service);
-    const std::size_t backends = std::max<std::size_t>(1, views.size());
-    // The queue asks for its share at each backend server, rounded up, so that it is served wherever a slot is free.
-    const auto wanted = static_cast<std::uint32_t>((entry->second.dispatcher.queued() + backends - 1) / backends);
+    const std::size_t queued = entry->second.dispatcher.queued();
     std::vector<SlotUsage> result;
     std::ranges::transform(views, std::back_inserter(result), [&](const routing::BackendView& view) {
         const auto used = std::ranges::find(usage, view.backend, &routing::BackendUsage::backend);
         const auto inFlight = used == usage.end() ? 0 : used->inFlight;
-        return SlotUsage { view.backend, inFlight, inFlight + wanted };
+        return SlotUsage { view.backend, inFlight,
+            inFlight + routing::queuedShare(queued, views.size(), result.size()) };
     });
     return result;
 }
@@ -389,6 +392,17 @@
     return found == usage.end() ? 0 : found->inFlight;
 }
 
+std::vector<ServiceLoad> Gateway::serviceLoads() const
+{
+    std::vector<ServiceLoad> loads;
+    std::ranges::transform(m_services, std::back_inserter(loads), [](const auto& entry) {
+        const auto& dispatcher = entry.second.dispatcher;
+        return ServiceLoad { entry.first, static_cast<std::uint32_t>(dispatcher.inFlight()),
+            static_cast<std::uint32_t>(dispatcher.queued()) };
+    });
+    return loads;
+}
+
 std::size_t Gateway::queued() const
 {
     return std::accumulate(m_services.begin(), m_services.end(), std::size_t { 0 },
--- a/src/crocuscove/server/gateway.h
+++ b/src/crocuscove/server/gateway.h
@@ -3,6 +3,7 @@
 #include "backend_registry.h"
 #include "command_submitter.h"
 #include "crocuscove/server/server_options.h"
+#include "node_table.h"
 #include "slot_coordinator.h"
 
 #include "crocuscove/base/log.h"
@@ -61,6 +62,9 @@
     [[nodiscard]] std::size_t openRequests() const { return m_requests.size(); }
     [[nodiscard]] std::size_t queued() const;
 
+    /// Requests of each service that are in flight and that wait, on this node.
+    [[nodiscard]] std::vector<ServiceLoad> serviceLoads() const;
+
 private:
     struct Attempt {
         http::Call call;
--- a/src/crocuscove/server/maintenance_controller.cpp
+++ b/src/crocuscove/server/maintenance_controller.cpp
@@ -43,12 +43,13 @@
 } // namespace
 
 MaintenanceController::MaintenanceController(const base::Log& log, Replica& replica, const BackendRegistry& backends,
-    const JobController& jobs, PlatformClient& platform)
+    const JobController& jobs, const NodeTable& nodes, PlatformClient& platform)
     : m_log(log)
     , m_replica(replica)
     , m_backends(backends)
     , m_jobs(jobs)
     , m_platform(platform)
+    , m_capacity(log, replica, nodes, platform, [this](const state::MoveVm& move) { propose(move.vm, move); })
 {
 }
 
@@ -57,6 +58,7 @@
     m_observingSince = base::wallNow();
     m_pending.clear();
     m_plan = {};
+    m_capacity.beginLeading();
 }
 
 void MaintenanceController::tick(base::MonotonicTime now)
@@ -67,6 +69,7 @@
     }
     const auto announcements = m_backends.directory().announcements(now);
     registerVms(announcements);
+    m_capacity.tick(now, makeView(announcements), m_plan);
     m_plan = maintenance::planMaintenance(makeView(announcements), {}, base::wallNow());
     std::ranges::for_each(m_plan.actions, [this](const maintenance::MaintenanceAction& action) { carryOut(action); });
     logPauses();
@@ -115,7 +118,7 @@
     }
     for (const auto& [service, record] : m_replica.state().documents()) {
         if (const auto* document = m_replica.state().serviceDocument(service)) {
-            view.services.push_back(maintenance::budgetOf(*document, document->pool.executors.minimum));
+            view.services.push_back(maintenance::budgetOf(*document, m_capacity.wantedExecutors(*document)));
         }
     }
     if (const auto* fleet = m_replica.state().fleetDocument()) {
@@ -206,8 +209,10 @@
     if (!m_pending.insert(vm).second) {
         return;
     }
-    m_replica.propose(
-        command, base::monotonicNow() + commandTimeout, [this, vm](const ProposalResult&) { m_pending.erase(vm); });
+    m_replica.propose(command, base::monotonicNow() + commandTimeout, [this, vm](const ProposalResult&) {
+        m_pending.erase(vm);
+        m_capacity.moveEnded(vm);
+    });
 }
 
 } // namespace crocuscove::server
--- a/src/crocuscove/server/maintenance_controller.h
+++ b/src/crocuscove/server/maintenance_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_registry.h"
+#include "capacity_controller.h"
 #include "job_controller.h"
 #include "platform_client.h"
 #include "replica.h"
@@ -20,13 +21,14 @@
 public:
     /// The references must outlive this.
     MaintenanceController(const base::Log& log, Replica& replica, const BackendRegistry& backends,
-        const JobController& jobs, PlatformClient& platform);
+        const JobController& jobs, const NodeTable& nodes, PlatformClient& platform);
 
     void beginLeading();
     void tick(base::MonotonicTime now);
 
-    /// The last plan of this leader, for status.
+    /// The last plans of this leader, for status.
     [[nodiscard]] const maintenance::MaintenancePlan& plan() const { return m_plan; }
+    [[nodiscard]] const capacity::CapacityPlan& capacityPlan() const { return m_capacity.plan(); }
 
 private:
     using BackendsByVm = std::map<base::VmId, const routing::Announcement*>;
@@ -45,6 +47,7 @@
     const BackendRegistry& m_backends;
     const JobController& m_jobs;
     PlatformClient& m_platform;
+    CapacityController m_capacity;
     maintenance::MaintenancePlan m_plan;
     base::WallTime m_observingSince;
     base::MonotonicTime m_nextCommand;
--- a/src/crocuscove/server/node.cpp
+++ b/src/crocuscove/server/node.cpp
@@ -54,7 +54,7 @@
            },
               [this] { applied(); }, [this](const consensus::RoleChange& change) { roleChanged(change); } })
     , m_submitter(loop, m_replica, m_rpc)
-    , m_nodes(m_options, m_replica)
+    , m_nodes(m_options, m_replica, [this] { return m_gateway.serviceLoads(); })
     , m_backends(loop, log, m_options.node,
           { [this](const std::string& payload) { broadcast(transport::MessageKind::Backends, payload); },
               [this](const base::ServiceId& service) { backendsChanged(service); },
@@ -74,7 +74,7 @@
     , m_jobs(log, m_replica)
     , m_platform(m_options.platform ? std::make_optional<PlatformClient>(loop, log, *m_options.platform) : std::nullopt)
     , m_maintenance(m_platform
-              ? std::make_optional<MaintenanceController>(log, m_replica, m_backends, m_jobs, *m_platform)
+              ? std::make_optional<MaintenanceController>(log, m_replica, m_backends, m_jobs, m_nodes, *m_platform)
               : std::nullopt)
     , m_documentApi(log, m_replica, m_submitter, m_nodes)
     , m_fleetApi(log, m_replica, m_submitter, m_backends, m_gateway, m_jobs, m_rpc)
--- a/src/crocuscove/server/node_table.cpp
+++ b/src/crocuscove/server/node_table.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace crocuscove::server {
 
-CROCUSCOVE_FIELDS(
-    NodeStatus, v.node, v.dataCentre, v.isEntry, v.isVoter, v.isLeader, v.isReady, v.applied, v.term, v.clockUs)
+CROCUSCOVE_FIELDS(ServiceLoad, v.service, v.inFlight, v.queued)
+CROCUSCOVE_FIELDS(NodeStatus, v.node, v.dataCentre, v.isEntry, v.isVoter, v.isLeader, v.isReady, v.applied, v.term,
+    v.clockUs, v.loads)
 
 namespace {
 
@@ -17,16 +19,19 @@
 
 } // namespace
 
-NodeTable::NodeTable(const ServerOptions& options, const Replica& replica)
+NodeTable::NodeTable(
+    const ServerOptions& options, const Replica& replica, std::function<std::vector<ServiceLoad>()> loads)
     : m_options(options)
     , m_replica(replica)
+    , m_loads(std::move(loads))
 {
 }
 
 NodeStatus NodeTable::ownStatus() const
 {
     return { m_options.node, m_options.dataCentre, m_options.isEntry, m_options.isVoter, m_replica.isLeader(),
-        isReady(), m_replica.appliedIndex(), m_replica.raft().term(), base::monotonicNow().time_since_epoch().count() };
+        isReady(), m_replica.appliedIndex(), m_replica.raft().term(), base::monotonicNow().time_since_epoch().count(),
+        m_loads() };
 }
 
 std::string NodeTable::encodedOwnStatus() const { return base::encode(ownStatus()); }
--- a/src/crocuscove/server/node_table.h
+++ b/src/crocuscove/server/node_table.h
@@ -5,6 +5,7 @@
 #include "crocuscove/transport/peer_network.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,6 +13,13 @@
 
 namespace crocuscove::server {
 
+/// Requests of one service on one entry node.
+struct ServiceLoad {
+    base::ServiceId service;
+    std::uint32_t inFlight = 0;
+    std::uint32_t queued = 0;
+};
+
 /// What a node last said of itself.
 struct NodeStatus {
     base::NodeId node;
@@ -24,6 +32,7 @@
     std::uint64_t term = 0;
     /// The sender's monotonic clock. It comes back in reports that were certainly made later.
     std::int64_t clockUs = 0;
+    std::vector<ServiceLoad> loads;
 };
 
 /// Readings of the nodes' own monotonic clocks.
@@ -38,7 +47,8 @@
 /// The nodes of the cluster as this one sees them, from the status that each sends at intervals.
 class NodeTable {
 public:
-    NodeTable(const ServerOptions& options, const Replica& replica);
+    /// `loads` gives the load of this node.
+    NodeTable(const ServerOptions& options, const Replica& replica, std::function<std::vector<ServiceLoad>()> loads);
 
     /// The status of this node, encoded for the others.
     [[nodiscard]] std::string encodedOwnStatus() const;
@@ -66,6 +76,7 @@
 
     const ServerOptions& m_options;
     const Replica& m_replica;
+    std::function<std::vector<ServiceLoad>()> m_loads;
     bool m_isStopping = false;
     std::map<base::NodeId, Known> m_known;
 };
--- a/src/crocuscove/state/apply_vm.cpp
+++ b/src/crocuscove/state/apply_vm.cpp
@@ -79,7 +79,9 @@
     record.reason = command.reason;
     if (command.phase == VmPhase::Serving) {
         endOperation(record, command.reason, m_now);
-    } else if (record.operation == 0 && isPlannedStop(command.reason)) {
+    } else if (!isPlannedStop(command.reason)) {
+        record.moveTarget.reset();
+    } else if (record.operation == 0) {
         beginOperation(record, index, command);
     }
     // The one committed entry that ends the drain of a move also changes the pool.
--- a/src/crocuscove/state/state_test.cpp
+++ b/src/crocuscove/state/state_test.cpp
@@ -84,8 +84,8 @@
 {
     State state;
     const base::VmId vm("vm-1");
-    state.apply(
-        1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), { 64, 1024, 0 }, base::PoolId("spare"), {} });
+    state.apply(1,
+        RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), { 64, 1024, 0 }, base::PoolId("spare"), {} });
     EXPECT_EQ(state.apply(2, MoveVm { vm, base::PoolId("other"), base::PoolId("main"), 0 }).code, ResultCode::Refused);
     EXPECT_EQ(state.apply(3, MoveVm { vm, base::PoolId("spare"), base::PoolId("main"), 0 }).code, ResultCode::Ok);
     EXPECT_EQ(state.apply(4, MoveVm { vm, base::PoolId("spare"), base::PoolId("other"), 0 }).code, ResultCode::Refused);
@@ -113,6 +113,20 @@
     EXPECT_EQ(state.vms().at(vm).phase, VmPhase::Serving);
 }
 
+// Guards against a VM that failed on its way to another pool and joins that pool after its repair.
+TEST(StateVms, FailureCancelsAMove)
+{
+    State state;
+    const base::VmId vm("vm-1");
+    state.apply(1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), {}, base::PoolId("spare"), {} });
+    state.apply(2, MoveVm { vm, base::PoolId("spare"), base::PoolId("main"), 0 });
+    state.apply(3, SetVmPhase { vm, VmPhase::Draining, VmPhase::Lost, VmReason::Failure, 2, 0 });
+    state.apply(4, SetVmPhase { vm, VmPhase::Lost, VmPhase::Returning, VmReason::Returned, 2, 0 });
+    state.apply(5, SetVmPhase { vm, VmPhase::Returning, VmPhase::Serving, VmReason::Returned, 2, 0 });
+    EXPECT_EQ(state.vms().at(vm).pool, base::PoolId("spare"));
+    EXPECT_FALSE(state.vms().at(vm).moveTarget);
+}
+
 // Guards against a late phase change of a finished operation acting on the next one.
 TEST(StateVms, PhaseChangeOfAnOldOperationIsRefused)
 {
@@ -207,7 +221,8 @@
         case 0:
             return putDocument("r" + std::to_string(*rc::gen::inRange(0, 20)), index % 4);
         case 1:
-            return RegisterVm { vm, base::DataCentreId("dc"), base::RackId("r"), { 1, 2, 3 }, base::PoolId("main"), {} };
+            return RegisterVm { vm, base::DataCentreId("dc"), base::RackId("r"), { 1, 2, 3 }, base::PoolId("main"),
+                {} };
         case 2:
             return MoveVm { vm, base::PoolId("main"), base::PoolId("other"), 0 };
         case 3:
