Log the proxy's faults as text

Cause: a JSON object passed as a log field converts to a text at run time and ended the fault proxy. Change: the faults are dumped to text first.

--- a/tests/support/proxy_control.cpp
+++ b/tests/support/proxy_control.cpp
@@ -108,7 +108,7 @@
         return responder.respond({ 400, {}, error.what() });
     }
     m_log.info("faults-changed",
-        { { "proxy", name }, { "reset", isReset }, { "faults", describe(selected.front()->faults()) } });
+        { { "proxy", name }, { "reset", isReset }, { "faults", describe(selected.front()->faults()).dump() } });
     responder.respond({ 200, {}, "" });
 }
 
