Place jobs by best fit on the dominant resource

Cause: first fit fills workers in order, scans every worker for each job and lets a job that can never run wait forever. Change: planPlacement chooses the worker that keeps the least of the job's dominant resource, from ordered sets grouped by free accelerators with a segment tree for the exact answer. Decision times are not measured yet.

--- /dev/null
+++ b/src/crocuscove/placement/names.cpp
@@ -0,0 +1,30 @@
+#include "crocuscove/base/enum_names.h"
+#include "crocuscove/placement/placement_plan.h"
+
+namespace crocuscove::placement {
+
+namespace {
+
+constexpr auto startReasonNames = base::enumNames<StartReason>({
+    { StartReason::BestFit, "best-fit" },
+});
+
+constexpr auto rejectReasonNames = base::enumNames<RejectReason>({
+    { RejectReason::LargerThanEveryWorker, "larger-than-every-worker" },
+});
+
+constexpr auto resourceKindNames = base::enumNames<ResourceKind>({
+    { ResourceKind::Cores, "cores" },
+    { ResourceKind::MemoryMb, "memoryMb" },
+    { ResourceKind::Accelerators, "accelerators" },
+});
+
+} // namespace
+
+std::string_view startReasonName(StartReason reason) { return startReasonNames.name(reason); }
+
+std::string_view rejectReasonName(RejectReason reason) { return rejectReasonNames.name(reason); }
+
+std::string_view resourceKindName(ResourceKind kind) { return resourceKindNames.name(kind); }
+
+} // namespace crocuscove::placement
--- /dev/null
+++ b/src/crocuscove/placement/worker_index.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "resources.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace crocuscove::placement {
+
+/// Free capacity of the workers, ordered so that a best fit is found without looking at every worker.
+class WorkerIndex {
+public:
+    explicit WorkerIndex(const PlacementView& view);
+
+    /// Returns the position of a worker in the view.
+    [[nodiscard]] std::optional<std::size_t> find(const base::WorkerId& worker) const;
+    [[nodiscard]] const state::Resources& free(std::size_t worker) const { return m_free[worker]; }
+    /// Capacity of all workers that take work.
+    [[nodiscard]] const state::Resources& total() const { return m_total; }
+
+    /// Takes capacity of a running job. Only before `buildOrder`.
+    void occupy(std::size_t worker, const state::Resources& used);
+    void buildOrder();
+
+    /// Returns the worker that keeps the least of the dominant resource after it took the job.
+    [[nodiscard]] std::optional<std::size_t> bestFit(const state::Resources& need) const;
+    void take(std::size_t worker, const state::Resources& need);
+    /// Gives the worker no more jobs.
+    void withhold(std::size_t worker);
+
+private:
+    using Order = std::set<std::pair<std::uint64_t, std::size_t>>;
+    /// Workers with an equal number of free accelerators, by free cores and by free memory.
+    struct Group {
+        Order byCores;
+        Order byMemory;
+    };
+
+    [[nodiscard]] std::optional<std::size_t> scan(
+        const Order& order, std::uint64_t from, const state::Resources& need, std::size_t limit) const;
+    void insert(std::size_t worker);
+    void erase(std::size_t worker);
+    void setNode(std::size_t worker, const state::Resources& free);
+    [[nodiscard]] std::optional<std::size_t> anyFit(std::size_t node, const state::Resources& need) const;
+
+    const PlacementView& m_view;
+    std::unordered_map<base::WorkerId, std::size_t> m_positions;
+    std::vector<state::Resources> m_free;
+    std::vector<bool> m_isOpen;
+    state::Resources m_total;
+    std::map<std::uint32_t, Group> m_groups;
+    /// Segment tree of the largest free amount of each resource.
+    std::vector<state::Resources> m_tree;
+    std::size_t m_leaves = 1;
+};
+
+} // namespace crocuscove::placement
