Share workers among teams by weighted dominant resource fairness

Cause: jobs were started in submission order, so one team could take every worker and urgent work waited. Change: teams start jobs in order of weighted dominant share within their quotas, urgent jobs first. An urgent job that fits nowhere checkpoints patient idempotent jobs of one worker, and the worker is kept free for it. Patient jobs that waited 10 min (60 min for teams above the mean share) are served oldest first and have a worker reserved, at most 2% of the workers and 64 a round. A job started 5 times is not preempted any more. Quotas 200 cases, preemption 300, starvation 10 histories of up to 120 min; each check fails for a broken decision.

--- a/include/crocuscove/placement/placement_plan.h
+++ b/include/crocuscove/placement/placement_plan.h
@@ -10,13 +10,26 @@
 namespace crocuscove::placement {
 
 enum class StartReason {
-    /// Worker that the job leaves with the least of its dominant resource.
-    BestFit,
+    /// The team has the smallest weighted dominant share among those with waiting work.
+    FairShare,
+    Urgent,
+    /// The patient job has waited longer than the bound.
+    Overdue,
 };
 
 enum class RejectReason {
     /// No known worker is large enough, even when empty.
     LargerThanEveryWorker,
+    LargerThanQuota,
+};
+
+enum class PreemptHow {
+    Checkpoint,
+};
+
+enum class PreemptReason {
+    /// An urgent job needs the room.
+    UrgentWork,
 };
 
 enum class ResourceKind {
@@ -27,13 +40,15 @@
 
 std::string_view startReasonName(StartReason reason);
 std::string_view rejectReasonName(RejectReason reason);
+std::string_view preemptHowName(PreemptHow how);
+std::string_view preemptReasonName(PreemptReason reason);
 std::string_view resourceKindName(ResourceKind kind);
 
 struct StartAction {
     base::JobId job {};
     base::WorkerId worker {};
     std::uint64_t incarnation = 0;
-    StartReason reason = StartReason::BestFit;
+    StartReason reason = StartReason::FairShare;
 };
 
 /// The limit that comes closest to admitting a job. `worker` is empty when the limit is the team's quota.
@@ -53,8 +68,20 @@
     NearestMiss miss {};
 };
 
+/// Checkpoints a running idempotent job, which then waits again.
+struct PreemptAction {
+    base::JobId job {};
+    base::WorkerId worker {};
+    std::uint64_t token = 0;
+    PreemptHow how = PreemptHow::Checkpoint;
+    PreemptReason reason = PreemptReason::UrgentWork;
+    /// The urgent job that is given the room.
+    base::JobId forJob {};
+};
+
 struct PlacementPlan {
     std::vector<StartAction> starts {};
+    std::vector<PreemptAction> preempts {};
     std::vector<RejectAction> rejects {};
 };
 
@@ -63,11 +90,22 @@
     base::Milliseconds observationBound { 30'000 };
     /// Known workers that have not reported hold up rejections only for this long.
     base::Milliseconds unobservedBound { 300'000 };
+    /// A patient job of a team at or below the mean share that has waited this long comes before other work.
+    base::Milliseconds overdueBound { 600'000 };
+    /// The same for every team. Longer, so that shares decide among teams for as long as possible.
+    base::Milliseconds starvationBound { 3'600'000 };
+    /// Overdue jobs served or given a reserved worker in one round, in addition to the bound of 2% of the workers.
+    std::size_t maxReservations = 64;
+    /// A job started this often is no longer preempted, so that it finishes eventually.
+    std::uint32_t maxStartsBeforeProtection = 5;
+    /// Urgent jobs that room is searched for in one round.
+    std::size_t maxPreemptionSearches = 64;
     std::size_t maxStarts = 1'000;
     std::size_t maxRejects = 1'000;
 };
 
-/// Decides which queued jobs start where. The same view, options and time give the same plan.
+/// Decides which queued jobs start where, and which running ones give way. The same view, options and time give the
+/// same plan.
 PlacementPlan planPlacement(const PlacementView& view, const PlacementOptions& options, base::WallTime now);
 
 } // namespace crocuscove::placement
--- a/src/crocuscove/placement/fair_shares.cpp
+++ b/src/crocuscove/placement/fair_shares.cpp
@@ -34,10 +34,7 @@
     std::ranges::for_each(m_teams, [this](Team& team) { refresh(team); });
 }
 
-void FairShares::refresh(Team& team) const
-{
-    team.weightedShare = dominantShare(team.used, m_total) / team.share;
-}
+void FairShares::refresh(Team& team) const { team.weightedShare = dominantShare(team.used, m_total) / team.share; }
 
 bool FairShares::isWithinQuota(std::size_t position, const state::Resources& size) const
 {
--- a/src/crocuscove/placement/names.cpp
+++ b/src/crocuscove/placement/names.cpp
@@ -6,11 +6,22 @@
 namespace {
 
 constexpr auto startReasonNames = base::enumNames<StartReason>({
-    { StartReason::BestFit, "best-fit" },
+    { StartReason::FairShare, "fair-share" },
+    { StartReason::Urgent, "urgent" },
+    { StartReason::Overdue, "overdue" },
 });
 
 constexpr auto rejectReasonNames = base::enumNames<RejectReason>({
     { RejectReason::LargerThanEveryWorker, "larger-than-every-worker" },
+    { RejectReason::LargerThanQuota, "larger-than-quota" },
+});
+
+constexpr auto preemptHowNames = base::enumNames<PreemptHow>({
+    { PreemptHow::Checkpoint, "checkpoint" },
+});
+
+constexpr auto preemptReasonNames = base::enumNames<PreemptReason>({
+    { PreemptReason::UrgentWork, "urgent-work" },
 });
 
 constexpr auto resourceKindNames = base::enumNames<ResourceKind>({
@@ -25,6 +36,10 @@
 
 std::string_view rejectReasonName(RejectReason reason) { return rejectReasonNames.name(reason); }
 
+std::string_view preemptHowName(PreemptHow how) { return preemptHowNames.name(how); }
+
+std::string_view preemptReasonName(PreemptReason reason) { return preemptReasonNames.name(reason); }
+
 std::string_view resourceKindName(ResourceKind kind) { return resourceKindNames.name(kind); }
 
 } // namespace crocuscove::placement
--- a/src/crocuscove/placement/placement_plan_test.cpp
+++ b/src/crocuscove/placement/placement_plan_test.cpp
@@ -55,5 +55,59 @@
     EXPECT_TRUE(planPlacement(jobs.view, {}, jobs.now).starts.empty());
 }
 
+// Guards against equal counts of cores instead of dominant shares, and against weights being ignored.
+TEST(Placement, SharesByWeightedDominantResource)
+{
+    FakeJobs jobs;
+    jobs.addWorker("w1", { 60, 600, 0 });
+    for (int job = 0; job < 60; ++job) {
+        jobs.addJob("a" + std::to_string(job), { 2, 1, 0 }, "cores");
+        jobs.addJob("b" + std::to_string(job), { 1, 20, 0 }, "memory");
+    }
+    jobs.view.teams = { { base::TeamId("cores"), 2, {} }, { base::TeamId("memory"), 1, {} } };
+    jobs.start(planPlacement(jobs.view, {}, jobs.now));
+    const auto used = jobs.usedBy([](const state::JobRecord& record) { return record.spec.team.text(); });
+    const double cores = used.at("cores").cores / 60.0;
+    const double memory = static_cast<double>(used.at("memory").memoryMb) / 600.0;
+    EXPECT_NEAR(cores, 2 * memory, 2.0 / 30);
+}
+
+// Guards against urgent work waiting behind patient work, and against a second preemption for the same job while the
+// first checkpoint is still being written.
+TEST(Placement, MakesRoomForUrgentWorkOnce)
+{
+    FakeJobs jobs;
+    jobs.addWorker("w1", { 8, 100, 0 });
+    jobs.addRunning("r1", { 4, 10, 0 }, "w1");
+    jobs.addRunning("r2", { 4, 10, 0 }, "w1");
+    jobs.addJob("patient", { 2, 10, 0 });
+    jobs.addJob("urgent", { 4, 10, 0 }).spec.isUrgent = true;
+    const auto plan = planPlacement(jobs.view, {}, jobs.now);
+    ASSERT_EQ(plan.preempts.size(), 1U);
+    EXPECT_EQ(plan.preempts[0].forJob, base::JobId("urgent"));
+    for (JobView& job : jobs.view.jobs) {
+        job.isStopping = job.record->spec.job == plan.preempts[0].job;
+    }
+    EXPECT_TRUE(planPlacement(jobs.view, {}, jobs.now).preempts.empty());
+    jobs.job(plan.preempts[0].job.text()).state = state::JobState::Queued;
+    const auto next = planPlacement(jobs.view, {}, jobs.now);
+    ASSERT_EQ(next.starts.size(), 1U);
+    EXPECT_EQ(next.starts[0].job, base::JobId("urgent"));
+}
+
+// Guards against a job above its team's quota waiting forever.
+TEST(Placement, RejectsAJobAboveItsQuota)
+{
+    FakeJobs jobs;
+    jobs.addWorker("w1", { 64, 1'000, 1 });
+    jobs.addJob("j1", { 1, 1, 1 });
+    jobs.view.teams = { { base::TeamId("team"), 1, document::JobQuota { 10, 10, 0 } } };
+    const auto plan = planPlacement(jobs.view, {}, jobs.now);
+    ASSERT_EQ(plan.rejects.size(), 1U);
+    EXPECT_EQ(plan.rejects[0].reason, RejectReason::LargerThanQuota);
+    EXPECT_EQ(plan.rejects[0].miss.resource, ResourceKind::Accelerators);
+    EXPECT_TRUE(plan.rejects[0].miss.worker.empty());
+}
+
 } // namespace
 } // namespace crocuscove::placement
--- a/src/crocuscove/placement/placement_property_test.cpp
+++ b/src/crocuscove/placement/placement_property_test.cpp
@@ -57,16 +57,9 @@
                 RC_ASSERT(worker->takesWork);
             }
             jobs.start(plan);
-            std::map<base::WorkerId, state::Resources> used;
-            for (const state::JobRecord& record : jobs.records) {
-                if (record.state == state::JobState::Running) {
-                    used[record.worker].cores += record.spec.declared.cores;
-                    used[record.worker].memoryMb += record.spec.declared.memoryMb;
-                    used[record.worker].accelerators += record.spec.declared.accelerators;
-                }
-            }
+            auto used = jobs.usedBy([](const state::JobRecord& record) { return record.worker.text(); });
             for (const WorkerView& worker : jobs.view.workers) {
-                RC_ASSERT(!exceeds(used[worker.worker], worker.capacity));
+                RC_ASSERT(!exceeds(used[worker.worker.text()], worker.capacity));
             }
         }
     });
@@ -87,5 +80,137 @@
         "");
 }
 
+void addTeams(FakeJobs& jobs)
+{
+    for (int team = 0; team < 3; ++team) {
+        const auto quota = someSize(128, 2'000, 8);
+        jobs.view.teams.push_back({ base::TeamId("t" + std::to_string(team)), *rc::gen::inRange(1U, 5U),
+            document::JobQuota { quota.cores, quota.memoryMb, quota.accelerators } });
+    }
+}
+
+std::string checkQuotas(const Decision& decide, Shrinking shrinking = Shrinking::Off)
+{
+    return counterexample(20261205, 200, shrinking, [&] {
+        FakeJobs jobs = someJobs();
+        addTeams(jobs);
+        for (int round = 0; round < 3; ++round) {
+            jobs.start(decide(jobs.view, {}, jobs.now));
+            jobs.now += std::chrono::minutes(30);
+        }
+        auto used = jobs.usedBy([](const state::JobRecord& record) { return record.spec.team.text(); });
+        for (const TeamView& team : jobs.view.teams) {
+            const state::Resources quota { team.quota->cores, team.quota->memoryMb, team.quota->accelerators };
+            RC_ASSERT(!exceeds(used[team.team.text()], quota));
+        }
+    });
+}
+
+// Guards against a team, also with urgent or overdue work, using more than its quota.
+TEST(PlacementProperty, QuotasAreNeverExceeded) { EXPECT_EQ(checkQuotas(planPlacement, Shrinking::On), ""); }
+
+// Guards against a check that can't fail: the decision sees no quotas.
+TEST(PlacementProperty, QuotaCheckFailsForADecisionWithoutQuotas)
+{
+    EXPECT_NE(checkQuotas([](PlacementView view, const PlacementOptions& options, base::WallTime now) {
+        view.teams.clear();
+        return planPlacement(view, options, now);
+    }),
+        "");
+}
+
+std::string checkPreemption(const Decision& decide, Shrinking shrinking = Shrinking::Off)
+{
+    return counterexample(20261206, 300, shrinking, [&] {
+        FakeJobs jobs = someJobs();
+        std::ranges::for_each(jobs.records, [](state::JobRecord& record) { record.spec.isUrgent = false; });
+        jobs.start(planPlacement(jobs.view, {}, jobs.now));
+        jobs.addJob("urgent", someSize(48, 800, 4)).spec.isUrgent = true;
+        const auto plan = decide(jobs.view, {}, jobs.now);
+        std::map<base::WorkerId, state::Resources> reachable;
+        for (const PreemptAction& action : plan.preempts) {
+            const auto& victim = jobs.job(action.job.text());
+            RC_ASSERT(victim.spec.isIdempotent && !victim.spec.isUrgent);
+            RC_ASSERT(action.forJob == base::JobId("urgent"));
+        }
+        // One worker has room for the urgent job once its victims are checkpointed.
+        for (const PreemptAction& action : plan.preempts) {
+            RC_ASSERT(action.worker == plan.preempts.front().worker);
+            jobs.job(action.job.text()).state = state::JobState::Done;
+        }
+        if (!plan.preempts.empty()) {
+            jobs.start(planPlacement(jobs.view, {}, jobs.now));
+            RC_ASSERT(jobs.job("urgent").state == state::JobState::Running);
+        }
+    });
+}
+
+// Guards against stopping work that can't be repeated, and against stopping work in vain.
+TEST(PlacementProperty, OnlyIdempotentPatientJobsArePreempted)
+{
+    EXPECT_EQ(checkPreemption(planPlacement, Shrinking::On), "");
+}
+
+// Guards against a check that can't fail: the decision takes every job for idempotent.
+TEST(PlacementProperty, PreemptionCheckFailsForADecisionThatIgnoresIdempotency)
+{
+    EXPECT_NE(checkPreemption([](PlacementView view, const PlacementOptions& options, base::WallTime now) {
+        std::deque<state::JobRecord> copies;
+        for (JobView& job : view.jobs) {
+            copies.push_back(*job.record);
+            copies.back().spec.isIdempotent = true;
+            job.record = &copies.back();
+        }
+        return planPlacement(view, options, now);
+    }),
+        "");
+}
+
+/// One job needs a whole worker while other teams keep submitting small and urgent jobs of random length.
+std::string checkStarvation(const Decision& decide, Shrinking shrinking = Shrinking::Off)
+{
+    return counterexample(20261207, 10, shrinking, [&] {
+        FakeJobs jobs;
+        jobs.addWorker("w1", { 8, 1'000, 0 });
+        jobs.addWorker("w2", { 8, 1'000, 0 });
+        jobs.addJob("large", { 8, 900, 0 }, "t0");
+        const std::string flood = *rc::gen::element<std::string>("t0", "t1");
+        std::map<std::string, int> remaining { { "large", 5 } };
+        for (int minute = 0; minute < 120 && jobs.job("large").state != state::JobState::Done; ++minute) {
+            for (int added = 0; added < 4; ++added) {
+                const auto id = "j" + std::to_string(minute) + "-" + std::to_string(added);
+                jobs.addJob(id, { 2, 10, 0 }, flood).spec.isUrgent = added == 0;
+                remaining[id] = *rc::gen::inRange(4, 9);
+            }
+            const auto plan = decide(jobs.view, {}, jobs.now);
+            for (const PreemptAction& action : plan.preempts) {
+                jobs.job(action.job.text()).state = state::JobState::Queued;
+                jobs.job(action.job.text()).changedAt = jobs.now;
+            }
+            jobs.start(plan);
+            for (state::JobRecord& record : jobs.records) {
+                if (record.state == state::JobState::Running && --remaining[record.spec.job.text()] <= 0) {
+                    record.state = state::JobState::Done;
+                }
+            }
+            jobs.now += std::chrono::minutes(1);
+        }
+        RC_ASSERT(jobs.job("large").state == state::JobState::Done);
+    });
+}
+
+// Guards against a large patient job waiting forever behind small or urgent ones, of its own or another team.
+TEST(PlacementProperty, PatientWorkIsNotStarved) { EXPECT_EQ(checkStarvation(planPlacement, Shrinking::On), ""); }
+
+// Guards against a check that can't fail: the decision keeps no worker free for a job that waits.
+TEST(PlacementProperty, StarvationCheckFailsForADecisionWithoutReservations)
+{
+    EXPECT_NE(checkStarvation([](const PlacementView& view, PlacementOptions options, base::WallTime now) {
+        options.overdueBound = options.starvationBound = std::chrono::hours(1'000);
+        return planPlacement(view, options, now);
+    }),
+        "");
+}
+
 } // namespace
 } // namespace crocuscove::placement
--- /dev/null
+++ b/src/crocuscove/placement/planner.cpp
@@ -0,0 +1,236 @@
+#include "planner.h"
+
+#include "preemption.h"
+
+namespace crocuscove::placement {
+
+namespace {
+
+constexpr std::size_t maxKnownMisfits = 64;
+/// Searches of one team in one round that may find no worker.
+constexpr std::size_t maxMissesPerTeam = 32;
+
+bool isWaiting(const JobView& job)
+{
+    return job.record->state == state::JobState::Queued && !job.record->isCancelRequested && !job.startingOn;
+}
+
+} // namespace
+
+bool KnownMisfits::contains(const state::Resources& need) const
+{
+    return std::ranges::any_of(m_sizes, [&](const state::Resources& size) { return fits(size, need); });
+}
+
+void KnownMisfits::add(const state::Resources& need)
+{
+    std::erase_if(m_sizes, [&](const state::Resources& size) { return fits(need, size); });
+    if (m_sizes.size() < maxKnownMisfits) {
+        m_sizes.push_back(need);
+    }
+}
+
+Planner::Planner(const PlacementView& view, const PlacementOptions& options, base::WallTime now)
+    : m_view(view)
+    , m_options(options)
+    , m_now(now)
+    , m_index(view)
+    , m_shares(view, m_index.total())
+    , m_capacities(distinctCapacities(view.workers))
+    , m_isStarted(view.jobs.size())
+{
+}
+
+PlacementPlan Planner::plan()
+{
+    m_mayReject = isObserved();
+    readJobs();
+    m_index.buildOrder();
+    m_shares.refresh();
+    serveOverdue();
+    preemptFor(fill(&Team::urgent, StartReason::Urgent, m_options.maxPreemptionSearches));
+    fill(&Team::patient, StartReason::FairShare, 0);
+    return std::move(m_plan);
+}
+
+void Planner::readJobs()
+{
+    for (const JobView& job : m_view.jobs) {
+        const bool isRunning = job.record->state == state::JobState::Running;
+        if (isRunning || job.startingOn) {
+            if (const auto worker = m_index.find(isRunning ? job.record->worker : *job.startingOn)) {
+                m_index.occupy(*worker, job.size);
+            }
+            add(m_shares.team(m_shares.teamOf(job.record->spec.team)).used, job.size);
+        } else if (isWaiting(job) && !reject(job)) {
+            queue(job);
+        }
+    }
+    const auto submittedAt = [](const JobView* job) { return job->record->submittedAt; };
+    for (std::size_t team = 0; team < m_shares.size(); ++team) {
+        std::ranges::stable_sort(m_shares.team(team).urgent, {}, submittedAt);
+        std::ranges::stable_sort(m_shares.team(team).patient, {}, submittedAt);
+    }
+}
+
+void Planner::queue(const JobView& job)
+{
+    Team& team = m_shares.team(m_shares.teamOf(job.record->spec.team));
+    (job.record->spec.isUrgent ? team.urgent : team.patient).push_back(&job);
+}
+
+bool Planner::isObserved() const
+{
+    const auto observed = m_now - m_view.observingSince;
+    const bool areAllKnown = std::ranges::all_of(m_view.workers, &WorkerView::isObserved);
+    return observed >= (areAllKnown ? m_options.observationBound : m_options.unobservedBound);
+}
+
+bool Planner::reject(const JobView& job)
+{
+    if (m_plan.rejects.size() >= m_options.maxRejects) {
+        return false;
+    }
+    const Team& team = m_shares.team(m_shares.teamOf(job.record->spec.team));
+    if (const auto miss = team.quota ? missOf(job.size, *team.quota) : std::nullopt) {
+        m_plan.rejects.push_back({ job.record->spec.job, RejectReason::LargerThanQuota, *miss });
+        return true;
+    }
+    const auto isCovered = [&](const state::Resources& capacity) { return fits(job.size, capacity); };
+    if (!m_mayReject || std::ranges::any_of(m_capacities, isCovered)) {
+        return false;
+    }
+    const auto miss = nearestMiss(job.size, m_view.workers);
+    if (miss) {
+        m_plan.rejects.push_back({ job.record->spec.job, RejectReason::LargerThanEveryWorker, *miss });
+    }
+    return miss.has_value();
+}
+
+std::vector<const JobView*> Planner::overdueJobs()
+{
+    const double mean = m_shares.meanShare();
+    std::vector<const JobView*> overdue;
+    for (std::size_t position = 0; position < m_shares.size(); ++position) {
+        const Team& team = m_shares.team(position);
+        const auto bound = team.weightedShare <= mean ? m_options.overdueBound : m_options.starvationBound;
+        const auto entry = std::ranges::find_if(
+            team.patient, [&](const JobView* job) { return m_now - job->record->changedAt >= bound; });
+        if (entry != team.patient.end()) {
+            overdue.push_back(*entry);
+        }
+    }
+    std::ranges::stable_sort(overdue, {}, [](const JobView* job) { return job->record->changedAt; });
+    return overdue;
+}
+
+void Planner::serveOverdue()
+{
+    const std::size_t limit = std::clamp<std::size_t>(m_view.workers.size() / 50, 1, m_options.maxReservations);
+    std::size_t served = 0;
+    for (const JobView* job : overdueJobs()) {
+        if (served == limit) {
+            break;
+        }
+        const std::size_t team = m_shares.teamOf(job->record->spec.team);
+        if (!m_shares.isWithinQuota(team, job->size)) {
+            m_shares.team(team).isHeld = true;
+            continue;
+        }
+        ++served;
+        if (!start(*job, team, StartReason::Overdue)) {
+            reserve(*job);
+        }
+    }
+}
+
+void Planner::reserve(const JobView& job)
+{
+    if (const auto worker = m_index.closestToFit(job.size)) {
+        m_index.withhold(*worker);
+    }
+}
+
+std::vector<const JobView*> Planner::fill(TeamJobs jobs, StartReason reason, std::size_t keep)
+{
+    struct Cursor {
+        std::size_t next = 0;
+        std::size_t misses = 0;
+    };
+    std::vector<Cursor> cursors(m_shares.size());
+    std::vector<const JobView*> unplaced;
+    std::set<std::pair<double, std::size_t>> order;
+    for (std::size_t team = 0; team < m_shares.size(); ++team) {
+        if (!(m_shares.team(team).*jobs).empty() && !m_shares.team(team).isHeld) {
+            order.emplace(m_shares.team(team).weightedShare, team);
+        }
+    }
+    // Starts the next job of the team that the free capacity and the quota admit.
+    const auto startNext = [&](std::size_t team) {
+        const auto& waiting = m_shares.team(team).*jobs;
+        for (Cursor& cursor = cursors[team]; cursor.next < waiting.size() && cursor.misses < maxMissesPerTeam;) {
+            const JobView& job = *waiting[cursor.next++];
+            if (isStarted(job) || !m_shares.isWithinQuota(team, job.size)) {
+                continue;
+            }
+            const bool isKnown = m_misfits.contains(job.size);
+            if (!isKnown && start(job, team, reason)) {
+                return true;
+            }
+            cursor.misses += isKnown ? 0 : 1;
+            if (unplaced.size() < keep) {
+                unplaced.push_back(&job);
+            }
+        }
+        return false;
+    };
+    while (!order.empty() && !isFull()) {
+        const std::size_t team = order.begin()->second;
+        order.erase(order.begin());
+        if (startNext(team)) {
+            order.emplace(m_shares.team(team).weightedShare, team);
+        }
+    }
+    return unplaced;
+}
+
+void Planner::preemptFor(const std::vector<const JobView*>& urgent)
+{
+    if (urgent.empty()) {
+        return;
+    }
+    Preemption preemption(m_view, m_options, m_index, m_shares);
+    for (const JobView* job : urgent) {
+        const std::size_t team = m_shares.teamOf(job->record->spec.team);
+        const auto room = m_shares.isWithinQuota(team, job->size) ? preemption.makeRoom(job->size) : std::nullopt;
+        if (!room) {
+            continue;
+        }
+        m_shares.use(team, job->size);
+        m_index.withhold(room->worker);
+        for (const JobView* victim : room->victims) {
+            m_plan.preempts.push_back({ victim->record->spec.job, victim->record->worker, victim->record->token,
+                PreemptHow::Checkpoint, PreemptReason::UrgentWork, job->record->spec.job });
+        }
+    }
+}
+
+bool Planner::start(const JobView& job, std::size_t team, StartReason reason)
+{
+    if (isStarted(job) || isFull()) {
+        return false;
+    }
+    const auto worker = m_index.bestFit(job.size);
+    if (!worker) {
+        m_misfits.add(job.size);
+        return false;
+    }
+    m_isStarted[positionOf(job)] = true;
+    m_index.take(*worker, job.size);
+    m_shares.use(team, job.size);
+    const WorkerView& chosen = m_view.workers[*worker];
+    m_plan.starts.push_back({ job.record->spec.job, chosen.worker, chosen.incarnation, reason });
+    return true;
+}
+
+} // namespace crocuscove::placement
--- a/src/crocuscove/placement/preemption.h
+++ b/src/crocuscove/placement/preemption.h
@@ -16,8 +16,8 @@
 class Preemption {
 public:
     /// `index` holds the free capacity after the urgent jobs that fit were placed.
-    Preemption(const PlacementView& view, const PlacementOptions& options, const WorkerIndex& index,
-        FairShares& shares);
+    Preemption(
+        const PlacementView& view, const PlacementOptions& options, const WorkerIndex& index, FairShares& shares);
 
     /// Earmarks room for a job on the worker that gives up the least.
     std::optional<MadeRoom> makeRoom(const state::Resources& need);
--- a/src/crocuscove/placement/testing/fake_jobs.h
+++ b/src/crocuscove/placement/testing/fake_jobs.h
@@ -2,7 +2,9 @@
 
 #include "crocuscove/placement/placement_plan.h"
 
+#include <algorithm>
 #include <deque>
+#include <map>
 #include <string>
 
 namespace crocuscove::placement::testing {
@@ -42,18 +44,36 @@
         return record;
     }
 
+    state::JobRecord& job(const std::string& id)
+    {
+        return *std::ranges::find_if(
+            records, [&](const state::JobRecord& record) { return record.spec.job.text() == id; });
+    }
+
+    /// Sums the running jobs by the text that `keyOf` gives them.
+    template <typename Key> std::map<std::string, state::Resources> usedBy(Key&& keyOf) const
+    {
+        std::map<std::string, state::Resources> used;
+        for (const state::JobRecord& record : records) {
+            if (record.state == state::JobState::Running) {
+                state::Resources& sum = used[keyOf(record)];
+                sum.cores += record.spec.declared.cores;
+                sum.memoryMb += record.spec.declared.memoryMb;
+                sum.accelerators += record.spec.declared.accelerators;
+            }
+        }
+        return used;
+    }
+
     /// Applies the starts of a plan to the records.
     void start(const PlacementPlan& plan)
     {
         for (const StartAction& action : plan.starts) {
-            for (state::JobRecord& record : records) {
-                if (record.spec.job == action.job) {
-                    record.state = state::JobState::Running;
-                    record.worker = action.worker;
-                    record.changedAt = now;
-                    ++record.starts;
-                }
-            }
+            state::JobRecord& record = job(action.job.text());
+            record.state = state::JobState::Running;
+            record.worker = action.worker;
+            record.changedAt = now;
+            ++record.starts;
         }
     }
 };
--- a/src/crocuscove/placement/worker_index.cpp
+++ b/src/crocuscove/placement/worker_index.cpp
@@ -100,6 +100,25 @@
     return left ? left : anyFit(2 * node + 1, need);
 }
 
+std::optional<std::size_t> WorkerIndex::closestToFit(const state::Resources& need) const
+{
+    std::optional<std::size_t> closest;
+    double least = 0.0;
+    for (std::size_t worker = 0; worker < m_free.size(); ++worker) {
+        if (!m_isOpen[worker] || !fits(need, m_view.workers[worker].capacity)) {
+            continue;
+        }
+        state::Resources missing = need;
+        subtract(missing, m_free[worker]);
+        const double share = dominantShare(missing, need);
+        if (!closest || share < least) {
+            closest = worker;
+            least = share;
+        }
+    }
+    return closest;
+}
+
 void WorkerIndex::take(std::size_t worker, const state::Resources& need)
 {
     erase(worker);
--- a/src/crocuscove/placement/worker_index.h
+++ b/src/crocuscove/placement/worker_index.h
@@ -22,6 +22,8 @@
     /// Returns the position of a worker in the view.
     [[nodiscard]] std::optional<std::size_t> find(const base::WorkerId& worker) const;
     [[nodiscard]] const state::Resources& free(std::size_t worker) const { return m_free[worker]; }
+    /// Tells whether the worker may be given jobs in this round.
+    [[nodiscard]] bool isOpen(std::size_t worker) const { return m_isOpen[worker]; }
     /// Capacity of all workers that take work.
     [[nodiscard]] const state::Resources& total() const { return m_total; }
 
@@ -31,6 +33,8 @@
 
     /// Returns the worker that keeps the least of the dominant resource after it took the job.
     [[nodiscard]] std::optional<std::size_t> bestFit(const state::Resources& need) const;
+    /// Returns the worker that is large enough and has the largest part of the job's size free.
+    [[nodiscard]] std::optional<std::size_t> closestToFit(const state::Resources& need) const;
     void take(std::size_t worker, const state::Resources& need);
     /// Gives the worker no more jobs.
     void withhold(std::size_t worker);
