Find best fits by groups of equal free cores and accelerators

Cause: the segment tree visited most workers for a job that fits nowhere, and jobs of 870 teams missed in each round, so that a full plan took quadratic time. Change: workers with equal free accelerators and cores form one group ordered by free memory, which gives the exact best fit from few groups. Sizes that fit nowhere are kept in a table of accelerators and cores.

--- a/src/crocuscove/placement/planner.cpp
+++ b/src/crocuscove/placement/planner.cpp
@@ -2,13 +2,13 @@
 
 #include "preemption.h"
 
+#include <limits>
 #include <ranges>
 
 namespace crocuscove::placement {
 
 namespace {
 
-constexpr std::size_t maxKnownMisfits = 64;
 /// Searches of one team in one round that may find no worker.
 constexpr std::size_t maxMissesPerTeam = 32;
 /// Jobs of one team that are looked at for one probe.
@@ -21,16 +21,27 @@
 
 } // namespace
 
+KnownMisfits::KnownMisfits()
+{
+    for (auto& row : m_memory) {
+        row.fill(std::numeric_limits<std::uint64_t>::max());
+    }
+}
+
 bool KnownMisfits::contains(const state::Resources& need) const
 {
-    return std::ranges::any_of(m_sizes, [&](const state::Resources& size) { return fits(size, need); });
+    const auto accelerators = std::min<std::size_t>(need.accelerators, maxAccelerators);
+    const auto cores = std::min<std::size_t>(need.cores, maxCores);
+    return m_memory[accelerators][cores] <= need.memoryMb;
 }
 
 void KnownMisfits::add(const state::Resources& need)
 {
-    std::erase_if(m_sizes, [&](const state::Resources& size) { return fits(need, size); });
-    if (m_sizes.size() < maxKnownMisfits) {
-        m_sizes.push_back(need);
+    // A size beyond the table could not be told from smaller ones that share its entry.
+    for (std::size_t row = need.accelerators; row <= maxAccelerators && need.accelerators < maxAccelerators; ++row) {
+        for (std::size_t cores = need.cores; cores <= maxCores && need.cores < maxCores; ++cores) {
+            m_memory[row][cores] = std::min(m_memory[row][cores], need.memoryMb);
+        }
     }
 }
 
--- a/src/crocuscove/placement/planner.h
+++ b/src/crocuscove/placement/planner.h
@@ -4,6 +4,8 @@
 #include "nearest_miss.h"
 #include "worker_index.h"
 
+#include <array>
+#include <cstdint>
 #include <vector>
 
 namespace crocuscove::placement {
@@ -12,11 +14,17 @@
 /// passed over without a search.
 class KnownMisfits {
 public:
+    KnownMisfits();
+
     [[nodiscard]] bool contains(const state::Resources& need) const;
     void add(const state::Resources& need);
 
 private:
-    std::vector<state::Resources> m_sizes;
+    static constexpr std::size_t maxAccelerators = 16;
+    static constexpr std::size_t maxCores = 128;
+
+    /// Smallest memory that fits nowhere, by accelerators and cores. Larger numbers share the last entry.
+    std::array<std::array<std::uint64_t, maxCores + 1>, maxAccelerators + 1> m_memory;
 };
 
 /// One round of placement.
--- a/src/crocuscove/placement/worker_index.h
+++ b/src/crocuscove/placement/worker_index.h
@@ -2,7 +2,6 @@
 
 #include "resources.h"
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -43,19 +42,13 @@
     void withhold(std::size_t worker);
 
 private:
-    using Order = std::set<std::pair<std::uint64_t, std::size_t>>;
-    /// Workers with an equal number of free accelerators, by free cores and by free memory.
-    struct Group {
-        Order byCores;
-        Order byMemory;
-    };
+    /// Free accelerators and free cores.
+    using GroupKey = std::pair<std::uint32_t, std::uint32_t>;
+    /// Free memory and position.
+    using Group = std::set<std::pair<std::uint64_t, std::size_t>>;
 
-    [[nodiscard]] std::optional<std::size_t> scan(
-        const Order& order, std::uint64_t from, const state::Resources& need, std::size_t limit) const;
     void insert(std::size_t worker);
     void erase(std::size_t worker);
-    void setNode(std::size_t worker, const state::Resources& free);
-    [[nodiscard]] std::optional<std::size_t> anyFit(std::size_t node, const state::Resources& need) const;
 
     const PlacementView& m_view;
     std::unordered_map<base::WorkerId, std::size_t> m_positions;
@@ -63,10 +56,8 @@
     std::vector<bool> m_isOpen;
     std::vector<bool> m_isBusy;
     state::Resources m_total;
-    std::map<std::uint32_t, Group> m_groups;
-    /// Segment tree of the largest free amount of each resource.
-    std::vector<state::Resources> m_tree;
-    std::size_t m_leaves = 1;
+    /// A worker has few processors and accelerators, so that there are far fewer groups than workers.
+    std::map<GroupKey, Group> m_groups;
 };
 
 } // namespace crocuscove::placement
