Take worker and team positions from the caller in a placement round

Cause: an incremental round at 25,000 workers looked up the worker and team of about 190,000 running jobs by text, and visited them again to find jobs to preempt. Change: JobView carries hints for both positions, which are compared before use. The search for room uses the running jobs that the first pass has collected.

--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -47,6 +47,16 @@
     PlacementView view;
     std::map<base::JobId, JobRecord*> byId;
 
+    /// What the caller keeps from its own commits.
+    void setHints()
+    {
+        for (JobView& job : view.jobs) {
+            if (job.record->state == JobState::Running) {
+                job.workerHint = std::stoul(job.record->worker.text().substr(1));
+            }
+        }
+    }
+
     void addWorker(Resources capacity)
     {
         WorkerView worker;
@@ -62,7 +72,7 @@
         record.spec.team = base::TeamId("t" + std::to_string(team));
         record.spec.declared = size;
         record.submittedAt = record.changedAt = startTime;
-        view.jobs.push_back({ &record, size, {}, false });
+        view.jobs.push_back({ .record = &record, .size = size, .teamHint = team });
         byId[record.spec.job] = &record;
         return record;
     }
@@ -166,6 +176,7 @@
         for (std::size_t job = 0; job < workers / 25; ++job) {
             fleet.addJob(someJob(random), below(random, teams)).spec.isUrgent = below(random, 50) == 0;
         }
+        fleet.setHints();
         std::vector<StartAction> round1;
         rounds.push_back(timeRuns(1, [&] {
             round1 = placement::planPlacement(fleet.view, PlacementOptions {}, startTime).starts;
--- a/include/crocuscove/placement/placement_view.h
+++ b/include/crocuscove/placement/placement_view.h
@@ -3,6 +3,7 @@
 #include "crocuscove/document/service_document.h"
 #include "crocuscove/state/records.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -38,6 +39,9 @@
     state::Resources size {};
     /// Worker of a proposed start that is not committed yet. The job occupies it like a running one.
     std::optional<base::WorkerId> startingOn {};
+    /// Positions in the view of the worker and the team, when the caller knows them. Wrong ones cost a look-up.
+    std::size_t workerHint = 0;
+    std::size_t teamHint = 0;
     /// The worker was already told to checkpoint the job.
     bool isStopping = false;
 };
--- a/src/crocuscove/placement/fair_shares.cpp
+++ b/src/crocuscove/placement/fair_shares.cpp
@@ -3,7 +3,8 @@
 namespace crocuscove::placement {
 
 FairShares::FairShares(const PlacementView& view, const state::Resources& total)
-    : m_total(total)
+    : m_view(view)
+    , m_total(total)
 {
     for (const TeamView& entry : view.teams) {
         Team& added = m_teams[teamOf(entry.team)];
@@ -12,6 +13,7 @@
             added.quota = state::Resources { entry.quota->cores, entry.quota->memoryMb, entry.quota->accelerators };
         }
     }
+    m_isUnique = m_teams.size() == view.teams.size();
 }
 
 std::size_t FairShares::teamOf(const base::TeamId& team)
@@ -23,6 +25,13 @@
     return entry->second;
 }
 
+std::size_t FairShares::teamOf(const JobView& job)
+{
+    const base::TeamId& team = job.record->spec.team;
+    const bool isHintRight = job.teamHint < m_view.teams.size() && m_view.teams[job.teamHint].team == team;
+    return isHintRight && m_isUnique ? job.teamHint : teamOf(team);
+}
+
 void FairShares::use(std::size_t position, const state::Resources& size)
 {
     add(m_teams[position].used, size);
--- a/src/crocuscove/placement/fair_shares.h
+++ b/src/crocuscove/placement/fair_shares.h
@@ -31,6 +31,7 @@
 
     /// Returns the position of a team, and adds a team that the view doesn't list.
     std::size_t teamOf(const base::TeamId& team);
+    std::size_t teamOf(const JobView& job);
     Team& team(std::size_t position) { return m_teams[position]; }
     [[nodiscard]] const Team& team(std::size_t position) const { return m_teams[position]; }
     [[nodiscard]] std::size_t size() const { return m_teams.size(); }
@@ -45,6 +46,9 @@
 private:
     void refresh(Team& team) const;
 
+    const PlacementView& m_view;
+    /// No team is listed twice, so that positions are those of the view.
+    bool m_isUnique = true;
     state::Resources m_total;
     std::vector<Team> m_teams;
     std::unordered_map<base::TeamId, std::size_t> m_positions;
--- a/src/crocuscove/placement/placement_plan_test.cpp
+++ b/src/crocuscove/placement/placement_plan_test.cpp
@@ -109,5 +109,27 @@
     EXPECT_TRUE(plan.rejects[0].miss.worker.empty());
 }
 
+// Guards against a stale position counting a running job on the wrong worker or for the wrong team.
+TEST(Placement, LooksUpWhenHintsAreWrong)
+{
+    FakeJobs jobs;
+    jobs.addWorker("w0", { 8, 100, 0 });
+    jobs.addWorker("w1", { 8, 100, 0 });
+    jobs.view.teams
+        = { { base::TeamId("other"), 1, {} }, { base::TeamId("team"), 1, document::JobQuota { 10, 100, 0 } } };
+    jobs.addRunning("running", { 8, 10, 0 }, "w1");
+    jobs.addJob("above", { 4, 10, 0 });
+    jobs.addJob("within", { 2, 10, 0 });
+    for (const std::size_t hint : { 0U, 1U, 99U }) {
+        for (JobView& job : jobs.view.jobs) {
+            job.workerHint = job.teamHint = hint;
+        }
+        const auto plan = planPlacement(jobs.view, {}, jobs.now);
+        ASSERT_EQ(plan.starts.size(), 1U);
+        EXPECT_EQ(plan.starts[0].job, base::JobId("within"));
+        EXPECT_EQ(plan.starts[0].worker, base::WorkerId("w0"));
+    }
+}
+
 } // namespace
 } // namespace crocuscove::placement
--- a/src/crocuscove/placement/planner.cpp
+++ b/src/crocuscove/placement/planner.cpp
@@ -1,7 +1,5 @@
 #include "planner.h"
 
-#include "preemption.h"
-
 #include <limits>
 #include <ranges>
 
@@ -74,10 +72,13 @@
     for (const JobView& job : m_view.jobs) {
         const bool isRunning = job.record->state == state::JobState::Running;
         if (isRunning || job.startingOn) {
-            if (const auto worker = m_index.find(isRunning ? job.record->worker : *job.startingOn)) {
+            if (const auto worker = m_index.find(isRunning ? job.record->worker : *job.startingOn, job.workerHint)) {
                 m_index.occupy(*worker, job.size);
+                if (isRunning && (job.isStopping || mayPreempt(job, m_options))) {
+                    m_movable.push_back({ .job = &job, .worker = *worker });
+                }
             }
-            add(m_shares.team(m_shares.teamOf(job.record->spec.team)).used, job.size);
+            add(m_shares.team(m_shares.teamOf(job)).used, job.size);
         } else if (isWaiting(job) && !reject(job)) {
             queue(job);
         }
@@ -91,7 +92,7 @@
 
 void Planner::queue(const JobView& job)
 {
-    Team& team = m_shares.team(m_shares.teamOf(job.record->spec.team));
+    Team& team = m_shares.team(m_shares.teamOf(job));
     (job.record->spec.isUrgent ? team.urgent : team.patient).push_back(&job);
 }
 
@@ -107,7 +108,7 @@
     if (m_plan.rejects.size() >= m_options.maxRejects) {
         return false;
     }
-    const Team& team = m_shares.team(m_shares.teamOf(job.record->spec.team));
+    const Team& team = m_shares.team(m_shares.teamOf(job));
     if (const auto miss = team.quota ? missOf(job.size, *team.quota) : std::nullopt) {
         m_plan.rejects.push_back({ job.record->spec.job, RejectReason::LargerThanQuota, *miss });
         return true;
@@ -148,7 +149,7 @@
         if (served == limit) {
             break;
         }
-        const std::size_t team = m_shares.teamOf(job->record->spec.team);
+        const std::size_t team = m_shares.teamOf(*job);
         if (!m_shares.isWithinQuota(team, job->size)) {
             m_shares.team(team).isHeld = true;
             continue;
@@ -246,9 +247,9 @@
     if (urgent.empty()) {
         return;
     }
-    Preemption preemption(m_view, m_options, m_index, m_shares);
+    Preemption preemption(m_view, std::move(m_movable), m_index, m_shares);
     for (const JobView* job : urgent) {
-        const std::size_t team = m_shares.teamOf(job->record->spec.team);
+        const std::size_t team = m_shares.teamOf(*job);
         const auto room = m_shares.isWithinQuota(team, job->size) ? preemption.makeRoom(job->size) : std::nullopt;
         if (!room) {
             continue;
--- a/src/crocuscove/placement/planner.h
+++ b/src/crocuscove/placement/planner.h
@@ -2,6 +2,7 @@
 
 #include "fair_shares.h"
 #include "nearest_miss.h"
+#include "preemption.h"
 #include "worker_index.h"
 
 #include <array>
@@ -70,6 +71,8 @@
     FairShares m_shares;
     std::vector<state::Resources> m_capacities;
     KnownMisfits m_misfits;
+    /// Running jobs that are being checkpointed or may be.
+    std::vector<RunningJob> m_movable;
     /// Whether the job at this position of the view was started in this round.
     std::vector<bool> m_isStarted;
     bool m_mayReject = false;
--- a/src/crocuscove/placement/preemption.cpp
+++ b/src/crocuscove/placement/preemption.cpp
@@ -2,9 +2,16 @@
 
 namespace crocuscove::placement {
 
+bool mayPreempt(const JobView& job, const PlacementOptions& options)
+{
+    const state::JobRecord& record = *job.record;
+    return record.spec.isIdempotent && !record.spec.isUrgent && !record.isCancelRequested
+        && record.starts < options.maxStartsBeforeProtection;
+}
+
 Preemption::Preemption(
-    const PlacementView& view, const PlacementOptions& options, const WorkerIndex& index, FairShares& shares)
-    : m_options(options)
+    const PlacementView& view, std::vector<RunningJob> jobs, const WorkerIndex& index, FairShares& shares)
+    : m_jobs(std::move(jobs))
     , m_shares(shares)
     , m_total(index.total())
     , m_candidates(view.workers.size())
@@ -13,29 +20,30 @@
         m_candidates[worker].isOpen = index.isOpen(worker);
         m_candidates[worker].expected = index.free(worker);
     }
-    for (const JobView& job : view.jobs) {
-        if (job.record->state != state::JobState::Running) {
-            continue;
-        }
-        const auto worker = index.find(job.record->worker);
-        if (!worker || !m_candidates[*worker].isOpen) {
-            continue;
-        }
-        Candidate& candidate = m_candidates[*worker];
-        if (job.isStopping) {
-            add(candidate.expected, job.size);
-        } else if (mayPreempt(job)) {
-            add(candidate.movable, job.size);
-            candidate.jobs.push_back(&job);
+    for (std::size_t position = 0; position < m_jobs.size(); ++position) {
+        RunningJob& running = m_jobs[position];
+        Candidate& candidate = m_candidates[running.worker];
+        if (running.job->isStopping) {
+            add(candidate.expected, running.job->size);
+        } else {
+            add(candidate.movable, running.job->size);
+            running.next = std::exchange(candidate.first, position + 1);
         }
     }
 }
 
-bool Preemption::mayPreempt(const JobView& job) const
+std::vector<RunningJob*> Preemption::rankedJobs(const Candidate& candidate)
 {
-    const state::JobRecord& record = *job.record;
-    return record.spec.isIdempotent && !record.spec.isUrgent && !record.isCancelRequested
-        && record.starts < m_options.maxStartsBeforeProtection;
+    std::vector<RunningJob*> jobs;
+    for (std::size_t position = candidate.first; position != 0; position = m_jobs[position - 1].next) {
+        if (!m_jobs[position - 1].isTaken) {
+            jobs.push_back(&m_jobs[position - 1]);
+        }
+    }
+    std::ranges::stable_sort(jobs, {}, [this](const RunningJob* running) {
+        return std::pair(m_shares.team(m_shares.teamOf(*running->job)).weightedShare, running->job->record->changedAt);
+    });
+    return jobs;
 }
 
 std::optional<MadeRoom> Preemption::makeRoom(const state::Resources& need)
@@ -70,30 +78,29 @@
 {
     Candidate& candidate = m_candidates[worker];
     MadeRoom room { worker, {} };
-    const auto rank = [this](const JobView* job) {
-        return std::pair(m_shares.team(m_shares.teamOf(job->record->spec.team)).weightedShare, job->record->changedAt);
-    };
-    // The last one goes first: of the team furthest above its share, the job started most recently.
-    std::ranges::stable_sort(candidate.jobs, {}, rank);
-    while (!fits(need, candidate.expected) && !candidate.jobs.empty()) {
-        const JobView* victim = candidate.jobs.back();
-        candidate.jobs.pop_back();
-        subtract(candidate.movable, victim->size);
-        add(candidate.expected, victim->size);
-        room.victims.push_back(victim);
+    // Of the team furthest above its share, the job started most recently goes first.
+    auto jobs = rankedJobs(candidate);
+    std::vector<RunningJob*> victims;
+    while (!fits(need, candidate.expected) && !jobs.empty()) {
+        RunningJob* victim = jobs.back();
+        jobs.pop_back();
+        victim->isTaken = true;
+        subtract(candidate.movable, victim->job->size);
+        add(candidate.expected, victim->job->size);
+        victims.push_back(victim);
     }
     // Keeps victims that turned out not to be needed.
-    std::erase_if(room.victims, [&](const JobView* victim) {
+    for (RunningJob* victim : victims) {
         state::Resources without = candidate.expected;
-        subtract(without, victim->size);
-        const bool isNeeded = !fits(need, without);
-        if (!isNeeded) {
+        subtract(without, victim->job->size);
+        if (fits(need, without)) {
             candidate.expected = without;
-            add(candidate.movable, victim->size);
-            candidate.jobs.push_back(victim);
+            add(candidate.movable, victim->job->size);
+            victim->isTaken = false;
+        } else {
+            room.victims.push_back(victim->job);
         }
-        return !isNeeded;
-    });
+    }
     subtract(candidate.expected, need);
     return room;
 }
--- a/src/crocuscove/placement/testing/fake_jobs.h
+++ b/src/crocuscove/placement/testing/fake_jobs.h
@@ -31,7 +31,7 @@
         record.spec.team = base::TeamId(team);
         record.spec.declared = size;
         record.submittedAt = record.changedAt = now;
-        view.jobs.push_back({ &record, size, {}, false });
+        view.jobs.push_back({ .record = &record, .size = size });
         return record;
     }
 
--- a/src/crocuscove/placement/worker_index.cpp
+++ b/src/crocuscove/placement/worker_index.cpp
@@ -7,11 +7,9 @@
     , m_isOpen(view.workers.size())
     , m_isBusy(view.workers.size())
 {
-    m_positions.reserve(view.workers.size());
     m_free.reserve(view.workers.size());
     for (std::size_t worker = 0; worker < view.workers.size(); ++worker) {
         const WorkerView& entry = view.workers[worker];
-        m_positions.emplace(entry.worker, worker);
         m_free.push_back(entry.capacity);
         m_isOpen[worker] = entry.takesWork && entry.isObserved && entry.health == WorkerHealth::Healthy;
         if (entry.takesWork) {
@@ -20,9 +18,18 @@
     }
 }
 
-std::optional<std::size_t> WorkerIndex::find(const base::WorkerId& worker) const
+std::optional<std::size_t> WorkerIndex::find(const base::WorkerId& worker, std::size_t hint) const
 {
-    const auto entry = m_positions.find(worker);
+    if (hint < m_view.workers.size() && m_view.workers[hint].worker == worker) {
+        return hint;
+    }
+    if (m_positions.empty()) {
+        m_positions.reserve(m_view.workers.size());
+        for (std::size_t position = 0; position < m_view.workers.size(); ++position) {
+            m_positions.emplace(m_view.workers[position].worker.text(), position);
+        }
+    }
+    const auto entry = m_positions.find(worker.text());
     return entry == m_positions.end() ? std::nullopt : std::optional(entry->second);
 }
 
--- a/src/crocuscove/placement/worker_index.h
+++ b/src/crocuscove/placement/worker_index.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,7 +20,7 @@
     explicit WorkerIndex(const PlacementView& view);
 
     /// Returns the position of a worker in the view.
-    [[nodiscard]] std::optional<std::size_t> find(const base::WorkerId& worker) const;
+    [[nodiscard]] std::optional<std::size_t> find(const base::WorkerId& worker, std::size_t hint) const;
     [[nodiscard]] const state::Resources& free(std::size_t worker) const { return m_free[worker]; }
     /// Tells whether the worker may be given jobs in this round.
     [[nodiscard]] bool isOpen(std::size_t worker) const { return m_isOpen[worker]; }
@@ -51,7 +52,8 @@
     void erase(std::size_t worker);
 
     const PlacementView& m_view;
-    std::unordered_map<base::WorkerId, std::size_t> m_positions;
+    /// Filled by the first look-up without a correct hint.
+    mutable std::unordered_map<std::string_view, std::size_t> m_positions;
     std::vector<state::Resources> m_free;
     std::vector<bool> m_isOpen;
     std::vector<bool> m_isBusy;
