Relieve workers under memory or processor pressure

Cause: a worker whose jobs use more than planned was given more work until a job failed. Change: a worker with more than 95% of its memory in use by its last report checkpoints the idempotent patient job that uses the most memory, or throttles a patient job when none may be checkpointed. One that uses more cores than it has throttles the busiest patient job. Such workers are given no more jobs, and at most 1,000 are relieved in a round. The effect on failures is not measured. Conclusion: the plan holds throttle actions; the caller passes reported usage.

--- a/include/crocuscove/placement/placement_plan.h
+++ b/include/crocuscove/placement/placement_plan.h
@@ -32,6 +32,14 @@
 enum class PreemptReason {
     /// An urgent job needs the room.
     UrgentWork,
+    /// The worker's reported memory is close to its capacity.
+    MemoryPressure,
+};
+
+enum class ThrottleReason {
+    ProcessorPressure,
+    /// No job of the worker may be checkpointed.
+    MemoryPressure,
 };
 
 enum class ResourceKind {
@@ -44,6 +52,7 @@
 std::string_view rejectReasonName(RejectReason reason);
 std::string_view preemptHowName(PreemptHow how);
 std::string_view preemptReasonName(PreemptReason reason);
+std::string_view throttleReasonName(ThrottleReason reason);
 std::string_view resourceKindName(ResourceKind kind);
 
 struct StartAction {
@@ -77,13 +86,22 @@
     std::uint64_t token = 0;
     PreemptHow how = PreemptHow::Checkpoint;
     PreemptReason reason = PreemptReason::UrgentWork;
-    /// The urgent job that is given the room.
+    /// The urgent job that is given the room, if any.
     base::JobId forJob {};
 };
 
+/// Slows a running job down.
+struct ThrottleAction {
+    base::JobId job {};
+    base::WorkerId worker {};
+    std::uint64_t token = 0;
+    ThrottleReason reason = ThrottleReason::ProcessorPressure;
+};
+
 struct PlacementPlan {
     std::vector<StartAction> starts {};
     std::vector<PreemptAction> preempts {};
+    std::vector<ThrottleAction> throttles {};
     std::vector<RejectAction> rejects {};
 };
 
@@ -103,6 +121,11 @@
     std::uint32_t maxStartsBeforeProtection = 5;
     /// Urgent jobs that room is searched for in one round.
     std::size_t maxPreemptionSearches = 64;
+    /// Shares of a worker's capacity above which it is relieved and given no more jobs.
+    double memoryPressure = 0.95;
+    double processorPressure = 1.0;
+    /// Workers relieved in one round.
+    std::size_t maxPressured = 1'000;
     std::size_t maxStarts = 1'000;
     std::size_t maxRejects = 1'000;
 };
--- a/include/crocuscove/placement/placement_view.h
+++ b/include/crocuscove/placement/placement_view.h
@@ -25,6 +25,8 @@
     base::RackId rack {};
     base::DataCentreId dataCentre {};
     state::Resources capacity {};
+    /// Last reported usage.
+    state::Resources used {};
     /// False while the worker leaves or its VM drains, or before it reported to this leader.
     bool takesWork = true;
     /// False for a worker that is known from the records only.
@@ -44,6 +46,9 @@
     std::size_t teamHint = 0;
     /// The worker was already told to checkpoint the job.
     bool isStopping = false;
+    bool isThrottled = false;
+    /// Last reported usage.
+    state::Resources used {};
 };
 
 struct TeamView {
--- a/src/crocuscove/placement/names.cpp
+++ b/src/crocuscove/placement/names.cpp
@@ -23,6 +23,12 @@
 
 constexpr auto preemptReasonNames = base::enumNames<PreemptReason>({
     { PreemptReason::UrgentWork, "urgent-work" },
+    { PreemptReason::MemoryPressure, "memory-pressure" },
+});
+
+constexpr auto throttleReasonNames = base::enumNames<ThrottleReason>({
+    { ThrottleReason::ProcessorPressure, "processor-pressure" },
+    { ThrottleReason::MemoryPressure, "memory-pressure" },
 });
 
 constexpr auto resourceKindNames = base::enumNames<ResourceKind>({
@@ -41,6 +47,8 @@
 
 std::string_view preemptReasonName(PreemptReason reason) { return preemptReasonNames.name(reason); }
 
+std::string_view throttleReasonName(ThrottleReason reason) { return throttleReasonNames.name(reason); }
+
 std::string_view resourceKindName(ResourceKind kind) { return resourceKindNames.name(kind); }
 
 } // namespace crocuscove::placement
--- a/src/crocuscove/placement/placement_plan_test.cpp
+++ b/src/crocuscove/placement/placement_plan_test.cpp
@@ -131,5 +131,31 @@
     }
 }
 
+// Guards against a worker running out of memory while jobs on it could give way, and against stopping work for it that
+// can't be repeated.
+TEST(Placement, RelievesWorkersUnderPressure)
+{
+    FakeJobs jobs;
+    jobs.addWorker("w1", { 8, 100, 0 });
+    jobs.addRunning("once", { 1, 10, 0 }, "w1").spec.isIdempotent = false;
+    jobs.addRunning("again", { 1, 10, 0 }, "w1");
+    jobs.addJob("waiting", { 1, 10, 0 });
+    jobs.view.jobs[0].used = { 1, 60, 0 };
+    jobs.view.jobs[1].used = { 1, 40, 0 };
+    jobs.view.workers[0].used = { 2, 100, 0 };
+    const auto plan = planPlacement(jobs.view, {}, jobs.now);
+    ASSERT_EQ(plan.preempts.size(), 1U);
+    EXPECT_EQ(plan.preempts[0].job, base::JobId("again"));
+    EXPECT_EQ(plan.preempts[0].reason, PreemptReason::MemoryPressure);
+    EXPECT_TRUE(plan.starts.empty());
+    jobs.view.jobs[1].isStopping = true;
+    EXPECT_TRUE(planPlacement(jobs.view, {}, jobs.now).preempts.empty());
+    jobs.records[1].state = state::JobState::Done;
+    const auto next = planPlacement(jobs.view, {}, jobs.now);
+    ASSERT_EQ(next.throttles.size(), 1U);
+    EXPECT_EQ(next.throttles[0].job, base::JobId("once"));
+    EXPECT_TRUE(next.preempts.empty());
+}
+
 } // namespace
 } // namespace crocuscove::placement
--- a/src/crocuscove/placement/planner.cpp
+++ b/src/crocuscove/placement/planner.cpp
@@ -1,5 +1,7 @@
 #include "planner.h"
 
+#include "pressure.h"
+
 #include <limits>
 #include <ranges>
 
@@ -60,6 +62,7 @@
     readJobs();
     m_index.buildOrder();
     m_shares.refresh();
+    relievePressure(m_view, m_options, m_index, m_plan);
     serveOverdue();
     preemptFor(fill(&Team::urgent, StartReason::Urgent, m_options.maxPreemptionSearches));
     serveProbes();
