Place jobs by the fair plan with quarantine, preemption and learned sizes

Cause: the server placed jobs first fit and ended a job that failed once on a bad worker. Change: JobController carries out planPlacement, keeps worker health and learned sizes, retries failed idempotent jobs, and finds a worker's jobs by an index instead of a scan for each report.

--- a/src/crocuscove/server/job_controller.cpp
+++ b/src/crocuscove/server/job_controller.cpp
@@ -1,10 +1,9 @@
 #include "job_controller.h"
 
-#include "crocuscove/placement/first_fit.h"
-
 #include <algorithm>
+#include <fmt/format.h>
 #include <iterator>
-#include <vector>
+#include <utility>
 
 namespace crocuscove::server {
 
@@ -16,7 +15,8 @@
 constexpr base::Milliseconds commandTimeout { 5000 };
 /// A worker that this leader has not heard yet may still run its jobs for the rest of its lease.
 constexpr base::Milliseconds firstReportGrace { 12'000 };
-constexpr std::size_t maxPlacementsPerTick = 1000;
+/// An idempotent job that failed is started again at most this often in all.
+constexpr std::uint32_t maxStartsOfFailingJob = 5;
 
 const state::JobRecord* findJob(const state::State& state, const base::JobId& job)
 {
@@ -30,12 +30,12 @@
         && job.workerIncarnation == report.incarnation;
 }
 
-state::Resources subtract(state::Resources from, const state::Resources& used)
+std::string describe(const placement::RejectAction& reject)
 {
-    from.cores -= std::min(from.cores, used.cores);
-    from.memoryMb -= std::min(from.memoryMb, used.memoryMb);
-    from.accelerators -= std::min(from.accelerators, used.accelerators);
-    return from;
+    const auto where = reject.miss.worker.empty() ? "the quota" : "worker " + reject.miss.worker.text();
+    return fmt::format("{}: nearest miss is {} of {}, {} needed, {} available",
+        placement::rejectReasonName(reject.reason), placement::resourceKindName(reject.miss.resource), where,
+        reject.miss.needed, reject.miss.available);
 }
 
 } // namespace
@@ -50,7 +50,11 @@
 {
     m_table.clear();
     m_pending.clear();
+    m_instructions.clear();
+    m_health = {};
+    m_sizes = {};
     m_leaseGraceEnd = now + firstReportGrace;
+    m_observingSince = base::wallNow();
 }
 
 Json JobController::report(const WorkerReport& report)
@@ -74,42 +78,67 @@
     case TaskState::Running:
         break;
     case TaskState::Done:
-        propose(task.job, state::FinishJob { task.job, task.token, JobState::Done, false, "" });
+        finish(job, task, JobState::Done, "");
         break;
-    case TaskState::Failed:
-        propose(task.job,
-            state::FinishJob {
-                task.job, task.token, JobState::Failed, false, "the task failed on " + job.worker.text() });
+    case TaskState::Failed: {
+        const bool isBlamed = placement::isBlamed(m_health, task.job, {});
+        const bool mayRetry
+            = job.spec.isIdempotent && !job.isCancelRequested && !isBlamed && job.starts < maxStartsOfFailingJob;
+        const auto outcome = job.isCancelRequested ? JobState::Cancelled : JobState::Failed;
+        finish(job, task, mayRetry ? JobState::Queued : outcome, "the task failed on " + job.worker.text());
         break;
-    case TaskState::Checkpointed: {
-        const auto outcome = job.isCancelRequested ? JobState::Cancelled : JobState::Queued;
-        propose(task.job, state::FinishJob { task.job, task.token, outcome, true, "checkpointed" });
+    }
+    case TaskState::Checkpointed:
+        finish(job, task, job.isCancelRequested ? JobState::Cancelled : JobState::Queued, "checkpointed");
         break;
     }
+}
+
+void JobController::finish(
+    const state::JobRecord& job, const TaskReport& task, state::JobState outcome, const std::string& reason)
+{
+    if (m_pending.contains(task.job)) {
+        return;
+    }
+    learnFrom(job, task, task.state == TaskState::Failed && !job.isCancelRequested);
+    m_instructions.erase(task.job);
+    const bool hasCheckpoint = task.state == TaskState::Checkpointed;
+    propose(task.job, state::FinishJob { task.job, task.token, outcome, hasCheckpoint, reason });
+}
+
+void JobController::learnFrom(const state::JobRecord& job, const TaskReport& task, bool hasFailed)
+{
+    const auto now = base::wallNow();
+    if (task.state == TaskState::Checkpointed || job.isCancelRequested) {
+        return;
+    }
+    placement::recordOutcome(m_health, { job.worker, task.job, hasFailed }, {}, now);
+    if (!hasFailed) {
+        const auto runTime = std::max(base::Milliseconds(0), m_replica.state().now() - job.changedAt);
+        placement::learn(m_sizes, job.spec, { task.usage, runTime }, {}, now);
     }
 }
 
-Json JobController::answer(const WorkerReport& report) const
+Json JobController::answer(const WorkerReport& report)
 {
+    refreshIndex();
     Json start = Json::array();
     Json stop = Json::array();
     const auto isReported = [&](const state::JobRecord& job) {
         return std::ranges::any_of(
             report.tasks, [&](const TaskReport& task) { return task.job == job.spec.job && task.token == job.token; });
     };
-    for (const auto& [id, job] : m_replica.state().jobs()) {
-        if (isHeldBy(job, report) && !isReported(job)) {
-            start.push_back({ { "job", id.text() }, { "token", job.token }, { "checkpoint", job.hasCheckpoint } });
+    std::ranges::for_each(m_running[report.worker], [&](const state::JobRecord* job) {
+        if (isHeldBy(*job, report) && !isReported(*job)) {
+            start.push_back(
+                { { "job", job->spec.job.text() }, { "token", job->token }, { "checkpoint", job->hasCheckpoint } });
         }
-    }
+    });
     const bool isDrainingVm = isDraining(report.vm);
     for (const TaskReport& task : report.tasks) {
-        const auto* job = findJob(m_replica.state(), task.job);
-        const bool isCurrent = job != nullptr && isHeldBy(*job, report) && job->token == task.token;
-        if (!isCurrent || job->isCancelRequested) {
-            stop.push_back({ { "job", task.job.text() }, { "token", task.token }, { "how", "stop" } });
-        } else if (isDrainingVm && job->spec.isIdempotent) {
-            stop.push_back({ { "job", task.job.text() }, { "token", task.token }, { "how", "checkpoint" } });
+        const auto how = stopInstruction(report, task, isDrainingVm);
+        if (!how.empty()) {
+            stop.push_back({ { "job", task.job.text() }, { "token", task.token }, { "how", how } });
         }
     }
     const bool mayStop = (isDrainingVm || report.isLeaving) && report.tasks.empty() && start.empty();
@@ -117,6 +146,21 @@
         { "drain", isDrainingVm }, { "mayStop", mayStop } };
 }
 
+std::string JobController::stopInstruction(const WorkerReport& report, const TaskReport& task, bool isDraining) const
+{
+    const auto* job = findJob(m_replica.state(), task.job);
+    const bool isCurrent = job != nullptr && isHeldBy(*job, report) && job->token == task.token;
+    if (!isCurrent || job->isCancelRequested) {
+        return "stop";
+    }
+    if (isDraining && job->spec.isIdempotent) {
+        return "checkpoint";
+    }
+    const auto instruction = m_instructions.find(task.job);
+    return instruction != m_instructions.end() && instruction->second.token == task.token ? instruction->second.how
+                                                                                          : "";
+}
+
 bool JobController::isDraining(const base::VmId& vm) const
 {
     const auto entry = m_replica.state().vms().find(vm);
@@ -126,62 +170,178 @@
 void JobController::tick(base::MonotonicTime now)
 {
     m_table.expire(now);
+    refreshIndex();
     expireLeases(now);
-    place(now);
+    place();
 }
 
-void JobController::expireLeases(base::MonotonicTime now)
+// The index points into the state, so it is made anew whenever an entry was applied.
+void JobController::refreshIndex()
 {
+    if (m_indexedAt == m_replica.appliedIndex()) {
+        return;
+    }
+    m_indexedAt = m_replica.appliedIndex();
+    m_running.clear();
+    m_queued.clear();
     for (const auto& [id, job] : m_replica.state().jobs()) {
-        if (job.state != state::JobState::Running) {
-            continue;
+        if (job.state == state::JobState::Running) {
+            m_running[job.worker].push_back(&job);
+        } else if (job.state == state::JobState::Queued) {
+            m_queued.push_back(&job);
+        }
+    }
+    std::ranges::stable_sort(m_queued, {}, [](const state::JobRecord* job) { return job->submittedAt; });
+}
+
+void JobController::expireLeases(base::MonotonicTime now)
+{
+    for (const auto& [id, jobs] : m_running) {
+        const auto worker = m_table.workers().find(id);
+        const bool isKnown = worker != m_table.workers().end();
+        for (const state::JobRecord* job : jobs) {
+            const bool isSilent = !isKnown && m_leaseGraceEnd <= now;
+            const bool hasRestarted = isKnown && worker->second.report.incarnation != job->workerIncarnation;
+            if ((isSilent || hasRestarted) && !m_pending.contains(job->spec.job)) {
+                m_log.warning("job_lease_expired",
+                    { { "job", job->spec.job.text() }, { "worker", id.text() }, { "token", job->token },
+                        { "reason", isSilent ? "worker-silent" : "worker-restarted" } });
+                propose(job->spec.job, state::ExpireLease { job->spec.job, job->token });
+            }
         }
-        const auto worker = m_table.workers().find(job.worker);
-        const bool isSilent = worker == m_table.workers().end() && m_leaseGraceEnd <= now;
-        const bool hasRestarted
-            = worker != m_table.workers().end() && worker->second.report.incarnation != job.workerIncarnation;
-        if (isSilent || hasRestarted) {
-            m_log.warning("job_lease_expired",
-                { { "job", id.text() }, { "worker", job.worker.text() }, { "token", job.token },
-                    { "reason", isSilent ? "worker-silent" : "worker-restarted" } });
-            propose(id, state::ExpireLease { id, job.token });
+    }
+}
+
+std::vector<placement::WorkerView> JobController::workerViews() const
+{
+    std::vector<placement::WorkerView> views;
+    std::ranges::transform(m_table.workers(), std::back_inserter(views), [this](const auto& entry) {
+        const WorkerReport& report = entry.second.report;
+        placement::WorkerView view;
+        view.worker = entry.first;
+        view.incarnation = report.incarnation;
+        view.vm = report.vm;
+        view.rack = report.rack;
+        view.dataCentre = report.dataCentre;
+        view.capacity = report.capacity;
+        std::ranges::for_each(report.tasks, [&](const TaskReport& task) {
+            view.used.cores += task.usage.cores;
+            view.used.memoryMb += task.usage.memoryMb;
+            view.used.accelerators += task.usage.accelerators;
+        });
+        view.takesWork = !report.isLeaving && !isDraining(report.vm);
+        view.health = placement::healthOf(m_health, entry.first);
+        return view;
+    });
+    return views;
+}
+
+std::vector<placement::TeamView> JobController::teamViews() const
+{
+    std::map<base::TeamId, placement::TeamView> teams;
+    for (const auto& [service, record] : m_replica.state().documents()) {
+        const auto* document = m_replica.state().serviceDocument(service);
+        if (document != nullptr && document->jobs) {
+            teams.insert_or_assign(
+                document->team, placement::TeamView { document->team, document->jobs->share, document->jobs->quota });
         }
     }
+    std::vector<placement::TeamView> views;
+    std::ranges::transform(teams, std::back_inserter(views), [](const auto& entry) { return entry.second; });
+    return views;
 }
 
-void JobController::place(base::MonotonicTime)
+placement::PlacementView JobController::makeView() const
 {
-    std::vector<const state::JobRecord*> queued;
-    std::map<base::WorkerId, state::Resources> used;
-    for (const auto& [id, job] : m_replica.state().jobs()) {
-        if (job.state == state::JobState::Queued && !m_pending.contains(id) && queued.size() < maxPlacementsPerTick) {
-            queued.push_back(&job);
-        } else if (job.state == state::JobState::Running) {
-            auto& sum = used[job.worker];
-            sum.cores += job.spec.declared.cores;
-            sum.memoryMb += job.spec.declared.memoryMb;
-            sum.accelerators += job.spec.declared.accelerators;
+    placement::PlacementView view;
+    view.workers = workerViews();
+    view.teams = teamViews();
+    view.observingSince = m_observingSince;
+    std::vector<state::Resources> capacities;
+    std::ranges::transform(view.workers, std::back_inserter(capacities), &placement::WorkerView::capacity);
+    const auto byCores = [](const state::Resources& left, const state::Resources& right) {
+        return std::tie(left.cores, left.memoryMb, left.accelerators)
+            < std::tie(right.cores, right.memoryMb, right.accelerators);
+    };
+    std::ranges::sort(capacities, byCores);
+    capacities.erase(std::ranges::unique(capacities).begin(), capacities.end());
+    const auto add = [&](const state::JobRecord* job) {
+        placement::JobView entry;
+        entry.record = job;
+        entry.size = placement::learnedSize(m_sizes, job->spec, capacities, {});
+        const auto pending = m_pending.find(job->spec.job);
+        if (pending != m_pending.end() && job->state == state::JobState::Queued && !pending->second.empty()) {
+            entry.startingOn = pending->second;
         }
+        const auto instruction = m_instructions.find(job->spec.job);
+        entry.isStopping = instruction != m_instructions.end() && instruction->second.how == "checkpoint";
+        entry.isThrottled = instruction != m_instructions.end() && instruction->second.how == "throttle";
+        view.jobs.push_back(entry);
+    };
+    std::ranges::for_each(m_running, [&](const auto& entry) { std::ranges::for_each(entry.second, add); });
+    std::ranges::for_each(m_queued, add);
+    return view;
+}
+
+void JobController::updateHealth(const std::vector<placement::WorkerView>& workers)
+{
+    for (const placement::HealthChange& change : placement::updateHealth(m_health, workers, {}, base::wallNow())) {
+        m_log.warning("worker_health_changed",
+            { { "worker", change.worker.text() }, { "health", placement::workerHealthName(change.health) },
+                { "reason", placement::healthReasonName(change.reason) } });
     }
-    if (queued.empty()) {
+}
+
+void JobController::place()
+{
+    std::erase_if(m_instructions, [&](const auto& entry) {
+        const auto* job = findJob(m_replica.state(), entry.first);
+        return job == nullptr || job->state != state::JobState::Running || job->token != entry.second.token;
+    });
+    auto view = makeView();
+    updateHealth(view.workers);
+    if (view.jobs.empty()) {
         return;
     }
-    std::vector<placement::FreeWorker> free;
-    for (const auto& [id, worker] : m_table.workers()) {
-        if (!worker.report.isLeaving && !isDraining(worker.report.vm)) {
-            free.push_back({ id, worker.report.incarnation, subtract(worker.report.capacity, used[id]) });
+    std::ranges::for_each(view.workers,
+        [&](placement::WorkerView& worker) { worker.health = placement::healthOf(m_health, worker.worker); });
+    carryOut(placement::planPlacement(view, {}, base::wallNow()));
+}
+
+void JobController::carryOut(const placement::PlacementPlan& plan)
+{
+    for (const placement::StartAction& start : plan.starts) {
+        if (m_pending.contains(start.job)) {
+            continue;
         }
-    }
-    for (const placement::Assignment& assignment : placement::placeFirstFit(queued, std::move(free))) {
         m_log.info("job_placed",
-            { { "job", assignment.job.text() }, { "worker", assignment.worker.text() }, { "reason", "first-fit" } });
-        propose(assignment.job, state::StartJob { assignment.job, assignment.worker, assignment.workerIncarnation });
+            { { "job", start.job.text() }, { "worker", start.worker.text() },
+                { "reason", placement::startReasonName(start.reason) } });
+        propose(start.job, state::StartJob { start.job, start.worker, start.incarnation });
+    }
+    for (const placement::PreemptAction& preempt : plan.preempts) {
+        m_log.info("job_preempted",
+            { { "job", preempt.job.text() }, { "worker", preempt.worker.text() }, { "for_job", preempt.forJob.text() },
+                { "reason", placement::preemptReasonName(preempt.reason) } });
+        m_instructions.insert_or_assign(preempt.job, Instruction { preempt.token, "checkpoint" });
+    }
+    for (const placement::ThrottleAction& throttle : plan.throttles) {
+        m_log.info("job_throttled",
+            { { "job", throttle.job.text() }, { "worker", throttle.worker.text() },
+                { "reason", placement::throttleReasonName(throttle.reason) } });
+        m_instructions.insert_or_assign(throttle.job, Instruction { throttle.token, "throttle" });
+    }
+    for (const placement::RejectAction& reject : plan.rejects) {
+        const auto reason = describe(reject);
+        m_log.info("job_rejected", { { "job", reject.job.text() }, { "reason", reason } });
+        propose(reject.job, state::RejectJob { reject.job, reason });
     }
 }
 
 void JobController::propose(const base::JobId& job, const state::Command& command)
 {
-    if (!m_pending.insert(job).second) {
+    const auto* start = std::get_if<state::StartJob>(&command);
+    if (!m_pending.emplace(job, start == nullptr ? base::WorkerId() : start->worker).second) {
         return;
     }
     m_replica.propose(
