Keep placement within what the linter parses

Cause: clang-tidy failed on a view of the standard library's ranges in planner.cpp, and on an unused using declaration in the benchmark. Change: the search for a probe uses iterators; the unused declaration is removed. Conclusion: no change of behaviour.

--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -20,7 +20,6 @@
 
 using placement::JobView;
 using placement::PlacementOptions;
-using placement::PlacementPlan;
 using placement::PlacementView;
 using placement::StartAction;
 using placement::WorkerView;
--- a/src/crocuscove/placement/planner.cpp
+++ b/src/crocuscove/placement/planner.cpp
@@ -3,7 +3,6 @@
 #include "pressure.h"
 
 #include <limits>
-#include <ranges>
 
 namespace crocuscove::placement {
 
@@ -218,11 +217,14 @@
 {
     for (team = 0; team < m_shares.size(); ++team) {
         const Team& candidate = m_shares.team(team);
-        for (const JobView* job : candidate.patient | std::views::take(candidate.isHeld ? 0 : maxProbeCandidates)) {
-            if (!isStarted(*job) && job->record->spec.isIdempotent && fits(job->size, free)
-                && m_shares.isWithinQuota(team, job->size)) {
-                return job;
-            }
+        const std::size_t count = candidate.isHeld ? 0 : std::min(candidate.patient.size(), maxProbeCandidates);
+        const auto end = candidate.patient.begin() + static_cast<std::ptrdiff_t>(count);
+        const auto found = std::find_if(candidate.patient.begin(), end, [&](const JobView* job) {
+            return !isStarted(*job) && job->record->spec.isIdempotent && fits(job->size, free)
+                && m_shares.isWithinQuota(team, job->size);
+        });
+        if (found != end) {
+            return *found;
         }
     }
     return nullptr;
