Let tests route peers and compare documents on all nodes

Change: SystemOptions::peerRoute, System::putDocument, waitUntilInForce and history; ranges over the nodes instead of iota; a test ignores SIGPIPE so that a request to a killed node fails as a request.

--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -45,6 +45,8 @@
     : m_keepsFolder(std::move(keepsFolder))
     , m_folder(makeFolder())
 {
+    // A request to a node that was just killed must fail as a request, not end the test.
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 Cluster::~Cluster()
--- a/tests/support/system.cpp
+++ b/tests/support/system.cpp
@@ -4,7 +4,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <iterator>
-#include <ranges>
+#include <numeric>
 
 namespace crocuscove::testing {
 
@@ -40,8 +40,11 @@
 {
     std::vector<std::string> peers;
     std::vector<std::string> voters;
-    for (const NodeAddresses& each : m_nodes) {
-        peers.push_back(each.name + "=" + each.peer.text());
+    for (int other = 1; other <= m_options.nodes; ++other) {
+        const NodeAddresses& each = node(other);
+        const bool isRouted = m_options.peerRoute && other != number;
+        peers.push_back(
+            each.name + "=" + (isRouted ? m_options.peerRoute(number, other, each.peer) : each.peer).text());
         if (static_cast<int>(voters.size()) < m_options.voters) {
             voters.push_back(each.name);
         }
@@ -62,9 +65,9 @@
 bool System::waitUntilReady()
 {
     return waitUntil([&] {
-        return std::ranges::all_of(std::views::iota(1, m_options.nodes + 1), [&](int number) {
-            return !nodeProcess(number).isRunning()
-                || Cluster::request(node(number).admin, "GET", "/healthz/ready")
+        return std::ranges::all_of(m_nodes, [&](const NodeAddresses& each) {
+            return !m_cluster.process(each.name).isRunning()
+                || Cluster::request(each.admin, "GET", "/healthz/ready")
                        .response.value_or(http::HttpResponse { 0, {}, "" })
                        .status
                 == 200;
@@ -95,6 +98,38 @@
     return command.waitForExit().value_or(-1);
 }
 
+http::HttpResponse System::putDocument(int viaNode, const std::string& service, const std::string& text,
+    std::uint64_t expectedRevision, const std::string& requestId) const
+{
+    const http::Headers headers { { { "Crocuscove-Expected-Revision", std::to_string(expectedRevision) },
+        { "Crocuscove-Request-Id", requestId } } };
+    return Cluster::request(node(viaNode).admin, "PUT", "/v1/documents/" + service, text, headers)
+        .response.value_or(http::HttpResponse { 0, {}, "" });
+}
+
+bool System::waitUntilInForce(const std::string& service, std::uint64_t revision) const
+{
+    return waitUntil([&] {
+        return std::ranges::all_of(m_nodes, [&](const NodeAddresses& each) {
+            const auto body = Cluster::getJson(each.admin, "/v1/documents/" + service + "/rollout");
+            return !body.is_null() && body.at("revision") == revision && body.at("nodes").size() == m_nodes.size()
+                && std::ranges::all_of(body.at("nodes"),
+                    [&](const auto& entry) { return entry.at("inForce") == true && entry.at("revision") == revision; });
+        });
+    });
+}
+
+std::vector<std::string> System::history(const std::string& service, int viaNode) const
+{
+    const auto body = Cluster::getJson(node(viaNode).admin, "/v1/documents/" + service + "/history");
+    std::vector<std::string> ids;
+    if (!body.is_null()) {
+        std::ranges::transform(body.at("revisions"), std::back_inserter(ids),
+            [](const auto& revision) { return revision.at("requestId").template get<std::string>(); });
+    }
+    return ids;
+}
+
 std::string System::adminList() const
 {
     std::vector<std::string> admins;
@@ -136,7 +171,8 @@
 ChildProcess& System::startLoad(const std::string& name, std::vector<std::string> arguments, std::vector<int> entries)
 {
     if (entries.empty()) {
-        std::ranges::copy(std::views::iota(1, m_options.nodes + 1), std::back_inserter(entries));
+        entries.resize(m_nodes.size());
+        std::iota(entries.begin(), entries.end(), 1);
     }
     std::vector<std::string> targets;
     std::ranges::transform(
--- a/tests/support/system.h
+++ b/tests/support/system.h
@@ -3,6 +3,8 @@
 #include "support/cluster.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -13,9 +15,12 @@
     /// The first nodes vote and have a data folder.
     int voters = 1;
     /// Starts a stand-in platform with these VMs when not null.
-    nlohmann::json vms;
+    nlohmann::json vms = nullptr;
     std::int64_t rebootMs = 300;
     std::int64_t seed = 1;
+    /// Returns the address at which node `from` reaches the peer listener of node `to`, such as a proxy's. Without it
+    /// nodes reach each other directly.
+    std::function<base::Endpoint(int from, int to, const base::Endpoint& listener)> peerRoute = nullptr;
 };
 
 /// Addresses of one node.
@@ -52,6 +57,16 @@
     /// Returns the exit code.
     int applyAndWait(const std::string& path, int viaNode = 1);
 
+    /// Sends a document once. Returns status 0 when no response came.
+    [[nodiscard]] http::HttpResponse putDocument(int viaNode, const std::string& service, const std::string& text,
+        std::uint64_t expectedRevision, const std::string& requestId) const;
+
+    /// Waits until every node tells that the revision is in force on every node.
+    [[nodiscard]] bool waitUntilInForce(const std::string& service, std::uint64_t revision) const;
+
+    /// Returns the request ids of a service's revisions as a node tells them.
+    [[nodiscard]] std::vector<std::string> history(const std::string& service, int viaNode) const;
+
     /// Starts a backend server of `service`, four VMs to a rack, announcing itself to every node in turn.
     ChildProcess& startBackend(
         const std::string& service, int number, const std::vector<std::string>& moreArguments = {});
