--- a/tests/integration/routing_faults_test.cpp
+++ b/tests/integration/routing_faults_test.cpp
@@ -37,6 +37,8 @@
         }
     }
 
+    void TearDown() override { system.killBackends(); }
+
     ChildProcess& backend(int number) { return cluster.process(fmt::format("demo-{}", number)); }
 
     [[nodiscard]] std::vector<nlohmann::json> runs(int number) const
--- a/tests/support/system.cpp
+++ b/tests/support/system.cpp
@@ -145,6 +145,7 @@
     const std::string records = m_cluster.path("runs-" + name + ".jsonl");
     if (std::ranges::find(m_backendRecords, records) == m_backendRecords.end()) {
         m_backendRecords.push_back(records);
+        m_backendNames.push_back(name);
     }
     // Each backend server begins with another node, so that announcements arrive everywhere.
     std::vector<std::string> admins;
@@ -159,6 +160,11 @@
     return m_cluster.startAndWait(name, standinProgram("standin_backend"), arguments, ready);
 }
 
+void System::killBackends()
+{
+    std::ranges::for_each(m_backendNames, [this](const std::string& name) { m_cluster.process(name).kill(); });
+}
+
 ChildProcess& System::startWorker(int number, const std::vector<std::string>& moreArguments)
 {
     const std::string name = fmt::format("worker-{}", number);
--- a/tests/support/system.h
+++ b/tests/support/system.h
@@ -71,6 +71,9 @@
     ChildProcess& startBackend(
         const std::string& service, int number, const std::vector<std::string>& moreArguments = {});
 
+    /// Kills every backend server. Without nodes they would wait for their stop bound at the end of a test.
+    void killBackends();
+
     ChildProcess& startWorker(int number, const std::vector<std::string>& moreArguments = {});
 
     /// Starts a client load at the entry nodes given, all of them by default.
@@ -101,6 +104,7 @@
     SystemOptions m_options;
     std::vector<NodeAddresses> m_nodes;
     base::Endpoint m_platform;
+    std::vector<std::string> m_backendNames;
     std::vector<std::string> m_backendRecords;
 };
 
