--- a/tests/support/system.cpp
+++ b/tests/support/system.cpp
@@ -149,6 +149,7 @@
     }
     // Each backend server begins with another node, so that announcements arrive everywhere.
     std::vector<std::string> admins;
+    admins.reserve(m_nodes.size());
     for (int i = 0; i < m_options.nodes; ++i) {
         admins.push_back(node((number + i) % m_options.nodes + 1).admin.text());
     }
