--- a/tests/support/system.cpp
+++ b/tests/support/system.cpp
@@ -4,7 +4,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <iterator>
-#include <ranges>
+#include <numeric>
 
 namespace crocuscove::testing {
 
@@ -45,8 +45,11 @@
 {
     std::vector<std::string> peers;
     std::vector<std::string> voters;
-    for (const NodeAddresses& each : m_nodes) {
-        peers.push_back(each.name + "=" + each.peer.text());
+    for (int other = 1; other <= m_options.nodes; ++other) {
+        const NodeAddresses& each = node(other);
+        const bool isRouted = m_options.peerRoute && other != number;
+        peers.push_back(
+            each.name + "=" + (isRouted ? m_options.peerRoute(number, other, each.peer) : each.peer).text());
         if (static_cast<int>(voters.size()) < m_options.voters) {
             voters.push_back(each.name);
         }
@@ -67,9 +70,9 @@
 bool System::waitUntilReady()
 {
     return waitUntil([&] {
-        return std::ranges::all_of(std::views::iota(1, m_options.nodes + 1), [&](int number) {
-            return !nodeProcess(number).isRunning()
-                || Cluster::request(node(number).admin, "GET", "/healthz/ready")
+        return std::ranges::all_of(m_nodes, [&](const NodeAddresses& each) {
+            return !m_cluster.process(each.name).isRunning()
+                || Cluster::request(each.admin, "GET", "/healthz/ready")
                        .response.value_or(http::HttpResponse { 0, {}, "" })
                        .status
                 == 200;
@@ -100,6 +103,38 @@
     return command.waitForExit().value_or(-1);
 }
 
+http::HttpResponse System::putDocument(int viaNode, const std::string& service, const std::string& text,
+    std::uint64_t expectedRevision, const std::string& requestId) const
+{
+    const http::Headers headers { { { "Crocuscove-Expected-Revision", std::to_string(expectedRevision) },
+        { "Crocuscove-Request-Id", requestId } } };
+    return Cluster::request(node(viaNode).admin, "PUT", "/v1/documents/" + service, text, headers)
+        .response.value_or(http::HttpResponse { 0, {}, "" });
+}
+
+bool System::waitUntilInForce(const std::string& service, std::uint64_t revision) const
+{
+    return waitUntil([&] {
+        return std::ranges::all_of(m_nodes, [&](const NodeAddresses& each) {
+            const auto body = Cluster::getJson(each.admin, "/v1/documents/" + service + "/rollout");
+            return !body.is_null() && body.at("revision") == revision && body.at("nodes").size() == m_nodes.size()
+                && std::ranges::all_of(body.at("nodes"),
+                    [&](const auto& entry) { return entry.at("inForce") == true && entry.at("revision") == revision; });
+        });
+    });
+}
+
+std::vector<std::string> System::history(const std::string& service, int viaNode) const
+{
+    const auto body = Cluster::getJson(node(viaNode).admin, "/v1/documents/" + service + "/history");
+    std::vector<std::string> ids;
+    if (!body.is_null()) {
+        std::ranges::transform(body.at("revisions"), std::back_inserter(ids),
+            [](const auto& revision) { return revision.at("requestId").template get<std::string>(); });
+    }
+    return ids;
+}
+
 std::string System::adminList() const
 {
     std::vector<std::string> admins;
@@ -115,10 +150,12 @@
     const std::string records = m_cluster.path("runs-" + name + ".jsonl");
     if (std::ranges::find(m_backendRecords, records) == m_backendRecords.end()) {
         m_backendRecords.push_back(records);
+        m_backendNames.push_back(name);
     }
     m_announcing.insert(name);
     // Each backend server begins with another node, so that announcements arrive everywhere.
     std::vector<std::string> admins;
+    admins.reserve(m_nodes.size());
     for (int i = 0; i < m_options.nodes; ++i) {
         admins.push_back(node((number + i) % m_options.nodes + 1).admin.text());
     }
@@ -130,6 +167,11 @@
     return m_cluster.startAndWait(name, standinProgram("standin_backend"), arguments, ready);
 }
 
+void System::killBackends()
+{
+    std::ranges::for_each(m_backendNames, [this](const std::string& name) { m_cluster.process(name).kill(); });
+}
+
 ChildProcess& System::startWorker(int number, const std::vector<std::string>& moreArguments)
 {
     const std::string name = fmt::format("worker-{}", number);
@@ -143,7 +185,8 @@
 ChildProcess& System::startLoad(const std::string& name, std::vector<std::string> arguments, std::vector<int> entries)
 {
     if (entries.empty()) {
-        std::ranges::copy(std::views::iota(1, m_options.nodes + 1), std::back_inserter(entries));
+        entries.resize(m_nodes.size());
+        std::iota(entries.begin(), entries.end(), 1);
     }
     std::vector<std::string> targets;
     std::ranges::transform(
--- a/tests/support/system.h
+++ b/tests/support/system.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <set>
+#include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -14,9 +16,12 @@
     /// The first nodes vote and have a data folder.
     int voters = 1;
     /// Starts a stand-in platform with these VMs when not null.
-    nlohmann::json vms;
+    nlohmann::json vms = nullptr;
     std::int64_t rebootMs = 300;
     std::int64_t seed = 1;
+    /// Returns the address at which node `from` reaches the peer listener of node `to`, such as a proxy's. Without it
+    /// nodes reach each other directly.
+    std::function<base::Endpoint(int from, int to, const base::Endpoint& listener)> peerRoute = nullptr;
 };
 
 /// Addresses of one node.
@@ -58,10 +63,23 @@
     /// Returns the exit code.
     int applyAndWait(const std::string& path, int viaNode = 1);
 
+    /// Sends a document once. Returns status 0 when no response came.
+    [[nodiscard]] http::HttpResponse putDocument(int viaNode, const std::string& service, const std::string& text,
+        std::uint64_t expectedRevision, const std::string& requestId) const;
+
+    /// Waits until every node tells that the revision is in force on every node.
+    [[nodiscard]] bool waitUntilInForce(const std::string& service, std::uint64_t revision) const;
+
+    /// Returns the request ids of a service's revisions as a node tells them.
+    [[nodiscard]] std::vector<std::string> history(const std::string& service, int viaNode) const;
+
     /// Starts a backend server of `service`, four VMs to a rack, announcing itself to every node in turn.
     ChildProcess& startBackend(
         const std::string& service, int number, const std::vector<std::string>& moreArguments = {});
 
+    /// Kills every backend server. Without nodes they would wait for their stop bound at the end of a test.
+    void killBackends();
+
     ChildProcess& startWorker(int number, const std::vector<std::string>& moreArguments = {});
 
     /// Starts a client load at the entry nodes given, all of them by default.
@@ -92,6 +110,7 @@
     SystemOptions m_options;
     std::vector<NodeAddresses> m_nodes;
     base::Endpoint m_platform;
+    std::vector<std::string> m_backendNames;
     std::vector<std::string> m_backendRecords;
     std::set<std::string> m_announcing;
 };
