--- a/tests/integration/job_test.cpp
+++ b/tests/integration/job_test.cpp
@@ -34,8 +34,9 @@
         std::ptrdiff_t count = 0;
         for (const auto& file : std::filesystem::directory_iterator(cluster.folder())) {
             if (file.path().filename().string().starts_with("starts-")) {
-                count += std::ranges::count_if(
-                    readJsonLines(file.path()), [&](const auto& line) { return line.value("job", "") == job; });
+                count += std::ranges::count_if(readJsonLines(file.path()), [&](const auto& line) {
+                    return line.value("event", "") == "started" && line.value("job", "") == job;
+                });
             }
         }
         return count;
