--- a/tests/support/system.h
+++ b/tests/support/system.h
@@ -3,9 +3,9 @@
 #include "support/cluster.h"
 
 #include <cstddef>
-#include <set>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
