Renew slot leases less often on an idle node

Cause: idle entry nodes exchanged demands and grants every 50 ms; with 32 backend servers each node sent 20 to 23 KB a second and used 5.0 to 5.8% of a core. Change: a node that uses and wants no slot renews its leases every 250 ms, a quarter of a lease. The first request of an idle node uses the slots that it holds.

--- a/src/crocuscove/server/slot_coordinator.cpp
+++ b/src/crocuscove/server/slot_coordinator.cpp
@@ -14,6 +14,8 @@
 using SlotMessage = std::variant<routing::SlotDemand, routing::SlotGrant>;
 
 constexpr routing::SlotOptions slotOptions;
+/// A node without requests renews its leases at this interval, a quarter of a lease.
+constexpr base::Milliseconds idleInterval { 250 };
 /// A grantor's authority lasts 2 s after a confirmation, so that a missed one does not end it.
 constexpr base::Milliseconds confirmInterval { 500 };
 constexpr base::Milliseconds confirmTimeout { 1500 };
@@ -81,10 +83,30 @@
 void SlotCoordinator::exchange()
 {
     const auto now = base::monotonicNow();
+    const bool isBusy = observeUsage(now);
+    if (isBusy || m_nextIdleDemand <= now) {
+        m_nextIdleDemand = now + idleInterval;
+        sendDemands(now);
+    }
+    sendGrants(now);
+    applyLimits();
+}
+
+// Tells the holder what this node uses. Returns whether it uses or wants anything.
+bool SlotCoordinator::observeUsage(base::MonotonicTime now)
+{
+    bool isBusy = false;
     for (const auto& [service, views] : m_views) {
-        std::ranges::for_each(m_hooks.usage(service),
-            [&](const SlotUsage& usage) { m_holder.observe(now, usage.backend, usage.inFlight, usage.demand); });
+        std::ranges::for_each(m_hooks.usage(service), [&](const SlotUsage& usage) {
+            m_holder.observe(now, usage.backend, usage.inFlight, usage.demand);
+            isBusy = isBusy || usage.demand > 0;
+        });
     }
+    return isBusy;
+}
+
+void SlotCoordinator::sendDemands(base::MonotonicTime now)
+{
     for (const routing::SlotDemand& demand : m_holder.takeDemands(now)) {
         if (demand.grantor == m_options.node) {
             m_grantor.receive(now, demand);
@@ -92,6 +114,10 @@
             m_hooks.send(demand.grantor, base::encode(SlotMessage(demand)));
         }
     }
+}
+
+void SlotCoordinator::sendGrants(base::MonotonicTime now)
+{
     for (const routing::SlotGrant& grant : m_grantor.takeGrants(now)) {
         if (grant.holder == m_options.node) {
             receiveGrant(now, grant);
@@ -99,7 +125,6 @@
             m_hooks.send(grant.holder, base::encode(SlotMessage(grant)));
         }
     }
-    applyLimits();
 }
 
 void SlotCoordinator::receiveGrant(base::MonotonicTime now, const routing::SlotGrant& grant)
--- a/src/crocuscove/server/slot_coordinator.h
+++ b/src/crocuscove/server/slot_coordinator.h
@@ -56,6 +56,9 @@
 
 private:
     void exchange();
+    bool observeUsage(base::MonotonicTime now);
+    void sendDemands(base::MonotonicTime now);
+    void sendGrants(base::MonotonicTime now);
     void confirmEpoch();
     void receiveGrant(base::MonotonicTime now, const routing::SlotGrant& grant);
     void applyLimits();
@@ -67,6 +70,7 @@
     routing::SlotHolder m_holder;
     routing::SlotGrantor m_grantor;
     std::uint64_t m_epoch = 0;
+    base::MonotonicTime m_nextIdleDemand;
     std::map<base::ServiceId, std::vector<routing::BackendView>> m_views;
     std::map<base::ServiceId, std::vector<routing::SlotLimit>> m_applied;
     http::Timer m_exchangeTimer;
