Send slot demands again that a grantor could not use; do not send a request at its deadline

Cause: a grantor that learned of a backend server after a holder's demand acknowledged the demand without using it, and an unchanged demand was never sent again: a node with one waiting request got no slot for 60 s. Requests without known run times were sent just before their deadline and then told unknown. Ports of tests were taken by outgoing connections. Change: every entry is sent again with each tenth demand, and executors are handed over again with a new epoch; a tenth of the time to the deadline is kept for a run of unknown length; test ports come from below the ephemeral range.

--- a/src/crocuscove/routing/dispatcher_core.cpp
+++ b/src/crocuscove/routing/dispatcher_core.cpp
@@ -9,6 +9,9 @@
 namespace crocuscove::routing {
 namespace {
 
+/// Part of the time to the deadline that is kept for the run of a request whose kind has no samples yet.
+constexpr double unknownRunShare = 0.1;
+
 /// Retry-After of a request that no document describes.
 constexpr base::Milliseconds unknownRetryAfter { 1000 };
 
@@ -64,6 +67,7 @@
     auto& pending = m_requests[request.id];
     pending.id = request.id;
     pending.deadline = deadline;
+    pending.latestStart = deadline - std::chrono::duration_cast<base::Microseconds>((deadline - now) * unknownRunShare);
     pending.kind = m_kindsInForce[request.kind];
     pending.account = &account;
     pending.workClass = pending.kind->learned;
--- a/src/crocuscove/routing/dispatcher_core.h
+++ b/src/crocuscove/routing/dispatcher_core.h
@@ -49,6 +49,8 @@
 struct PendingRequest {
     RequestId id = 0;
     base::MonotonicTime deadline;
+    /// Latest start while the run time of the kind is not known.
+    base::MonotonicTime latestStart;
     std::shared_ptr<KindStatistics> kind;
     ClientAccount* account = nullptr;
     document::WorkClass workClass = document::WorkClass::Short;
--- a/src/crocuscove/routing/dispatcher_queue_test.cpp
+++ b/src/crocuscove/routing/dispatcher_queue_test.cpp
@@ -203,5 +203,18 @@
     EXPECT_TRUE(dispatcher.arrive(at(0), { 100, 1, {}, {} }).empty());
 }
 
+// Guards against a first request that waits for slots, is sent just before its deadline, and is then told "unknown".
+TEST(DispatcherStart, DoesNotSendAnUnknownKindJustBeforeItsDeadline)
+{
+    Dispatcher dispatcher(serviceDocument({ kind(WorkClass::Short, 2000, true) }), {}, base::Random(7));
+    const std::vector views { view("b1", 8) };
+    EXPECT_TRUE(only<Dispatch>(dispatcher.updateBackends(at(0), views)).empty());
+    EXPECT_TRUE(only<Dispatch>(dispatcher.arrive(at(0), { 1, 0, base::TeamId("shops"), {} })).empty());
+    const auto actions = dispatcher.updateSlots(at(1990), fixedSplit(views, 1));
+    EXPECT_TRUE(only<Dispatch>(actions).empty());
+    ASSERT_EQ(only<Refuse>(actions).size(), 1U);
+    EXPECT_EQ(only<Refuse>(actions).front().reason, RefuseReason::DeadlineUnreachable);
+}
+
 } // namespace
 } // namespace crocuscove::routing
--- a/src/crocuscove/routing/dispatcher_scheduling.cpp
+++ b/src/crocuscove/routing/dispatcher_scheduling.cpp
@@ -89,8 +89,10 @@
 bool Dispatcher::Core::isHopeless(base::MonotonicTime now, const PendingRequest& request) const
 {
     const auto& runTimes = request.kind->runTimes;
-    return runTimes.samples() >= minSamples
-        && now + std::min(runTimes.usual(), runTimes.median() * 2) > request.deadline;
+    if (runTimes.samples() < minSamples) {
+        return now > request.latestStart;
+    }
+    return now + std::min(runTimes.usual(), runTimes.median() * 2) > request.deadline;
 }
 
 void Dispatcher::Core::dispatchAll(base::MonotonicTime now)
--- a/src/crocuscove/routing/slot_holder.cpp
+++ b/src/crocuscove/routing/slot_holder.cpp
@@ -8,6 +8,10 @@
 namespace crocuscove::routing {
 namespace {
 
+/// Every entry is sent again at this interval of demands, because a grantor that did not know the backend server yet
+/// has acknowledged the demand without using the entry.
+constexpr std::uint64_t demandsBetweenRefreshes = 10;
+
 /// Demands whose sending time is remembered. An answer to an older one renews nothing.
 constexpr std::size_t maxSent = 64;
 
@@ -139,7 +143,7 @@
             executor.changedAt = m_sequence;
         }
         auto& demand = demands[grantor];
-        if (executor.changedAt > link.acknowledged) {
+        if (executor.changedAt > link.acknowledged || m_sequence % demandsBetweenRefreshes == 0) {
             demand.entries.push_back(entry);
         }
     }
--- a/src/crocuscove/routing/slot_lease_test.cpp
+++ b/src/crocuscove/routing/slot_lease_test.cpp
@@ -191,5 +191,18 @@
     EXPECT_EQ(base::decode<SlotGrant>(base::encode(grant)), grant);
 }
 
+// Guards against a holder that never gets slots because its grantor learned of the backend server after the demand.
+TEST_F(SlotLease, GrantorThatLearnsOfAnExecutorLateServesAnUnchangedDemand)
+{
+    m_grantor.updateExecutors(at(m_now), {});
+    const std::map<base::NodeId, std::uint32_t> demands { { m_epoch.nodes.front(), 1 } };
+    rounds(5, demands);
+    m_grantor.updateExecutors(at(m_now), { m_view });
+    m_now += 10'000;
+    m_grantor.report(backend, 0, 0, at(m_now));
+    rounds(12, demands);
+    EXPECT_GE(limit(m_epoch.nodes.front()), 1U);
+}
+
 } // namespace
 } // namespace crocuscove::routing
--- a/src/crocuscove/server/slot_coordinator.cpp
+++ b/src/crocuscove/server/slot_coordinator.cpp
@@ -47,6 +47,9 @@
     const routing::EntryEpoch epoch { entryNodes.number, entryNodes.nodes, entryNodes.shareNodes, entryNodes.isFirst };
     m_holder.updateEpoch(epoch);
     m_grantor.updateEpoch(base::monotonicNow(), epoch);
+    // The grantor has forgotten its executors with the epoch.
+    const auto views = m_views;
+    std::ranges::for_each(views, [this](const auto& entry) { updateBackends(entry.first, entry.second); });
     m_log.info("entry_nodes_changed", { { "epoch", m_epoch }, { "entry_nodes", entryNodes.nodes.size() } });
     confirmEpoch();
 }
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -26,17 +26,30 @@
     return pattern;
 }
 
-std::uint16_t takeFreePort()
+bool isFree(std::uint16_t port)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const http::SocketAddress address = http::socketAddress(loopback(0));
+    const http::SocketAddress address = http::socketAddress(loopback(port));
     const bool isBound = bind(fd, address.get(), address.size) == 0;
-    const std::uint16_t port = isBound ? http::boundPort(fd) : 0;
     ::close(fd);
-    if (!isBound) {
-        throw base::Error("no loopback port is free");
+    return isBound;
+}
+
+// Ports below the range that the system takes for outgoing connections, which would otherwise take a port between its
+// choice and the start of the program that is to listen on it. Each test process begins at a place of its own.
+std::uint16_t takeFreePort()
+{
+    constexpr std::uint32_t firstPort = 10'000;
+    constexpr std::uint32_t portCount = 20'000;
+    constexpr std::uint32_t portsPerProcess = 97;
+    static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * portsPerProcess;
+    for (std::uint32_t tries = 0; tries < portCount; ++tries) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        if (isFree(port)) {
+            return port;
+        }
     }
-    return port;
+    throw base::Error("no loopback port is free");
 }
 
 } // namespace
