Use neutral team names in tests

Cause: tests named teams after a trade of the users. Change: another name of equal length. Conclusion: wording only.

--- a/src/crocuscove/cli/apply_command_test.cpp
+++ b/src/crocuscove/cli/apply_command_test.cpp
@@ -128,7 +128,7 @@
     const RunResult result = apply({ "--expected-revision=0" });
     EXPECT_EQ(result.code, 3);
     EXPECT_NE(result.err.find("revision 1 is in force, not 0; nothing was changed"), std::string::npos) << result.err;
-    EXPECT_NE(result.err.find("~ team: shops -> desks"), std::string::npos) << result.err;
+    EXPECT_NE(result.err.find("~ team: shops -> sales"), std::string::npos) << result.err;
     const auto json = nlohmann::json::parse(apply({ "--expected-revision=0", "--output=json" }).out);
     EXPECT_EQ(json.at("error"), "conflict");
     EXPECT_EQ(json.at("revisionInForce"), 1);
--- a/src/crocuscove/cli/fake_document_store.h
+++ b/src/crocuscove/cli/fake_document_store.h
@@ -106,7 +106,7 @@
             answer = { 409,
                 fmt::format(R"({{"error":"revision-conflict","revisionInForce":{},)"
                             R"("difference":[{}]}})",
-                    revisions.size(), isSame ? "" : R"({"field":"team","before":"shops","after":"desks"})") };
+                    revisions.size(), isSame ? "" : R"({"field":"team","before":"shops","after":"sales"})") };
         } else {
             revisions.push_back({ record.body, record.requestId });
             answer = { 200, fmt::format(R"({{"service":"{}","revision":{}}})", service, revisions.size()) };
--- a/src/crocuscove/document/diff_test.cpp
+++ b/src/crocuscove/document/diff_test.cpp
@@ -34,11 +34,11 @@
 {
     std::string after = replaced(fullService, "max: 12", "max: 14");
     after = replaced(after, "    method: GET\n", "");
-    after = replaced(after, "{shops: 2}", "{shops: 2, desks: 3}");
+    after = replaced(after, "{shops: 2}", "{shops: 2, sales: 3}");
     EXPECT_EQ(diff(std::string(fullService), after),
         "~ pool.executors.max: 12 -> 14\n"
         "- requests[quote].method: GET\n"
-        "+ queue.clientShares.desks: 3\n");
+        "+ queue.clientShares.sales: 3\n");
 }
 
 // Guards against an unseen change of the order of requests, which decides the one that matches.
@@ -65,7 +65,7 @@
 {
     const std::vector<std::pair<std::string, std::string>> replacements {
         { "service: pricing", "service: prices" },
-        { "team: shops", "team: desks" },
+        { "team: shops", "team: sales" },
         { "name: pricing", "name: other" },
         { "min: 8", "min: 7" },
         { "max: 12", "max: 13" },
--- a/src/crocuscove/document/malformed_test.cpp
+++ b/src/crocuscove/document/malformed_test.cpp
@@ -55,7 +55,7 @@
             { "service: pricing\n", "", 1, "service", "missing" },
             { "team: shops", "team:", 4, "team", "expected text, found nothing" },
             { "team: shops", "team: [shops]", 4, "team", "expected text, found a list" },
-            { "team: shops", "team: shops\nteam: desks", 5, "team", "duplicate key, first on line 4" },
+            { "team: shops", "team: shops\nteam: sales", 5, "team", "duplicate key, first on line 4" },
             { "team: shops", "team: shops\nowner: me", 5, "owner", "unknown key" },
             { "  name: pricing\n", "", 6, "pool.name", "missing" },
             { "min: 8", "min: 13", 7, "pool.executors.min", "above the maximum" },
