--- a/src/crocuscove/server/job_controller.cpp
+++ b/src/crocuscove/server/job_controller.cpp
@@ -264,7 +264,7 @@
             < std::tie(right.cores, right.memoryMb, right.accelerators);
     };
     std::ranges::sort(capacities, byCores);
-    capacities.erase(std::ranges::unique(capacities).begin(), capacities.end());
+    capacities.erase(std::unique(capacities.begin(), capacities.end()), capacities.end());
     const auto add = [&](const state::JobRecord* job) {
         placement::JobView entry;
         entry.record = job;
