Remove a worker after maintenance only when the list shows its end

Cause: the platform confirms an order for maintenance also when it was carried out before. Ruled out: leases (all tasks were of one worker that answered) and late orders. Change: a confirmed order settles when a later list shows the VM away, or with another worker; a VM that is up with the same worker is dropped from the wave's work. An order without an answer follows the VM to its later worker, which is emptied before the order is repeated. Tests: AnOrderCarriedOutBeforeEndsNoTask failed before the change (task started twice) and passes; AWaveKeepsToItsNumberAndItsTasksRunAgain guards the wave's limit, which had no test. Both use a stand-in of the VM interface.

--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -30,8 +30,8 @@
 
 void WaveRunner::advance(base::MonotonicTime now, const std::function<bool(const std::string& vm)>& isMoving)
 {
-    dropFinished();
-    dropOutdated();
+    settleOrdered();
+    followWorkers(now);
     m_dueWorkers.clear();
     for (const auto& [id, wave] : m_cluster.state().waves()) {
         if (!wave.isDone()) {
@@ -41,15 +41,24 @@
     updateReserved();
 }
 
-// A VM that was ordered before the list was asked for, and is up under another worker, is back. On standby it has none.
-void WaveRunner::dropFinished()
+// The platform confirms an order also when it was carried out earlier, so that only the list shows whether the worker
+// has ended. On standby a VM has none.
+void WaveRunner::settleOrdered()
 {
     std::erase_if(m_drains, [this](const auto& entry) {
         const Drain& drain = entry.second;
+        if (!drain.orderedAt || *drain.orderedAt >= *m_directory.askedAt()) {
+            return false;
+        }
         const auto vm = m_directory.vms().find(entry.first);
-        const bool isBack = vm == m_directory.vms().end()
-            || (vm->second.isUp && (drain.workerId.empty() || vm->second.workerId != drain.workerId));
-        return drain.orderedAt && *drain.orderedAt < *m_directory.askedAt() && isBack;
+        const bool isBack = vm == m_directory.vms().end() || vm->second.isUp;
+        const bool isSameWorker
+            = vm != m_directory.vms().end() && vm->second.isUp && vm->second.workerId == drain.workerId;
+        const jobs::Worker* worker = m_cluster.state().findWorker(drain.workerId);
+        if (worker != nullptr && !isSameWorker) {
+            m_cluster.propose(jobs::RemoveWorker { worker->number }, nullptr);
+        }
+        return isBack;
     });
 }
 
@@ -63,14 +72,22 @@
     }));
 }
 
-void WaveRunner::dropOutdated()
+void WaveRunner::followWorkers(base::MonotonicTime now)
 {
-    std::erase_if(m_drains, [this](const auto& entry) {
+    const auto runsAnother = [this](const auto& entry) {
         const Drain& drain = entry.second;
         const auto vm = m_directory.vms().find(entry.first);
-        return !drain.orderedAt && !drain.isCalling && !drain.isUncertain && vm != m_directory.vms().end()
+        return !drain.orderedAt && !drain.isCalling && vm != m_directory.vms().end()
             && vm->second.workerId != drain.workerId;
-    });
+    };
+    std::erase_if(m_drains, [&](const auto& entry) { return !entry.second.isUncertain && runsAnother(entry); });
+    for (auto& entry : m_drains) {
+        if (runsAnother(entry)) {
+            // The repeated order may end the tasks of the later worker.
+            entry.second.workerId = m_directory.vms().at(entry.first).workerId;
+            entry.second.startedAt = now;
+        }
+    }
 }
 
 void WaveRunner::advanceWave(
@@ -228,11 +245,6 @@
     if (status == 200) {
         drain.orderedAt = base::monotonicNow();
         recordStep(wave, vm, jobs::WaveVmPhase::Done);
-        // The platform ends all that runs on the VM before it confirms.
-        const jobs::Worker* worker = m_cluster.state().findWorker(drain.workerId);
-        if (worker != nullptr) {
-            m_cluster.propose(jobs::RemoveWorker { worker->number }, nullptr);
-        }
     } else if (status == statusNoSuchVm) {
         m_drains.erase(found);
         recordStep(wave, vm, jobs::WaveVmPhase::Done);
--- a/src/crocuscove/control/wave_runner.h
+++ b/src/crocuscove/control/wave_runner.h
@@ -51,9 +51,10 @@
         base::MonotonicTime callAgainAt;
     };
 
-    void dropFinished();
-    /// Gives up drains of VMs that now run another worker than the one that is being emptied.
-    void dropOutdated();
+    /// Removes the workers of VMs whose maintenance has begun by the list, and drops what is back.
+    void settleOrdered();
+    /// Gives up drains of VMs that now run another worker, or empties that one where an order may be carried out yet.
+    void followWorkers(base::MonotonicTime now);
     void advanceWave(
         const jobs::Wave& wave, base::MonotonicTime now, const std::function<bool(const std::string& vm)>& isMoving);
     /// Returns the VMs that may be emptied next, the idlest first.
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -31,6 +31,7 @@
         m_internalPort = cluster.freePort();
         m_entryPort = cluster.freePort();
         m_readyPort = cluster.freePort();
+        m_vmPort = cluster.freePort();
         for (int number = 1; number <= 3; ++number) {
             startControl(number, true);
         }
@@ -54,7 +55,34 @@
             { "control", flag("name", controlName(number)), flag("listen", control(number).text()),
                 flag("internal-port", m_internalPort), flag("seeds", seeds()),
                 flag("first-start", isFirstStart ? "true" : "false"),
-                flag("data-folder", cluster.path("data-" + std::to_string(number))) });
+                flag("data-folder", cluster.path("data-" + std::to_string(number))),
+                flag("vm-interface", loopback(m_vmPort).text()) });
+    }
+
+    /// Starts the platform's interface for VMs; one VM for each worker, named like it with "vm-" before.
+    void startVms(const std::vector<std::string>& more = {})
+    {
+        std::string vms;
+        for (const auto& [worker, port] : m_workerPorts) {
+            vms += (vms.empty() ? "vm-" : ",vm-") + worker + "=" + worker + "@" + loopback(port).text();
+        }
+        std::vector<std::string> arguments { flag("listen", loopback(m_vmPort).text()), flag("vms", vms),
+            flag("records", cluster.path("vms.records")) };
+        arguments.insert(arguments.end(), more.begin(), more.end());
+        nlohmann::json ready;
+        cluster.startAndWait("vms", standinProgram("standin_vms"), arguments, ready);
+    }
+
+    int startWave(const std::string& body) const
+    {
+        const auto result = Cluster::request(control(leader()), "POST", "/api/wave-start", body);
+        return result.response ? result.response->status : 0;
+    }
+
+    [[nodiscard]] bool isWaveDone(int wave) const
+    {
+        const auto state = Cluster::getJson(control(std::max(1, leader())), "/api/wave-get/" + std::to_string(wave));
+        return state.is_object() && state.value("state", "") == "done";
     }
 
     void startWorker(const std::string& id, const std::vector<std::string>& more = {})
@@ -65,6 +93,7 @@
         nlohmann::json ready;
         cluster.startAndWait(id, standinProgram("standin_executor"), arguments, ready);
         m_workers.push_back(id);
+        m_workerPorts[id] = ready.at("port").get<std::uint16_t>();
     }
 
     /// Returns the number of the node that answers as the leader, or 0.
@@ -156,7 +185,9 @@
     std::uint16_t m_internalPort = 0;
     std::uint16_t m_entryPort = 0;
     std::uint16_t m_readyPort = 0;
+    std::uint16_t m_vmPort = 0;
     std::vector<std::string> m_workers;
+    std::map<std::string, std::uint16_t> m_workerPorts;
     mutable std::string m_body;
 };
 
@@ -292,5 +323,49 @@
     cluster.process("w1").signal(SIGCONT);
 }
 
+// Guards against a task that starts elsewhere while it runs on, because an order of maintenance was confirmed that had
+// been carried out under an earlier worker of the VM.
+TEST_F(PlatformTest, AnOrderCarriedOutBeforeEndsNoTask)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1");
+    startVms({ "--already-done" });
+    submit("00000000000000aa", R"({"spec":"8000","steps":[{"count":2,"cpu":1000,"memMb":64,"estRuntimeMs":100}]})");
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000aa.0.0.1") == 1; }));
+    startWorker("w2");
+    ASSERT_EQ(startWave(R"({"wave":1,"machines":["vm-w1"],"completeByS":20,"maxCount":1})"), 200);
+    EXPECT_TRUE(waitUntil([&] { return isWaveDone(1); }));
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; }));
+    EXPECT_EQ(starts("00000000000000aa.0.0.1"), 1U);
+    expectNoTaskTwice();
+}
+
+// Guards against more VMs under maintenance than the wave allows, a wave that is done before its VMs have begun, and a
+// task that never runs again after its VM was taken.
+TEST_F(PlatformTest, AWaveKeepsToItsNumberAndItsTasksRunAgain)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1");
+    startWorker("w2");
+    startWorker("w3");
+    startVms();
+    submit("00000000000000aa", R"({"spec":"4000","steps":[{"count":6,"cpu":2000,"memMb":64,"estRuntimeMs":100}]})");
+    submit("00000000000000bb", lasting);
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.1") == 1; }));
+    ASSERT_EQ(startWave(R"({"wave":1,"machines":["vm-w1","vm-w2","vm-w3"],"completeByS":20,"maxCount":1})"), 200);
+    EXPECT_TRUE(waitUntil([&] { return isWaveDone(1); }));
+    std::size_t down = 0;
+    std::size_t orders = 0;
+    for (const nlohmann::json& line : readJsonLines(cluster.path("vms.records"))) {
+        down += line.at("event") == "down" ? 1 : -1;
+        orders += line.at("event") == "down" ? 1 : 0;
+        EXPECT_LE(down, 1U);
+    }
+    EXPECT_EQ(orders, 3U);
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; }));
+    EXPECT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.1") >= 2; }));
+    expectNoTaskTwice();
+}
+
 } // namespace
 } // namespace crocuscove::testing
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -61,6 +61,10 @@
 
 void StandinExecutor::handle(const http::HttpRequest& request, const http::Responder& responder)
 {
+    if (request.path == "/standin/restart") {
+        restart(nlohmann::json::parse(request.body), responder);
+        return;
+    }
     if (request.headers.get("Expect-Instance") != m_options.id) {
         respond(responder, 421, nlohmann::json::object());
         return;
@@ -133,7 +137,8 @@
     respond(responder, 200, nlohmann::json::object());
 }
 
-void StandinExecutor::end(const std::string& task, const std::string& how)
+// A copy of the name, since callers pass the key that is erased.
+void StandinExecutor::end(std::string task, const std::string& how)
 {
     // Kept until the end: the timer of the run may be what calls this.
     const auto run = std::make_shared<Run>(std::move(m_running.at(task)));
@@ -145,6 +150,25 @@
     answerHold();
 }
 
+void StandinExecutor::restart(const nlohmann::json& body, const http::Responder& responder)
+{
+    while (!m_running.empty()) {
+        end(m_running.begin()->first, "killed");
+    }
+    m_hold.responder.reset();
+    m_pastRuns.clear();
+    m_ended.clear();
+    m_lastEnd = 0;
+    m_fence = 0;
+    m_leaseMs = 0;
+    m_sequence = 0;
+    m_options.id = body.at("id").get<std::string>();
+    m_born = base::wallNow().time_since_epoch().count();
+    m_startedAt = base::monotonicNow();
+    m_reportsFrom = m_startedAt + base::Milliseconds(body.at("afterMs").get<std::int64_t>());
+    respond(responder, 200, nlohmann::json::object());
+}
+
 void StandinExecutor::hold(const nlohmann::json& body, const http::Responder& responder)
 {
     extendLease(body);
@@ -175,7 +199,7 @@
 
 void StandinExecutor::report()
 {
-    if (m_options.controls.empty()) {
+    if (m_options.controls.empty() || base::monotonicNow() < m_reportsFrom) {
         return;
     }
     const base::Endpoint control = m_options.controls[m_nextControl++ % m_options.controls.size()];
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -53,8 +53,10 @@
     void start(const nlohmann::json& body, const http::Responder& responder);
     void stop(const nlohmann::json& body, const http::Responder& responder);
     void hold(const nlohmann::json& body, const http::Responder& responder);
+    /// Ends everything and goes on as another worker, as after the maintenance of a VM.
+    void restart(const nlohmann::json& body, const http::Responder& responder);
     void answerHold();
-    void end(const std::string& task, const std::string& how);
+    void end(std::string task, const std::string& how);
     void extendLease(const nlohmann::json& body);
     void report();
     void record(const std::string& event, const std::string& task, std::uint32_t run, const std::string& detail);
@@ -66,6 +68,8 @@
     JsonLinesFile m_records;
     base::MonotonicTime m_startedAt;
     std::int64_t m_born;
+    /// Nothing is reported before.
+    base::MonotonicTime m_reportsFrom;
     std::uint64_t m_fence = 0;
     std::int64_t m_leaseMs = 0;
     std::uint64_t m_sequence = 0;
