Plan only where something fits; look reserved workers up in a set

Cause: with 350 workers each plan searched the list of moves for every worker, summed the lasting tasks of every worker, and computed urgency and a full search for each waiting job of a full pool, up to 200 times a second. Change: services without waiting jobs are left out; jobs of which nothing fits into the largest free room are left out before they are ordered; a step's next task stays with its worker while that has room; lasting use is summed only when a lasting task is to be placed; reserved workers are a set; sessions are matched with workers only after commands that change workers.

--- a/include/crocuscove/jobs/resources.h
+++ b/include/crocuscove/jobs/resources.h
@@ -2,6 +2,7 @@
 
 #include "crocuscove/base/codec.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace crocuscove::jobs {
@@ -41,6 +42,13 @@
     }
 };
 
+/// Returns the larger amount of each resource.
+inline Resources larger(const Resources& left, const Resources& right)
+{
+    return { std::max(left.cpuMilli, right.cpuMilli), std::max(left.memoryMb, right.memoryMb),
+        std::max(left.accelerators, right.accelerators) };
+}
+
 CROCUSCOVE_FIELDS(Resources, v.cpuMilli, v.memoryMb, v.accelerators)
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -33,6 +33,11 @@
     return options;
 }
 
+bool changesWorkers(const jobs::Command& command)
+{
+    return std::holds_alternative<jobs::RecordWorker>(command) || std::holds_alternative<jobs::RemoveWorker>(command);
+}
+
 std::int64_t unixNow() { return base::wallNow().time_since_epoch().count(); }
 
 } // namespace
@@ -165,7 +170,10 @@
 
 void Leader::onApplied(const std::vector<jobs::Command>& commands)
 {
-    syncSessions();
+    // No commands stand for a snapshot that was installed.
+    if (commands.empty() || std::ranges::any_of(commands, changesWorkers)) {
+        syncSessions();
+    }
     std::ranges::for_each(commands, [this](const jobs::Command& command) { touch(command); });
     schedulePlan();
 }
--- a/src/crocuscove/control/pool_mover.cpp
+++ b/src/crocuscove/control/pool_mover.cpp
@@ -28,11 +28,6 @@
 {
 }
 
-bool PoolMover::isReserved(const std::string& workerId) const
-{
-    return std::ranges::any_of(m_moves, [&](const auto& move) { return move.second.workerId == workerId; });
-}
-
 void PoolMover::addArrival(const jobs::RunTimes& runTimes, const jobs::Job& job)
 {
     m_planner.addArrival(m_cluster.state(), runTimes, job, base::monotonicNow());
@@ -119,6 +114,8 @@
         }
     }
     std::ranges::for_each(given, [this](const std::string& vm) { m_moves.erase(vm); });
+    m_reservedWorkers.clear();
+    std::ranges::for_each(m_moves, [this](const auto& entry) { m_reservedWorkers.insert(entry.second.workerId); });
 }
 
 void PoolMover::order(const std::string& vm, Move& move)
--- a/src/crocuscove/control/pool_mover.h
+++ b/src/crocuscove/control/pool_mover.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace crocuscove::control {
@@ -28,7 +29,7 @@
     PoolMover& operator=(const PoolMover&) = delete;
 
     /// Tells whether the VM of a worker is about to move, so that nothing new starts there.
-    [[nodiscard]] bool isReserved(const std::string& workerId) const;
+    [[nodiscard]] bool isReserved(const std::string& workerId) const { return m_reservedWorkers.contains(workerId); }
 
     [[nodiscard]] bool isMoving(const std::string& vm) const { return m_moves.contains(vm); }
 
@@ -66,6 +67,7 @@
     SessionFinder m_findSession;
     jobs::PoolPlanner m_planner;
     std::map<std::string, Move> m_moves;
+    std::set<std::string> m_reservedWorkers;
     base::MonotonicTime m_loggedAt;
     /// Cleared at the end, for callbacks that come later.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/crocuscove/jobs/pool_plan.cpp
+++ b/src/crocuscove/jobs/pool_plan.cpp
@@ -32,12 +32,6 @@
     return { scale(amount.cpuMilli), scale(amount.memoryMb), scale(amount.accelerators) };
 }
 
-Resources larger(const Resources& left, const Resources& right)
-{
-    return { std::max(left.cpuMilli, right.cpuMilli), std::max(left.memoryMb, right.memoryMb),
-        std::max(left.accelerators, right.accelerators) };
-}
-
 /// What the ready tasks of a job reserve.
 Resources readyDemand(const Job& job, std::int64_t nowMs)
 {
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace crocuscove::jobs {
 
@@ -71,6 +72,27 @@
     });
 }
 
+/// Tells whether a waiting task of the job fits into `free`.
+bool hasFittingTask(const Job& job, const Resources& free)
+{
+    return std::ranges::any_of(job.occurrences, [&](const std::vector<StepProgress>& steps) {
+        return std::ranges::any_of(steps, [&](const StepProgress& step) {
+            const auto number = static_cast<std::size_t>(&step - steps.data());
+            return step.waitingTasks > 0 && job.spec.steps[number].reservation().fitsInto(free);
+        });
+    });
+}
+
+std::int64_t lastingCpu(const FleetState& state, WorkerNumber worker)
+{
+    std::int64_t cpu = 0;
+    for (const TaskKey& key : state.tasksOf(worker)) {
+        const StepSpec& step = state.findJob(key.job)->spec.steps[key.step];
+        cpu += step.isLasting ? step.perTask.cpuMilli : 0;
+    }
+    return cpu;
+}
+
 /// Plans the workers of one service.
 class ServicePlanner {
 public:
@@ -79,8 +101,13 @@
         , m_candidates(std::move(candidates))
         , m_budget(budget)
     {
+        std::ranges::for_each(m_candidates,
+            [this](const Candidate& candidate) { m_largestFree = larger(m_largestFree, candidate.free); });
     }
 
+    /// No worker has more free of any resource.
+    [[nodiscard]] const Resources& largestFree() const { return m_largestFree; }
+
     void planJob(const Job& job, std::vector<AssignTasks>& plan)
     {
         for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
@@ -113,15 +140,19 @@
         }
         std::vector<Assignment> chosen;
         std::string rack = spec.dataRack;
+        Candidate* last = nullptr;
         for (std::uint32_t index = 0; index < progress.tasks.size() && chosen.size() < m_budget; ++index) {
             const Task& task = progress.tasks[index];
             if (task.phase != TaskPhase::Waiting) {
                 continue;
             }
-            Candidate* candidate = choose(spec, perWorker, rack);
-            if (candidate == nullptr) {
+            if (!mayStillTake(spec, last, perWorker)) {
+                last = choose(spec, perWorker, rack);
+            }
+            if (last == nullptr) {
                 break;
             }
+            Candidate* candidate = last;
             candidate->free -= spec.reservation();
             candidate->lastingCpuMilli += spec.isLasting ? spec.perTask.cpuMilli : 0;
             ++perWorker[candidate->worker->number];
@@ -142,6 +173,7 @@
                 const auto candidate = std::ranges::find_if(
                     m_candidates, [&](const Candidate& other) { return other.worker->number == assignment.worker; });
                 candidate->free += spec.reservation();
+                m_largestFree = larger(m_largestFree, candidate->free);
             });
             return;
         }
@@ -172,15 +204,41 @@
         return candidate.lastingCpuMilli > 0 ? 0 : 1;
     }
 
+    /// Tells whether the worker of the last task stays the best one: it became fuller and all others stayed as they
+    /// are.
+    static bool mayStillTake(
+        const StepSpec& spec, const Candidate* last, const std::map<WorkerNumber, std::uint32_t>& perWorker)
+    {
+        return last != nullptr && !spec.isLasting && spec.reservation().fitsInto(last->free)
+            && (spec.maxPerWorker == 0 || perWorker.at(last->worker->number) < spec.maxPerWorker);
+    }
+
+    void addLastingUse()
+    {
+        if (!std::exchange(m_knowsLastingUse, true)) {
+            std::ranges::for_each(m_candidates, [this](Candidate& candidate) {
+                candidate.lastingCpuMilli = lastingCpu(m_view.state, candidate.worker->number);
+            });
+        }
+    }
+
     /// Takes the fullest worker that has room, so that large tasks find room elsewhere and idle VMs can be given away.
     Candidate* choose(
         const StepSpec& spec, const std::map<WorkerNumber, std::uint32_t>& perWorker, const std::string& rack)
     {
         const Resources need = spec.reservation();
+        if (!need.fitsInto(m_largestFree)) {
+            return nullptr;
+        }
+        if (spec.isLasting) {
+            addLastingUse();
+        }
+        Resources largestFree;
         Candidate* best = nullptr;
         std::tuple<double, std::int64_t, std::int64_t> bestCost { std::numeric_limits<double>::max(), 0, 0 };
         for (Candidate& candidate : m_candidates) {
             const Worker& worker = *candidate.worker;
+            largestFree = larger(largestFree, candidate.free);
             const auto here = perWorker.find(worker.number);
             const std::uint32_t count = here == perWorker.end() ? 0 : here->second;
             if (!need.fitsInto(candidate.free) || (spec.maxPerWorker != 0 && count >= spec.maxPerWorker)
@@ -195,39 +253,45 @@
                 bestCost = cost;
             }
         }
+        m_largestFree = largestFree;
         return best;
     }
 
     const SchedulingView& m_view;
     std::vector<Candidate> m_candidates;
+    /// What doesn't fit here fits nowhere.
+    Resources m_largestFree;
+    bool m_knowsLastingUse = false;
     std::size_t& m_budget;
 };
 
-std::int64_t lastingCpu(const FleetState& state, WorkerNumber worker)
-{
-    std::int64_t cpu = 0;
-    for (const TaskKey& key : state.tasksOf(worker)) {
-        const StepSpec& step = state.findJob(key.job)->spec.steps[key.step];
-        cpu += step.isLasting ? step.perTask.cpuMilli : 0;
-    }
-    return cpu;
-}
+struct QueuedJob {
+    const Job* job = nullptr;
+    const Queue* queue = nullptr;
+};
 
-std::map<std::string, std::vector<Candidate>> candidatesByService(const SchedulingView& view)
+using JobsByService = std::map<std::string, std::vector<QueuedJob>>;
+
+/// Returns the workers of the services for which something waits.
+std::map<std::string, std::vector<Candidate>> candidatesByService(
+    const SchedulingView& view, const JobsByService& waiting)
 {
     std::map<std::string, std::vector<Candidate>> result;
-    for (const auto& [number, worker] : view.state.workers()) {
-        if (!worker.report.isDraining && view.isUsable(worker)) {
-            result[worker.report.service].push_back(
-                { &worker, worker.free(), view.penalty(worker), lastingCpu(view.state, number) });
+    if (waiting.empty()) {
+        return result;
+    }
+    for (const auto& entry : view.state.workers()) {
+        const Worker& worker = entry.second;
+        if (!worker.report.isDraining && waiting.contains(worker.report.service) && view.isUsable(worker)) {
+            result[worker.report.service].push_back({ &worker, worker.free(), view.penalty(worker), 0 });
         }
     }
     return result;
 }
 
-std::map<std::string, std::vector<Waiting>> waitingByService(const SchedulingView& view)
+JobsByService waitingJobsByService(const SchedulingView& view)
 {
-    std::map<std::string, std::vector<Waiting>> result;
+    JobsByService result;
     for (const auto& [queueName, jobs] : view.state.activeJobs()) {
         const Queue* queue = view.state.findQueue(queueName);
         if (queue == nullptr) {
@@ -236,14 +300,29 @@
         for (const JobId id : jobs) {
             const Job& job = view.state.jobs().at(id);
             if (hasWaitingTask(job)) {
-                result[queue->service].push_back({ &job, urgencyOf(job, *queue, view.runTimes, view.nowMs),
-                    queue->priority, remainingWork(job, view.runTimes) });
+                result[queue->service].push_back({ &job, queue });
             }
         }
     }
     return result;
 }
 
+/// Returns the jobs of which something fits into `free`, the most urgent first.
+std::vector<Waiting> inOrder(const SchedulingView& view, const std::vector<QueuedJob>& jobs, const Resources& free)
+{
+    std::vector<Waiting> result;
+    for (const auto& [job, queue] : jobs) {
+        if (hasFittingTask(*job, free)) {
+            result.push_back({ job, urgencyOf(*job, *queue, view.runTimes, view.nowMs), queue->priority,
+                remainingWork(*job, view.runTimes) });
+        }
+    }
+    std::ranges::sort(result, {}, [](const Waiting& entry) {
+        return std::tuple(entry.urgency, entry.priority, entry.remainingWork, entry.job->id);
+    });
+    return result;
+}
+
 } // namespace
 
 Urgency urgencyOf(const Job& job, const Queue& queue, const RunTimes& runTimes, std::int64_t nowMs)
@@ -265,17 +344,11 @@
 {
     std::vector<AssignTasks> plan;
     std::size_t budget = maxTasks;
-    auto candidates = candidatesByService(view);
-    for (auto& [service, waiting] : waitingByService(view)) {
-        const auto workers = candidates.find(service);
-        if (workers == candidates.end()) {
-            continue;
-        }
-        std::ranges::sort(waiting, {}, [](const Waiting& entry) {
-            return std::tuple(entry.urgency, entry.priority, entry.remainingWork, entry.job->id);
-        });
-        ServicePlanner planner(view, std::move(workers->second), budget);
-        for (const Waiting& entry : waiting) {
+    const JobsByService waitingJobs = waitingJobsByService(view);
+    auto candidates = candidatesByService(view, waitingJobs);
+    for (auto& [service, workers] : candidates) {
+        ServicePlanner planner(view, std::move(workers), budget);
+        for (const Waiting& entry : inOrder(view, waitingJobs.at(service), planner.largestFree())) {
             if (budget == 0) {
                 break;
             }
--- a/src/crocuscove/jobs/scheduler_test.cpp
+++ b/src/crocuscove/jobs/scheduler_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 
 namespace crocuscove::jobs {
@@ -129,5 +130,30 @@
     EXPECT_TRUE(workersOf(plan()).contains(m_state.findWorker("w1")->number));
 }
 
+// Guards against room that a gang gave back and that counts as taken for the jobs after it.
+TEST_F(SchedulerTest, RoomOfAGangThatDoesNotFitGoesToTheNextJob)
+{
+    StepSpec gang = step(4, 4000);
+    gang.isGang = true;
+    m_state.apply(accept(1, { gang }));
+    m_state.apply(accept(2, { step(3, 4000) }));
+    const auto assignments = plan();
+    EXPECT_EQ(assignments.size(), 3U);
+    EXPECT_TRUE(std::ranges::all_of(assignments, [](const Assignment& item) { return item.task.job == 2; }));
+}
+
+// Guards against a large task at the front that keeps smaller ones from starting, and against tasks of one step that go
+// on to a worker that is full.
+TEST_F(SchedulerTest, WhatDoesNotFitLeavesRoomForSmallerTasks)
+{
+    m_state.apply(accept(1, { step(1, 5000) }));
+    m_state.apply(accept(2, { step(14, 1000) }));
+    const auto assignments = plan();
+    EXPECT_EQ(assignments.size(), 12U) << "three workers of four cores";
+    std::map<WorkerNumber, int> perWorker;
+    std::ranges::for_each(assignments, [&](const Assignment& item) { ++perWorker[item.worker]; });
+    EXPECT_TRUE(std::ranges::all_of(perWorker, [](const auto& entry) { return entry.second == 4; }));
+}
+
 } // namespace
 } // namespace crocuscove::jobs
