Close a connection whose frame can't be read, and go on

Cause: a frame that can't be decoded threw out of the loop, so that any peer on the internal port could end a control or entry node. Change: decoding throws link::MalformedFrame, which closes that connection; the cause is in the log line of the closed connection. Tests: AMalformedFrameClosesTheConnectionOnly of LeaderLinkTest and PlatformTest; both failed with the handler taken out, and pass.

--- a/include/crocuscove/control/node_message.h
+++ b/include/crocuscove/control/node_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocuscove/base/codec.h"
+#include "crocuscove/consensus/message.h"
 
 #include <cstdint>
 #include <map>
@@ -67,4 +68,12 @@
 inline auto codecFields(const ViewRequest& /*request*/) { return std::tuple<>(); }
 CROCUSCOVE_FIELDS(ClusterView, v.leader, v.nodes)
 
+std::string encodeNodeMessage(const NodeMessage& message);
+
+/// Throws link::MalformedFrame.
+NodeMessage decodeNodeMessage(std::string_view frame);
+
+/// Throws link::MalformedFrame.
+consensus::Message decodeConsensusFrame(const ConsensusFrame& frame);
+
 } // namespace crocuscove::control
--- a/include/crocuscove/link/frame_connection.h
+++ b/include/crocuscove/link/frame_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crocuscove/base/error.h"
 #include "crocuscove/base/settings.h"
 #include "crocuscove/base/time.h"
 #include "crocuscove/http/event_loop.h"
@@ -21,7 +22,14 @@
     base::Milliseconds silenceTimeout { 1500 };
 };
 
+/// A frame that its receiver can't read.
+class MalformedFrame : public base::Error {
+public:
+    using base::Error::Error;
+};
+
 struct FrameHooks {
+    /// When it throws MalformedFrame, the connection is closed with that cause.
     std::function<void(std::string_view frame)> onFrame;
     /// Runs once, when the connection can carry nothing any more. It may destroy the connection.
     std::function<void(std::string_view cause)> onClosed;
--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -1,6 +1,5 @@
 #include "cluster.h"
 
-#include "crocuscove/base/codec.h"
 #include "crocuscove/base/error.h"
 
 #include <fmt/format.h>
@@ -32,8 +31,6 @@
 
 std::string nodeName(std::uint64_t folderId) { return fmt::format("n{:016x}", folderId); }
 
-std::string encodeMessage(const NodeMessage& message) { return base::encode(message); }
-
 } // namespace
 
 Cluster::Cluster(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, base::Random& random,
@@ -112,7 +109,7 @@
 {
     const auto now = base::monotonicNow();
     connectPeers(now);
-    const std::string request = encodeMessage(ViewRequest {});
+    const std::string request = encodeNodeMessage(ViewRequest {});
     for (auto& [address, peer] : m_peers) {
         if (peer.isReady) {
             peer.connection->send(request);
@@ -145,14 +142,15 @@
 {
     link::FrameHooks hooks;
     hooks.onFrame = [this, address](std::string_view frame) { onOutbound(address, frame); };
-    hooks.onClosed = [this, address](std::string_view /*cause*/) {
-        m_loop.post([this, address] {
+    hooks.onClosed = [this, address](std::string_view cause) {
+        m_loop.post([this, address, cause = std::string(cause)] {
             const auto found = m_peers.find(address);
             if (found == m_peers.end() || !found->second.connection || found->second.connection->isOpen()) {
                 return;
             }
             if (found->second.isReady) {
-                m_logLines.warning("peer_lost", { { "address", address }, { "peer", found->second.node } });
+                m_logLines.warning(
+                    "peer_lost", { { "address", address }, { "peer", found->second.node }, { "cause", cause } });
             }
             found->second.connection.reset();
             found->second.isReady = false;
@@ -161,7 +159,7 @@
     };
     peer.connection = link::FrameConnection::connect(
         m_loop, { address, m_options.internalPort }, link::FrameOptions {}, std::move(hooks));
-    peer.connection->send(encodeMessage(Hello { m_log.node().text(), m_options.listen.host }));
+    peer.connection->send(encodeNodeMessage(Hello { m_log.node().text(), m_options.listen.host }));
 }
 
 void Cluster::accept(std::unique_ptr<link::FrameConnection> connection)
@@ -169,7 +167,10 @@
     const std::uint64_t id = m_nextInbound++;
     link::FrameHooks hooks;
     hooks.onFrame = [this, id](std::string_view frame) { onInbound(id, frame); };
-    hooks.onClosed = [this, id](std::string_view /*cause*/) { m_loop.post([this, id] { m_inbound.erase(id); }); };
+    hooks.onClosed = [this, id](std::string_view cause) {
+        m_logLines.info("connection_closed", { { "peer", m_inbound.at(id).hello.address }, { "cause", cause } });
+        m_loop.post([this, id] { m_inbound.erase(id); });
+    };
     connection->setHooks(std::move(hooks));
     m_inbound.emplace(id, Inbound { std::move(connection), {} });
 }
@@ -181,24 +182,24 @@
         return;
     }
     Inbound& inbound = found->second;
-    const auto message = base::decode<NodeMessage>(frame);
+    const auto message = decodeNodeMessage(frame);
     heardFrom(inbound.hello.node);
     if (const auto* hello = std::get_if<Hello>(&message)) {
         inbound.hello = *hello;
         if (!hello->node.empty()) {
             learn(hello->address);
         }
-        inbound.connection->send(encodeMessage(Hello { m_log.node().text(), m_options.listen.host }));
-        inbound.connection->send(encodeMessage(view()));
+        inbound.connection->send(encodeNodeMessage(Hello { m_log.node().text(), m_options.listen.host }));
+        inbound.connection->send(encodeNodeMessage(view()));
     } else if (const auto* consensusFrame = std::get_if<ConsensusFrame>(&message)) {
-        m_log.step(consensus::decodeMessage(consensusFrame->message));
+        m_log.step(decodeConsensusFrame(*consensusFrame));
     } else if (std::holds_alternative<ViewRequest>(message)) {
-        inbound.connection->send(encodeMessage(view()));
+        inbound.connection->send(encodeNodeMessage(view()));
     } else if (const auto* request = std::get_if<ForwardedRequest>(&message)) {
         m_hooks.onRequest(*request, [this, id](const ForwardedAnswer& answer) {
             const auto caller = m_inbound.find(id);
             if (caller != m_inbound.end()) {
-                caller->second.connection->send(encodeMessage(answer));
+                caller->second.connection->send(encodeNodeMessage(answer));
             }
         });
     }
@@ -210,7 +211,7 @@
     if (found == m_peers.end()) {
         return;
     }
-    const auto message = base::decode<NodeMessage>(frame);
+    const auto message = decodeNodeMessage(frame);
     if (const auto* hello = std::get_if<Hello>(&message)) {
         found->second.node = hello->node;
         found->second.isReady = true;
@@ -244,7 +245,7 @@
 {
     const auto peer = m_peers.find(addressOf(message.to.text()));
     if (peer != m_peers.end() && peer->second.isReady) {
-        peer->second.connection->send(encodeMessage(ConsensusFrame { consensus::encodeMessage(message) }));
+        peer->second.connection->send(encodeNodeMessage(ConsensusFrame { consensus::encodeMessage(message) }));
     }
 }
 
--- a/src/crocuscove/entry/leader_link.cpp
+++ b/src/crocuscove/entry/leader_link.cpp
@@ -1,7 +1,5 @@
 #include "leader_link.h"
 
-#include "crocuscove/base/codec.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -21,8 +19,6 @@
 /// A leader that answered within this time counts as reachable.
 constexpr base::Milliseconds readyWindow { 1'500 };
 
-std::string encodeMessage(const control::NodeMessage& message) { return base::encode(message); }
-
 } // namespace
 
 LeaderLink::LeaderLink(http::EventLoop& loop, const EntryOptions& options, const base::Log& log)
@@ -68,7 +64,7 @@
     }
     if (now - m_viewAskedAt >= viewInterval) {
         m_viewAskedAt = now;
-        m_connection->send(encodeMessage(control::ViewRequest {}));
+        m_connection->send(control::encodeNodeMessage(control::ViewRequest {}));
     }
 }
 
@@ -94,16 +90,16 @@
     m_viewAskedAt = now;
     link::FrameHooks hooks;
     hooks.onFrame = [this, number](std::string_view frame) { onFrame(number, frame); };
-    hooks.onClosed = [this, number](std::string_view /*cause*/) {
-        m_loop.post([this, number] {
+    hooks.onClosed = [this, number](std::string_view cause) {
+        m_loop.post([this, number, cause = std::string(cause)] {
             if (number == m_connectionNumber) {
-                disconnect("closed");
+                disconnect(cause);
             }
         });
     };
     m_connection = link::FrameConnection::connect(
         m_loop, { address, m_options.internalPort }, link::FrameOptions {}, std::move(hooks));
-    m_connection->send(encodeMessage(control::Hello { "", m_options.listen.host }));
+    m_connection->send(control::encodeNodeMessage(control::Hello { "", m_options.listen.host }));
 }
 
 void LeaderLink::disconnect(std::string_view reason)
@@ -123,7 +119,7 @@
     }
     m_heardAt = base::monotonicNow();
     m_hasAnswered = true;
-    auto message = base::decode<control::NodeMessage>(frame);
+    auto message = control::decodeNodeMessage(frame);
     // Handled on the next turn, since it may replace the connection that calls this.
     m_loop.post([this, connectionNumber, message = std::move(message)] {
         if (connectionNumber != m_connectionNumber) {
@@ -168,7 +164,7 @@
         if (pending.isWaiting) {
             pending.isWaiting = false;
             pending.wasSent = true;
-            m_connection->send(encodeMessage(pending.request));
+            m_connection->send(control::encodeNodeMessage(pending.request));
         }
     }
 }
--- a/src/crocuscove/entry/leader_link_test.cpp
+++ b/src/crocuscove/entry/leader_link_test.cpp
@@ -29,6 +29,8 @@
 
     void setLeader(std::string leader) { m_leader = std::move(leader); }
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
+    /// Answers the next frames with bytes that are no message.
+    void setMalformedAnswers(std::size_t count) { m_malformedAnswers = count; }
     [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
     [[nodiscard]] std::size_t requests() const { return m_requests; }
 
@@ -44,6 +46,11 @@
 
     void onFrame(link::FrameConnection& connection, std::string_view frame)
     {
+        if (m_malformedAnswers > 0) {
+            --m_malformedAnswers;
+            connection.send("no message");
+            return;
+        }
         const auto message = base::decode<control::NodeMessage>(frame);
         if (const auto* request = std::get_if<control::ForwardedRequest>(&message)) {
             ++m_requests;
@@ -66,6 +73,7 @@
     std::string m_leader;
     bool m_isSilent = false;
     std::size_t m_requests = 0;
+    std::size_t m_malformedAnswers = 0;
     std::vector<std::unique_ptr<link::FrameConnection>> m_connections;
     link::FrameListener m_listener;
 };
@@ -154,5 +162,16 @@
     EXPECT_EQ(answer->body, "127.0.0.2");
 }
 
+// Guards against an entry node that ends because of a frame that it can't read.
+TEST_F(LeaderLinkTest, AMalformedFrameClosesTheConnectionOnly)
+{
+    FakeControlNode& leader = addNode("127.0.0.1", "127.0.0.1");
+    leader.setMalformedAnswers(2);
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    const auto answer = ask(leaderLink, 15s, 15s);
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(answer->failure);
+}
+
 } // namespace
 } // namespace crocuscove::entry
--- a/src/crocuscove/link/frame_connection.cpp
+++ b/src/crocuscove/link/frame_connection.cpp
@@ -129,10 +129,25 @@
             evbuffer_drain(input, lengthBytes);
             std::string frame(length, '\0');
             evbuffer_remove(input, frame.data(), length);
-            if (m_hooks.onFrame) {
-                m_hooks.onFrame(frame);
+            if (m_hooks.onFrame && !deliver(frame)) {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the connection goes on.
+    bool deliver(std::string_view frame)
+    {
+        const auto alive = m_isAlive;
+        try {
+            m_hooks.onFrame(frame);
+        } catch (const MalformedFrame& error) {
+            if (*alive) {
+                close(error.what());
             }
+            return false;
         }
+        return *alive;
     }
 
     void close(std::string_view cause)
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -1,7 +1,10 @@
+#include "crocuscove/http/socket_address.h"
 #include "support/cluster.h"
 #include "support/json_lines.h"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -367,5 +370,34 @@
     expectNoTaskTwice();
 }
 
+/// Sends bytes to a port and returns whether the other side then closes the connection.
+bool isClosedAfter(const base::Endpoint& endpoint, const std::string& bytes)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const timeval patience { 10, 0 };
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+    const http::SocketAddress address = http::socketAddress(endpoint);
+    bool isClosed = false;
+    if (::connect(socket, address.get(), address.size) == 0) {
+        EXPECT_EQ(::send(socket, bytes.data(), bytes.size(), 0), static_cast<ssize_t>(bytes.size()));
+        char byte = 0;
+        isClosed = ::recv(socket, &byte, 1, 0) <= 0;
+    }
+    ::close(socket);
+    return isClosed;
+}
+
+// Guards against a control node that ends because of a frame that it can't read.
+TEST_F(PlatformTest, AMalformedFrameClosesTheConnectionOnly)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    using namespace std::string_literals;
+    EXPECT_TRUE(isClosedAfter({ address(first), m_internalPort }, "\0\0\0\3abc"s));
+    EXPECT_TRUE(isClosedAfter({ address(first), m_internalPort }, "\xff\xff\xff\xff"s)) << "a frame of 4 GB";
+    EXPECT_EQ(putConfiguration(first), 200);
+    EXPECT_EQ(leader(), first);
+}
+
 } // namespace
 } // namespace crocuscove::testing
