Split what grew; share the run loop of both nodes; add a fault soak

Change: worker_orders.cpp and worker_timing.h leave worker_session.cpp; module process holds metrics and runProcess; platform_soak_test.cpp runs control nodes, an entry node and workers under signals, restarts, configuration changes and a fault proxy before each worker, and checks runs, jobs and refusals. The end now counts while the task waits; AnEndAsDoneCountsAfterTheWorkerWasGivenUp. The soak's check follows the rule: an end before the lapse of a lease never counts as noted.

--- a/include/crocuscove/control/metrics.h
+++ b/include/crocuscove/process/metrics.h
@@ -12,7 +12,7 @@
 #include <optional>
 #include <string>
 
-namespace crocuscove::control {
+namespace crocuscove::process {
 
 /// Counters, gauges and latency histograms of one process, by the naming conventions of Prometheus.
 class Metrics {
@@ -52,4 +52,4 @@
 /// Returns the setting --metrics-listen.
 base::Setting metricsSetting(std::optional<base::Endpoint>& target);
 
-} // namespace crocuscove::control
+} // namespace crocuscove::process
--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -1,14 +1,12 @@
 #include "cluster.h"
 #include "control_api.h"
-#include "crocuscove/base/error.h"
 #include "crocuscove/control/control_options.h"
-#include "crocuscove/control/metrics.h"
 #include "crocuscove/http/http_server.h"
-#include "crocuscove/http/log_output.h"
+#include "crocuscove/process/metrics.h"
+#include "crocuscove/process/run_process.h"
 #include "job_api.h"
 #include "leader.h"
 
-#include <csignal>
 #include <memory>
 #include <random>
 
@@ -29,7 +27,7 @@
         , m_options(options)
         , m_log(log)
         , m_metricsServer(options.metricsListen
-                  ? std::make_unique<MetricsServer>(loop, *options.metricsListen, m_metrics)
+                  ? std::make_unique<process::MetricsServer>(loop, *options.metricsListen, m_metrics)
                   : nullptr)
         , m_cluster(loop, options, log, random, clusterHooks())
         , m_controlApi(loop, options, log, m_cluster)
@@ -95,8 +93,8 @@
     http::EventLoop& m_loop;
     const ControlOptions& m_options;
     const base::Log& m_log;
-    Metrics m_metrics;
-    std::unique_ptr<MetricsServer> m_metricsServer;
+    process::Metrics m_metrics;
+    std::unique_ptr<process::MetricsServer> m_metricsServer;
     std::unique_ptr<Leader> m_leader;
     Cluster m_cluster;
     ControlApi m_controlApi;
@@ -109,27 +107,16 @@
 
 void runControl(const ControlOptions& options)
 {
-    // A peer that closes its connection must not end the process.
-    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
-    http::EventLoop loop;
-    http::LogOutput output(loop);
-    const base::Log log(options.logLevel, { { "node", options.name }, { "role", "control" } }, output.sink());
     const std::uint64_t seed = std::random_device {}();
     base::Random random(seed);
-    log.info("started",
-        { { "listen", options.listen.text() }, { "first_start", options.isFirstStart },
-            { "seeds", options.seeds.size() }, { "seed", seed } });
-    try {
-        ControlNode node(loop, options, log, random);
-        const auto terminate = loop.onSignal(SIGTERM, [&node] { node.beginStop(); });
-        const auto interrupt = loop.onSignal(SIGINT, [&node] { node.beginStop(); });
-        const auto reload = loop.onSignal(SIGHUP, [&log] { log.info("reload", { { "changed", 0 } }); });
-        loop.run();
-        log.info("stopped");
-    } catch (const base::Error& error) {
-        log.error("node_failed", { { "cause", error.what() } });
-        throw;
-    }
+    process::runProcess(
+        { options.name, "control", options.logLevel }, [&](http::EventLoop& loop, const base::Log& log) {
+            log.info("started",
+                { { "listen", options.listen.text() }, { "first_start", options.isFirstStart },
+                    { "seeds", options.seeds.size() }, { "seed", seed } });
+            const auto node = std::make_shared<ControlNode>(loop, options, log, random);
+            return process::Work { node, [node] { node->beginStop(); } };
+        });
 }
 
 } // namespace crocuscove::control
--- a/src/crocuscove/control/control_settings.cpp
+++ b/src/crocuscove/control/control_settings.cpp
@@ -1,8 +1,8 @@
 #include "crocuscove/base/error.h"
 #include "crocuscove/base/text.h"
 #include "crocuscove/control/control_options.h"
-#include "crocuscove/control/metrics.h"
 #include "crocuscove/control/node_settings.h"
+#include "crocuscove/process/metrics.h"
 
 namespace crocuscove::control {
 
@@ -65,7 +65,7 @@
             } },
         { "vm-interface", "the platform's interface for VMs", "IPv4:PORT",
             [&options](std::string_view value) { options.vmInterface = base::parseEndpoint(value); } },
-        metricsSetting(options.metricsListen),
+        process::metricsSetting(options.metricsListen),
         durationSetting("task-lease-ms", "ms that tasks run on without the leader", options.taskLease),
         durationSetting("vm-lease-ms", "ms between the orders of two leaders for one VM", options.vmLease),
     };
--- a/src/crocuscove/control/job_api.h
+++ b/src/crocuscove/control/job_api.h
@@ -2,8 +2,8 @@
 
 #include "cluster.h"
 #include "crocuscove/base/log.h"
-#include "crocuscove/control/metrics.h"
 #include "crocuscove/control/node_message.h"
+#include "crocuscove/process/metrics.h"
 
 #include <functional>
 #include <string>
@@ -15,7 +15,7 @@
 public:
     using Reply = std::function<void(ForwardedAnswer)>;
 
-    JobApi(const base::Log& log, Metrics& metrics, Cluster& cluster)
+    JobApi(const base::Log& log, process::Metrics& metrics, Cluster& cluster)
         : m_log(log)
         , m_metrics(metrics)
         , m_cluster(cluster)
@@ -33,7 +33,7 @@
         const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply);
 
     const base::Log& m_log;
-    Metrics& m_metrics;
+    process::Metrics& m_metrics;
     Cluster& m_cluster;
 };
 
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -42,8 +42,8 @@
 
 } // namespace
 
-Leader::Leader(
-    http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Metrics& metrics, Cluster& cluster)
+Leader::Leader(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, process::Metrics& metrics,
+    Cluster& cluster)
     : m_loop(loop)
     , m_options(options)
     , m_log(log)
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -3,10 +3,10 @@
 #include "cluster.h"
 #include "crocuscove/base/log.h"
 #include "crocuscove/control/control_options.h"
-#include "crocuscove/control/metrics.h"
 #include "crocuscove/http/event_loop.h"
 #include "crocuscove/http/http_client.h"
 #include "crocuscove/jobs/run_times.h"
+#include "crocuscove/process/metrics.h"
 #include "fleet_manager.h"
 #include "pacer.h"
 #include "worker_session.h"
@@ -21,8 +21,8 @@
 /// from the moment this node serves as the leader until it no longer does.
 class Leader {
 public:
-    Leader(
-        http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Metrics& metrics, Cluster& cluster);
+    Leader(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, process::Metrics& metrics,
+        Cluster& cluster);
     ~Leader();
     Leader(const Leader&) = delete;
     Leader& operator=(const Leader&) = delete;
@@ -43,7 +43,7 @@
     http::EventLoop& m_loop;
     const ControlOptions& m_options;
     const base::Log& m_log;
-    Metrics& m_metrics;
+    process::Metrics& m_metrics;
     Cluster& m_cluster;
     http::HttpClient m_client;
     std::map<jobs::WorkerNumber, std::unique_ptr<WorkerSession>> m_sessions;
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/json_fields.h"
 #include "platform/task_name.h"
+#include "worker_timing.h"
 
 #include <algorithm>
 #include <utility>
@@ -10,20 +11,10 @@
 
 namespace {
 
-/// How long a renewal waits at the worker for an end. Well below the lease, which each renewal extends.
-constexpr base::Milliseconds renewWait { 1'000 };
-/// How long an answer may take beyond the wait: several round trips between data centres.
-constexpr base::Milliseconds answerTimeout { 700 };
-constexpr base::Milliseconds retryPause { 150 };
 /// A worker that answered nothing for this long gets no new tasks: a renewal's wait and its timeout.
 constexpr base::Milliseconds usableWindow { 1'800 };
-/// Starts sent to one worker at the same time, so that a burst reuses connections.
-constexpr std::uint32_t maxStartsInFlight = 4;
 /// A worker lists at most this many ends in one answer (PROTOCOL).
 constexpr std::size_t maxListedEnds = 500;
-/// Weight of one more run in the share of failed runs.
-constexpr double failureWeight = 0.15;
-constexpr std::uint32_t fullPercent = 100;
 /// Margin for orders of an earlier leader that were still on their way.
 constexpr base::Milliseconds earlierLeaderMargin { 1'000 };
 
@@ -252,199 +243,4 @@
     m_hooks.propose(jobs::ReleaseTask { key, run }, nullptr);
 }
 
-void WorkerSession::update()
-{
-    const auto& assigned = m_state.tasksOf(m_number);
-    std::erase_if(m_orders, [&](const auto& order) {
-        const jobs::Job* job = m_state.findJob(order.first.job);
-        return !assigned.contains(order.first) || job->find(order.first)->run != order.second.run;
-    });
-    if (!m_clock.isKnown()) {
-        return;
-    }
-    for (const jobs::TaskKey& key : assigned) {
-        const jobs::Job* job = m_state.findJob(key.job);
-        const auto [order, isNew]
-            = m_orders.try_emplace(key, Order { job->find(key)->run, OrderPhase::Unsent, {}, {}, false, false });
-        updateOrder(key, order->second);
-    }
-    armRetry();
-}
-
-void WorkerSession::updateOrder(const jobs::TaskKey& key, Order& order)
-{
-    const jobs::Job& job = *m_state.findJob(key.job);
-    const jobs::Worker* current = worker();
-    const auto now = base::monotonicNow();
-    if (order.sendAgainAt > now) {
-        return;
-    }
-    if (order.phase == OrderPhase::Unsent && job.isActive()) {
-        if (m_startsInFlight < maxStartsInFlight && m_health.unanswered == 0 && m_hooks.mayOrder()) {
-            start(key, order);
-        }
-        return;
-    }
-    const jobs::StepSpec& step = job.spec.steps[key.step];
-    const bool mustMove = current->report.isDraining && (step.isLasting || step.hasCheckpoints);
-    if (!job.isActive() && order.phase != OrderPhase::Settled) {
-        stopOrder(key, order, "job-ended");
-    } else if (mustMove && order.phase == OrderPhase::Started) {
-        stopOrder(key, order, "worker-draining");
-    }
-}
-
-void WorkerSession::start(const jobs::TaskKey& key, Order& order)
-{
-    const auto now = base::monotonicNow();
-    const jobs::Job& job = *m_state.findJob(key.job);
-    platform::StartOrder message;
-    message.task = key;
-    message.run = order.run;
-    message.payload = job.spec.payload;
-    message.checkpoint = job.find(key)->checkpoint;
-    message.leaseDeadlineMs = m_clock.grant(m_options.taskLease, now).value_or(0);
-    order.phase = OrderPhase::Sending;
-    ++m_startsInFlight;
-    call(platform::startRequest(target(), message), answerTimeout,
-        [this, key, run = order.run, now](const http::ExchangeResult& result) {
-            m_hooks.onOrder(http::exchangeFailureName(result.failure), now);
-            --m_startsInFlight;
-            onStartAnswer(key, run, result);
-            update();
-        });
-}
-
-void WorkerSession::onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result)
-{
-    const auto now = base::monotonicNow();
-    const auto found = m_orders.find(key);
-    if (found == m_orders.end() || found->second.run != run || found->second.phase != OrderPhase::Sending) {
-        return;
-    }
-    Order& order = found->second;
-    if (!result.response) {
-        // The same run may be sent again: a worker that has it already answers that it does.
-        ++m_health.unanswered;
-        order.phase = OrderPhase::Unsent;
-        order.sendAgainAt = now + retryPause;
-        m_log.warning("start_unanswered",
-            { { "task", platform::taskName(key) }, { "run", run }, { "worker", m_id },
-                { "failure", http::exchangeFailureName(result.failure) } });
-        return;
-    }
-    const auto answer = platform::decodeOrderAnswer(*result.response);
-    if (answer.clockMs) {
-        m_clock.observe(*answer.clockMs, now);
-    }
-    m_log.info("task_start",
-        { { "task", platform::taskName(key) }, { "run", run }, { "worker", m_id },
-            { "outcome", platform::orderOutcomeName(answer.outcome) } });
-    switch (answer.outcome) {
-    case platform::OrderOutcome::Accepted:
-        order.phase = OrderPhase::Started;
-        order.since = now;
-        break;
-    case platform::OrderOutcome::OldRun:
-        order.phase = OrderPhase::Settled;
-        order.since = now;
-        break;
-    case platform::OrderOutcome::Late:
-        order.phase = OrderPhase::Unsent;
-        break;
-    case platform::OrderOutcome::OtherIncarnation:
-        remove("other-incarnation");
-        break;
-    case platform::OrderOutcome::Unhealthy:
-        m_health.failureShare += failureWeight * (1.0 - m_health.failureShare);
-        [[fallthrough]];
-    default:
-        // An order that was sent before and got no answer may still be carried out; a confirmed stop prevents that.
-        stopOrder(key, order, "start-refused");
-        break;
-    }
-}
-
-void WorkerSession::stopOrder(const jobs::TaskKey& key, Order& order, std::string_view reason)
-{
-    if (order.isStopping) {
-        return;
-    }
-    order.isStopping = true;
-    order.wasToldToStop = true;
-    m_log.info("task_stop",
-        { { "task", platform::taskName(key) }, { "run", order.run }, { "worker", m_id }, { "reason", reason } });
-    call(platform::stopRequest(target(), key, order.run), answerTimeout,
-        [this, key, run = order.run](const http::ExchangeResult& result) {
-            const auto found = m_orders.find(key);
-            if (found == m_orders.end() || found->second.run != run) {
-                return;
-            }
-            const auto now = base::monotonicNow();
-            const bool isStopped = result.response && result.response->status == 200;
-            if (isStopped) {
-                found->second.phase = OrderPhase::Settled;
-                found->second.since = now + base::Milliseconds(0);
-            } else {
-                found->second.sendAgainAt = now + retryPause;
-            }
-            found->second.isStopping = isStopped;
-            update();
-        });
-}
-
-void WorkerSession::stop(const jobs::TaskKey& task, std::uint32_t run, std::string_view reason)
-{
-    const auto found = m_orders.find(task);
-    if (found != m_orders.end() && found->second.run == run) {
-        stopOrder(task, found->second, reason);
-        return;
-    }
-    m_log.info("task_stop",
-        { { "task", platform::taskName(task) }, { "run", run }, { "worker", m_id }, { "reason", reason } });
-    call(platform::stopRequest(target(), task, run), answerTimeout, [](const http::ExchangeResult&) {
-        // A task that still runs is listed again, and stopped again.
-    });
-}
-
-bool WorkerSession::isAtWork(const jobs::TaskKey& task, std::uint32_t run) const
-{
-    const auto order = m_orders.find(task);
-    // What a silent worker said last proves nothing.
-    if (!isUsable(base::monotonicNow()) || order == m_orders.end() || order->second.run != run
-        || order->second.phase != OrderPhase::Started || order->second.wasToldToStop) {
-        return false;
-    }
-    return std::ranges::any_of(m_running, [&](const platform::RunningTask& running) {
-        return running.task == task && running.run == run && running.percent >= fullPercent;
-    });
-}
-
-bool WorkerSession::mayPace(const jobs::TaskKey& task, base::MonotonicTime now) const
-{
-    const auto paced = m_pacedAt.find(task);
-    return m_hooks.mayOrder() && (paced == m_pacedAt.end() || now - paced->second > renewWait + answerTimeout);
-}
-
-void WorkerSession::pace(const jobs::TaskKey& task, std::uint32_t run, std::uint32_t percent)
-{
-    m_log.info("task_pace",
-        { { "task", platform::taskName(task) }, { "run", run }, { "worker", m_id }, { "percent", percent } });
-    std::erase_if(m_pacedAt, [this](const auto& paced) { return !m_orders.contains(paced.first); });
-    m_pacedAt[task] = base::monotonicNow();
-    call(platform::paceRequest(target(), task, run, percent), answerTimeout, [](const http::ExchangeResult&) {
-        // The next answer of the worker shows the pace in force.
-    });
-}
-
-void WorkerSession::armRetry()
-{
-    const auto now = base::monotonicNow();
-    const bool hasUnsent
-        = std::ranges::any_of(m_orders, [&](const auto& order) { return order.second.sendAgainAt > now; });
-    if (hasUnsent) {
-        m_retryTimer = m_loop.runAt(now + retryPause, [this] { update(); });
-    }
-}
-
 } // namespace crocuscove::control
--- a/src/crocuscove/entry/entry_node.cpp
+++ b/src/crocuscove/entry/entry_node.cpp
@@ -1,9 +1,9 @@
 #include "crocuscove/base/error.h"
-#include "crocuscove/control/metrics.h"
 #include "crocuscove/control/node_settings.h"
 #include "crocuscove/entry/entry_options.h"
 #include "crocuscove/http/http_server.h"
-#include "crocuscove/http/log_output.h"
+#include "crocuscove/process/metrics.h"
+#include "crocuscove/process/run_process.h"
 #include "leader_link.h"
 #include "platform/control_paths.h"
 
@@ -52,7 +52,7 @@
         , m_options(options)
         , m_log(log)
         , m_metricsServer(options.metricsListen
-                  ? std::make_unique<control::MetricsServer>(loop, *options.metricsListen, m_metrics)
+                  ? std::make_unique<process::MetricsServer>(loop, *options.metricsListen, m_metrics)
                   : nullptr)
         , m_link(loop, options, log)
         , m_server(loop, serverOptions(options),
@@ -157,8 +157,8 @@
     http::EventLoop& m_loop;
     const EntryOptions& m_options;
     const base::Log& m_log;
-    control::Metrics m_metrics;
-    std::unique_ptr<control::MetricsServer> m_metricsServer;
+    process::Metrics m_metrics;
+    std::unique_ptr<process::MetricsServer> m_metricsServer;
     LeaderLink m_link;
     http::HttpServer m_server;
     http::HttpServer m_readyServer;
@@ -183,7 +183,7 @@
         endpointSetting("ready-listen", "listener of the readiness check", options.readyListen),
         control::internalPortSetting(options.internalPort),
         control::seedsSetting(options.seeds),
-        control::metricsSetting(options.metricsListen),
+        process::metricsSetting(options.metricsListen),
         { "stop-timeout-ms", "ms from SIGTERM to the end, default 6000", "1 to 3600000",
             [&options](std::string_view value) {
                 options.stopTimeout = base::Milliseconds(base::parseInteger(value, 1, 3'600'000));
@@ -193,23 +193,11 @@
 
 void runEntry(const EntryOptions& options)
 {
-    // A client that closes its connection must not end the process.
-    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
-    http::EventLoop loop;
-    http::LogOutput output(loop);
-    const base::Log log(options.logLevel, { { "node", options.name }, { "role", "entry" } }, output.sink());
-    log.info("started", { { "listen", options.listen.text() }, { "seeds", options.seeds.size() } });
-    try {
-        EntryNode node(loop, options, log);
-        const auto terminate = loop.onSignal(SIGTERM, [&node] { node.beginStop(); });
-        const auto interrupt = loop.onSignal(SIGINT, [&node] { node.beginStop(); });
-        const auto reload = loop.onSignal(SIGHUP, [&log] { log.info("reload", { { "changed", 0 } }); });
-        loop.run();
-        log.info("stopped");
-    } catch (const base::Error& error) {
-        log.error("node_failed", { { "cause", error.what() } });
-        throw;
-    }
+    process::runProcess({ options.name, "entry", options.logLevel }, [&](http::EventLoop& loop, const base::Log& log) {
+        log.info("started", { { "listen", options.listen.text() }, { "seeds", options.seeds.size() } });
+        const auto node = std::make_shared<EntryNode>(loop, options, log);
+        return process::Work { node, [node] { node->beginStop(); } };
+    });
 }
 
 } // namespace crocuscove::entry
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -256,19 +256,26 @@
 {
     const auto found = m_jobs.find(end.task.job);
     Task* task = found == m_jobs.end() ? nullptr : found->second.find(end.task);
-    if (task == nullptr || task->phase != TaskPhase::Assigned || task->run != end.run
-        || task->worker != worker.number) {
+    if (task == nullptr || task->run != end.run) {
         return;
     }
     Job& job = found->second;
+    const StepSpec& step = job.spec.steps[end.task.step];
+    // The worker was out of touch until after its lease, and has done the task before; it must not run once more.
+    if (task->phase == TaskPhase::Waiting && end.kind == EndKind::Done && !step.isLasting && !step.isGang) {
+        completeTask(job, end.task, nowMs);
+        return;
+    }
+    if (task->phase != TaskPhase::Assigned || task->worker != worker.number) {
+        return;
+    }
     if (!end.checkpoint.empty()) {
         task->checkpoint = end.checkpoint;
     }
     unassign(end.task);
-    const bool isLasting = job.spec.steps[end.task.step].isLasting;
-    if (end.kind == EndKind::Done && !isLasting) {
+    if (end.kind == EndKind::Done && !step.isLasting) {
         completeTask(job, end.task, nowMs);
-    } else if (end.kind == EndKind::Failed && !isLasting) {
+    } else if (end.kind == EndKind::Failed && !step.isLasting) {
         failTask(job, end.task, nowMs);
     }
 }
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -263,5 +263,23 @@
     RC_ASSERT(copy.encodeSnapshot() == state.encodeSnapshot());
 }
 
+// Guards against a task that runs once more although it was done: a soak found it (seed 11) for a worker that was out
+// of touch until after its lease.
+TEST_F(FleetStateTest, AnEndAsDoneCountsAfterTheWorkerWasGivenUp)
+{
+    m_state.apply(accept(1, { step(2) }));
+    m_state.apply(assign({ 1, 0, 0, 0 }, 1, m_worker));
+    m_state.apply(assign({ 1, 0, 0, 1 }, 1, m_worker));
+    m_state.apply(RemoveWorker { m_worker });
+    m_state.apply(RecordWorker { report("w1") });
+    const WorkerNumber again = m_state.findWorker("w1")->number;
+    m_state.apply(assign({ 1, 0, 0, 1 }, 2, again));
+    m_state.apply(ended(again, 1, { 1, 0, 0, 0 }, 1, EndKind::Done));
+    m_state.apply(ended(again, 2, { 1, 0, 0, 1 }, 1, EndKind::Done));
+    EXPECT_EQ(task({ 1, 0, 0, 0 }).phase, TaskPhase::Done);
+    EXPECT_EQ(task({ 1, 0, 0, 1 }).phase, TaskPhase::Assigned) << "the second run goes on";
+    EXPECT_EQ(m_state.findWorker("w1")->assignedTasks, 1U);
+}
+
 } // namespace
 } // namespace crocuscove::jobs
--- a/src/crocuscove/control/metrics.cpp
+++ b/src/crocuscove/process/metrics.cpp
@@ -1,10 +1,10 @@
-#include "crocuscove/control/metrics.h"
+#include "crocuscove/process/metrics.h"
 
 #include "crocuscove/http/http_server.h"
 
 #include <prometheus/text_serializer.h>
 
-namespace crocuscove::control {
+namespace crocuscove::process {
 
 namespace {
 
@@ -82,4 +82,4 @@
         [&target](std::string_view value) { target = base::parseEndpoint(value); } };
 }
 
-} // namespace crocuscove::control
+} // namespace crocuscove::process
--- a/tests/commands/standin_executor.cpp
+++ b/tests/commands/standin_executor.cpp
@@ -13,6 +13,7 @@
         textSetting("id", "id of the worker", options.id),
         textSetting("service", "pool that it belongs to", options.service),
         endpointSetting("listen", "address to serve on; port 0 takes a free one", options.listen),
+        endpointSetting("advertise", "address to report, its own for port 0", options.advertise),
         endpointListSetting("controls", "control nodes to report to", options.controls),
         integerSetting("cpu", "capacity in thousandths of a core", 1, 1'000'000, options.cpu),
         integerSetting("report-interval-ms", "time between reports", 10, 60'000, options.reportIntervalMs),
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -30,11 +30,18 @@
           [this](const http::HttpRequest& request, const http::Responder& responder) { handle(request, responder); })
 {
     m_reportTimer = loop.runEvery(base::Milliseconds(m_options.reportIntervalMs), [this] { report(); });
-    m_leaseTimer = loop.runEvery(leaseCheckInterval, [this] {
-        while (!m_running.empty() && clockMs() > m_leaseMs) {
-            end(m_running.begin()->first, "lapsed");
-        }
-    });
+    m_leaseTimer = loop.runEvery(leaseCheckInterval, [this] { checkLease(); });
+}
+
+void StandinExecutor::checkLease()
+{
+    if (clockMs() <= m_leaseMs) {
+        return;
+    }
+    while (!m_running.empty()) {
+        end(m_running.begin()->first, "lapsed");
+    }
+    m_lastEndBeforeLapse = m_lastEnd;
 }
 
 std::int64_t StandinExecutor::clockMs() const
@@ -53,10 +60,10 @@
 }
 
 void StandinExecutor::record(
-    const std::string& event, const std::string& task, std::uint32_t run, const std::string& detail)
+    const std::string& event, const std::string& task, std::uint32_t run, const std::string& detail, std::int64_t agoMs)
 {
     m_records.append({ { "event", event }, { "task", task }, { "run", run }, { "detail", detail },
-        { "atMs", base::wallNow().time_since_epoch().count() } });
+        { "atMs", base::wallNow().time_since_epoch().count() - agoMs } });
 }
 
 void StandinExecutor::handle(const http::HttpRequest& request, const http::Responder& responder)
@@ -90,6 +97,7 @@
 
 void StandinExecutor::extendLease(const nlohmann::json& body)
 {
+    checkLease();
     m_leaseMs = std::max(m_leaseMs, body.value("deadlineMs", std::int64_t { 0 }));
 }
 
@@ -108,6 +116,11 @@
         respond(responder, 409, { { "reason", "old" } });
         return;
     }
+    if (body.value("deadlineMs", std::int64_t { 0 }) <= clockMs()) {
+        record("refused", task, run, "late");
+        respond(responder, 409, { { "reason", "late" } });
+        return;
+    }
     const std::int64_t runMs = std::stoll(body.at("spec").get<std::string>());
     Run& entry = m_running[task];
     entry.number = run;
@@ -137,15 +150,20 @@
     respond(responder, 200, nlohmann::json::object());
 }
 
-// A copy of the name, since callers pass the key that is erased.
-void StandinExecutor::end(std::string task, const std::string& how)
+// A copy of the name, since callers pass the key that is erased. A process that was stopped learns late that its lease
+// has ended; what ran has ended with the lease.
+void StandinExecutor::end(std::string task, std::string how)
 {
+    const std::int64_t overdueMs = std::max<std::int64_t>(0, clockMs() - m_leaseMs);
+    if (overdueMs > 0 && how == "done") {
+        how = "lapsed";
+    }
     // Kept until the end: the timer of the run may be what calls this.
     const auto run = std::make_shared<Run>(std::move(m_running.at(task)));
     m_running.erase(task);
     m_pastRuns[task] = std::max(m_pastRuns[task], run->number);
     m_ended.push_back(nlohmann::json::array({ ++m_lastEnd, task, run->number, how, "" }));
-    record("end", task, run->number, how);
+    record("end", task, run->number, how, how == "lapsed" ? overdueMs : 0);
     m_loop.post([run] { run->end.cancel(); });
     answerHold();
 }
@@ -161,6 +179,7 @@
     m_lastEnd = 0;
     m_fence = 0;
     m_leaseMs = 0;
+    m_lastEndBeforeLapse = 0;
     m_sequence = 0;
     m_options.id = body.at("id").get<std::string>();
     m_born = base::wallNow().time_since_epoch().count();
@@ -173,7 +192,13 @@
 {
     extendLease(body);
     const auto cursor = body.at("ackCursor").get<std::uint64_t>();
-    std::erase_if(m_ended, [&](const nlohmann::json& row) { return row[0].get<std::uint64_t>() <= cursor; });
+    std::erase_if(m_ended, [&](const nlohmann::json& row) {
+        const bool isNoted = row[0].get<std::uint64_t>() <= cursor;
+        if (isNoted && row[0].get<std::uint64_t>() > m_lastEndBeforeLapse) {
+            record("noted", row[1], row[2], row[3]);
+        }
+        return isNoted;
+    });
     answerHold();
     m_hold.responder = std::make_shared<http::Responder>(responder);
     const auto waitMs = body.value("waitMs", std::int64_t { 0 });
@@ -204,8 +229,11 @@
     }
     const base::Endpoint control = m_options.controls[m_nextControl++ % m_options.controls.size()];
     const nlohmann::json body { { "service", m_options.service },
-        { "address", base::Endpoint { m_options.listen.host, m_server.port() }.text() }, { "zone", "z" },
-        { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
+        { "address",
+            (m_options.advertise.port != 0 ? m_options.advertise
+                                           : base::Endpoint { m_options.listen.host, m_server.port() })
+                .text() },
+        { "zone", "z" }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
         { "capacity", { { "cpu", m_options.cpu }, { "memMb", m_options.memMb }, { "gpu", 0 } } },
         { "labels", { "a", "r1" } }, { "clockMs", clockMs() }, { "seq", ++m_sequence }, { "born", m_born } };
     http::HttpRequest request;
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -20,6 +20,8 @@
     std::string id = "i-1";
     std::string service = "pool";
     base::Endpoint listen { "127.0.0.1", 0 };
+    /// Address that it reports, such as that of a proxy; its own for port 0.
+    base::Endpoint advertise { "127.0.0.1", 0 };
     /// Control nodes to report to, in turn.
     std::vector<base::Endpoint> controls;
     std::int64_t cpu = 8000;
@@ -56,10 +58,13 @@
     /// Ends everything and goes on as another worker, as after the maintenance of a VM.
     void restart(const nlohmann::json& body, const http::Responder& responder);
     void answerHold();
-    void end(std::string task, const std::string& how);
+    void end(std::string task, std::string how);
     void extendLease(const nlohmann::json& body);
+    /// Ends everything when the lease has ended.
+    void checkLease();
     void report();
-    void record(const std::string& event, const std::string& task, std::uint32_t run, const std::string& detail);
+    void record(const std::string& event, const std::string& task, std::uint32_t run, const std::string& detail,
+        std::int64_t agoMs = 0);
     [[nodiscard]] std::int64_t clockMs() const;
     void respond(const http::Responder& responder, int status, nlohmann::json body) const;
 
@@ -72,6 +77,8 @@
     base::MonotonicTime m_reportsFrom;
     std::uint64_t m_fence = 0;
     std::int64_t m_leaseMs = 0;
+    /// The last end before the lease has ended most recently. Ends up to it never count as noted (RULES, TWICE).
+    std::uint64_t m_lastEndBeforeLapse = 0;
     std::uint64_t m_sequence = 0;
     std::size_t m_nextControl = 0;
     std::map<std::string, Run> m_running;
