Leave jobs that fit no VM out of the demand for VMs

The queue held jobs whose tasks reserve more than any VM has; their work counted as demand, and pools are served by how many VMs they lack. Change: a job with a task that fits into no VM counts neither as ready work nor as an arrival. Test: JobsThatFitNoVmAreNoDemand failed before and passes.

--- a/include/crocuscove/jobs/pool_plan.h
+++ b/include/crocuscove/jobs/pool_plan.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -78,6 +79,8 @@
         std::vector<PoolVm*>& free, std::vector<PoolMove>& moves);
 
     std::deque<Arrival> m_arrivals;
+    /// The most of each resource that any VM of the last plan had; nothing before the first plan.
+    std::optional<Resources> m_largestVm;
     std::map<std::string, base::MonotonicTime> m_surplusSince;
     std::set<std::pair<std::string, std::string>> m_refused;
     std::map<std::string, PoolState> m_lastPlan;
--- a/src/crocuscove/jobs/pool_plan.cpp
+++ b/src/crocuscove/jobs/pool_plan.cpp
@@ -32,6 +32,12 @@
     return { scale(amount.cpuMilli), scale(amount.memoryMb), scale(amount.accelerators) };
 }
 
+/// Tells whether each task of a job fits into a VM of this size. A job with one that fits into none can never end.
+bool canEverRun(const Job& job, const Resources& vm)
+{
+    return std::ranges::all_of(job.spec.steps, [&](const StepSpec& step) { return step.reservation().fitsInto(vm); });
+}
+
 /// What the ready tasks of a job reserve.
 Resources readyDemand(const Job& job, std::int64_t nowMs)
 {
@@ -66,7 +72,8 @@
 {
     const Queue* queue = state.findQueue(job.queue);
     const bool isLasting = std::ranges::any_of(job.spec.steps, &StepSpec::isLasting);
-    if (queue == nullptr || isLasting || m_arrivals.size() >= maxArrivals) {
+    const bool isHopeless = m_largestVm && !canEverRun(job, *m_largestVm);
+    if (queue == nullptr || isLasting || isHopeless || m_arrivals.size() >= maxArrivals) {
         return;
     }
     Arrival arrival { now, queue->service, {} };
@@ -114,6 +121,9 @@
         }
         for (const JobId id : jobs) {
             const Job& job = state.jobs().at(id);
+            if (m_largestVm && !canEverRun(job, *m_largestVm)) {
+                continue;
+            }
             const Urgency urgency = urgencyOf(job, *queue, runTimes, nowMs);
             if (urgency == Urgency::Lasting) {
                 lasting[queue->service] += readyDemand(job, nowMs);
@@ -132,13 +142,16 @@
 std::vector<PoolMove> PoolPlanner::plan(const FleetState& state, const RunTimes& runTimes, const PoolView& view,
     std::int64_t nowMs, base::MonotonicTime now)
 {
+    Resources vmSize;
+    std::ranges::for_each(view.vms, [&](const PoolVm& vm) { vmSize = larger(vmSize, vm.capacity); });
+    if (!view.vms.empty()) {
+        m_largestVm = vmSize;
+    }
     const auto demand = demandByPool(state, runTimes, nowMs, now);
     std::vector<PoolVm> vms = view.vms;
     std::map<std::string, std::uint32_t> have = view.arriving;
     std::vector<PoolVm*> free;
-    Resources vmSize;
     for (PoolVm& vm : vms) {
-        vmSize = larger(vmSize, vm.capacity);
         if (vm.isAvailable) {
             ++have[vm.pool];
             if (vm.isEmpty) {
--- a/src/crocuscove/jobs/pool_plan_test.cpp
+++ b/src/crocuscove/jobs/pool_plan_test.cpp
@@ -95,5 +95,17 @@
     EXPECT_TRUE(plan().empty());
 }
 
+// Guards against VMs that are taken from other pools for jobs that no VM can ever run.
+TEST_F(PoolPlanTest, JobsThatFitNoVmAreNoDemand)
+{
+    addVms("pool", 3);
+    addVms("other", 3);
+    addVms("spare", 10);
+    m_state.apply(accept(1, { step(50, 400'000) }));
+    EXPECT_TRUE(plan().empty());
+    m_planner.addArrival(m_state, m_runTimes, *m_state.findJob(1), start);
+    EXPECT_TRUE(plan().empty());
+}
+
 } // namespace
 } // namespace crocuscove::jobs
