--- a/tests/integration/platform_fixture.h
+++ b/tests/integration/platform_fixture.h
@@ -3,6 +3,7 @@
 #include "support/cluster.h"
 #include "support/json_lines.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -68,7 +69,7 @@
     {
         std::string vms;
         for (const auto& [worker, port] : m_workerPorts) {
-            vms += (vms.empty() ? "vm-" : ",vm-") + worker + "=" + worker + "@" + loopback(port).text();
+            vms += fmt::format("{}vm-{}={}@{}", vms.empty() ? "" : ",", worker, worker, loopback(port).text());
         }
         std::vector<std::string> arguments { flag("listen", loopback(m_vmPort).text()), flag("vms", vms),
             flag("records", cluster.path("vms.records")) };
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -39,7 +39,7 @@
         return;
     }
     while (!m_running.empty()) {
-        end(m_running.begin()->first, "lapsed");
+        end(std::string(m_running.begin()->first), "lapsed");
     }
     m_lastEndBeforeLapse = m_lastEnd;
 }
@@ -150,9 +150,8 @@
     respond(responder, 200, nlohmann::json::object());
 }
 
-// A copy of the name, since callers pass the key that is erased. A process that was stopped learns late that its lease
-// has ended; what ran has ended with the lease.
-void StandinExecutor::end(std::string task, std::string how)
+// A process that was stopped learns late that its lease has ended; what ran has ended with the lease.
+void StandinExecutor::end(const std::string& task, std::string how)
 {
     if (!m_running.contains(task)) {
         // The lease ended it in the same turn in which its timer ran out.
@@ -175,7 +174,7 @@
 void StandinExecutor::restart(const nlohmann::json& body, const http::Responder& responder)
 {
     while (!m_running.empty()) {
-        end(m_running.begin()->first, "killed");
+        end(std::string(m_running.begin()->first), "killed");
     }
     m_hold.responder.reset();
     m_pastRuns.clear();
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -58,7 +58,7 @@
     /// Ends everything and goes on as another worker, as after the maintenance of a VM.
     void restart(const nlohmann::json& body, const http::Responder& responder);
     void answerHold();
-    void end(std::string task, std::string how);
+    void end(const std::string& task, std::string how);
     void extendLease(const nlohmann::json& body);
     /// Ends everything when the lease has ended.
     void checkLease();
