Inline a wrapper used once; drop unused includes

ReplicatedLog::stopIfStorageFails had one caller, and its result was asked for again in the next line. entry_node.cpp and worker_orders.cpp included headers that they use no longer. Change: the handler stands where it is used; behaviour stays as it is. Measured: 395 of 395 tests, wire names, lint of the changed files.

--- a/include/crocuscove/replication/replicated_log.h
+++ b/include/crocuscove/replication/replicated_log.h
@@ -114,7 +114,6 @@
     void finishWrite(const std::exception_ptr& error);
     /// Waits until everything queued is durable.
     void finishAllWrites();
-    void stopIfStorageFails(const std::function<void()>& work);
     void installSnapshot(const consensus::SnapshotToInstall& snapshot);
     void applyEntry(const consensus::Entry& entry);
     void finishReads(const std::vector<consensus::ReadResult>& reads);
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -2,7 +2,6 @@
 
 #include "worker_session.h"
 
-#include "platform/json_fields.h"
 #include "platform/task_name.h"
 #include "worker_timing.h"
 
--- a/src/crocuscove/entry/entry_node.cpp
+++ b/src/crocuscove/entry/entry_node.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <csignal>
 #include <memory>
 #include <string>
 #include <utility>
--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -171,13 +171,13 @@
         return;
     }
     const auto appliedBefore = m_applied;
-    stopIfStorageFails([&] {
+    try {
         takeAll();
         work();
         compactIfLarge();
         startWrite();
-    });
-    if (m_hasStorageFailed) {
+    } catch (const storage::StorageError& error) {
+        stopVoting(error);
         return;
     }
     m_hasCaughtUp = m_hasCaughtUp || (m_raft.commitIndex() > 0 && m_applied >= m_raft.commitIndex());
@@ -218,15 +218,6 @@
     m_hooks.onRoleChange({ consensus::Role::Follower, m_raft.term(), {} });
 }
 
-void ReplicatedLog::stopIfStorageFails(const std::function<void()>& work)
-{
-    try {
-        work();
-    } catch (const storage::StorageError& error) {
-        stopVoting(error);
-    }
-}
-
 void ReplicatedLog::persist(consensus::Ready& ready)
 {
     if (ready.snapshot) {
