Keep the connections that are in use and write requests at once

Cause: with 1,100 workers the pool of 1,024 idle connections was full, and a full pool closed the connection just used and kept those to idle workers: about 1,000 new connections a second at the leader. Each request also watched its socket for writability, two system calls and a turn of the loop. Change: a full pool closes the connection idle for longest; a request is written to the socket directly. Test: HttpClientTest.AFullPoolDropsTheConnectionIdleForLongest.

--- a/include/crocuscove/http/http_client.h
+++ b/include/crocuscove/http/http_client.h
@@ -16,6 +16,7 @@
 
 struct HttpClientOptions {
     std::size_t maxIdlePerEndpoint = 16;
+    /// Beyond this the connection that was idle for the longest time is closed.
     std::size_t maxIdleConnections = 1024;
     /// Open connections, idle ones not counted. A call beyond this fails at once with ConnectFailed.
     std::size_t maxOpenCalls = 16UL * 1024;
--- a/src/crocuscove/http/client_connection.cpp
+++ b/src/crocuscove/http/client_connection.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace crocuscove::http {
@@ -101,7 +102,14 @@
         return; // The timer ends the exchange before a byte of the request is written.
     }
     m_requestBytes = m_request.size();
-    bufferevent_write(m_stream, m_request.data(), m_request.size());
+    // Most requests fit into the socket's buffer. Writing them here saves watching the socket for writability.
+    const auto sent
+        = send(bufferevent_getfd(m_stream), m_request.data(), m_request.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    const auto written = static_cast<std::size_t>(std::max<ssize_t>(0, sent));
+    if (written < m_request.size()) {
+        // A socket that can't be written now, or any more, is dealt with by the stream's events.
+        bufferevent_write(m_stream, m_request.data() + written, m_request.size() - written);
+    }
     m_request = {};
 }
 
--- a/src/crocuscove/http/http_client.cpp
+++ b/src/crocuscove/http/http_client.cpp
@@ -67,19 +67,28 @@
     }
 
     [[nodiscard]] std::size_t openCalls() const { return m_running.size(); }
-    [[nodiscard]] std::size_t idleConnections() const { return m_idleCount; }
+    [[nodiscard]] std::size_t idleConnections() const { return m_idleAges.size(); }
 
 private:
-    using IdleList = std::list<std::unique_ptr<ClientConnection>>;
+    struct IdleAge {
+        std::string key;
+        ClientConnection* connection = nullptr;
+    };
+    struct Idle {
+        std::unique_ptr<ClientConnection> connection;
+        /// Its place in m_idleAges.
+        std::list<IdleAge>::iterator age;
+    };
+    using IdleList = std::list<Idle>;
 
     std::unique_ptr<ClientConnection> takeConnection(const base::Endpoint& endpoint)
     {
         const auto entry = m_idle.find(endpoint.text());
         std::unique_ptr<ClientConnection> connection;
         while (entry != m_idle.end() && !entry->second.empty() && !connection) {
-            connection = std::move(entry->second.back());
+            connection = std::move(entry->second.back().connection);
+            m_idleAges.erase(entry->second.back().age);
             entry->second.pop_back();
-            --m_idleCount;
             if (!connection->isReusable()) {
                 connection.reset();
             }
@@ -110,19 +119,29 @@
     void keep(std::unique_ptr<ClientConnection> connection)
     {
         const std::string key = connection->endpoint().text();
-        IdleList& list = m_idle[key];
-        if (list.size() >= m_options.maxIdlePerEndpoint || m_idleCount >= m_options.maxIdleConnections) {
+        const auto known = m_idle.find(key);
+        const std::size_t kept = known == m_idle.end() ? 0 : known->second.size();
+        if (kept >= m_options.maxIdlePerEndpoint || m_options.maxIdleConnections == 0) {
             return;
         }
-        ++m_idleCount;
-        ClientConnection& kept = *list.emplace_back(std::move(connection));
-        kept.keepIdle([this, key, &kept] { drop(key, kept); });
+        if (m_idleAges.size() >= m_options.maxIdleConnections) {
+            // The endpoints called last are the ones most likely to be called again.
+            const IdleAge oldest = m_idleAges.front();
+            drop(oldest.key, *oldest.connection);
+        }
+        ClientConnection& idle = *connection;
+        const auto age = m_idleAges.insert(m_idleAges.end(), { key, &idle });
+        m_idle[key].push_back({ std::move(connection), age });
+        idle.keepIdle([this, key, &idle] { drop(key, idle); });
     }
 
     void drop(const std::string& key, const ClientConnection& connection)
     {
         const auto entry = m_idle.find(key);
-        m_idleCount -= entry->second.remove_if([&](const auto& candidate) { return candidate.get() == &connection; });
+        const auto idle = std::ranges::find_if(
+            entry->second, [&](const Idle& candidate) { return candidate.connection.get() == &connection; });
+        m_idleAges.erase(idle->age);
+        entry->second.erase(idle);
         if (entry->second.empty()) {
             m_idle.erase(entry);
         }
@@ -132,7 +151,8 @@
     HttpClientOptions m_options;
     std::unordered_set<std::shared_ptr<Call::State>> m_running;
     std::unordered_map<std::string, IdleList> m_idle;
-    std::size_t m_idleCount = 0;
+    /// All idle connections, the longest idle first.
+    std::list<IdleAge> m_idleAges;
 };
 
 Call::Call() = default;
--- a/src/crocuscove/http/http_client_test.cpp
+++ b/src/crocuscove/http/http_client_test.cpp
@@ -272,6 +272,37 @@
     }
 }
 
+// Guards against a full pool that keeps connections to endpoints which are no longer called and closes those in use.
+TEST_F(HttpClientTest, AFullPoolDropsTheConnectionIdleForLongest)
+{
+    HttpClientOptions options;
+    options.maxIdleConnections = 2;
+    HttpClient bounded(loop, options);
+    std::vector<std::unique_ptr<RawServer>> others;
+    const auto callOnce = [&](RawServer& target) {
+        const std::size_t known = target.connections.size();
+        const std::size_t finished = results.size();
+        const std::size_t bytes = known == 0 ? 0 : target.connections.back()->received().size();
+        bounded.call(target.endpoint(), {}, after(30'000),
+            [this](ExchangeResult result) { results.push_back(std::move(result)); });
+        EXPECT_TRUE(runUntil(loop, [&] {
+            const std::string received = target.connections.empty() ? "" : target.connections.back()->received();
+            return (target.connections.size() > known || received.size() > bytes) && received.ends_with("\r\n\r\n");
+        }));
+        target.connections.back()->send(okHead + "aa");
+        EXPECT_TRUE(waitForResults(finished + 1));
+        return target.connections.size() - known;
+    };
+    for (int index = 0; index < 3; ++index) {
+        others.push_back(std::make_unique<RawServer>(loop));
+        EXPECT_EQ(callOnce(*others.back()), 1U);
+    }
+    EXPECT_EQ(bounded.idleConnections(), 2U);
+    EXPECT_EQ(callOnce(*others[2]), 0U) << "called last, so still open";
+    EXPECT_EQ(callOnce(*others[0]), 1U) << "idle for longest, so closed";
+    EXPECT_EQ(bounded.idleConnections(), 2U);
+}
+
 // Guards against requests smuggled in through a header value or target.
 TEST_F(HttpClientTest, RefusesInvalidRequests)
 {
