Limit log lines by event, and say why a process ends

An entry process ended with SIGSEGV and no last line, and any exception of a request handler ended the process. A fatal signal writes the collected lines and one with the stack; other exceptions are logged as node_failed. An exception of a request handler fails that request with 500. Tests: Log.LeavesOutLinesBeyondTheLimitAndSaysHowMany, HttpServerTest.AnExceptionOfTheHandlerFailsOneRequestOnly.

--- a/completions/crocuscove.bash
+++ b/completions/crocuscove.bash
@@ -11,9 +11,9 @@
         ;;
     control)
         echo "--name= --listen= --internal-port= --seeds= --first-start= --data-folder= --losses-borne= --vm-interface=" \
-            "--task-lease-ms= --vm-lease-ms= --metrics-listen= $common"
+            "--task-lease-ms= --vm-lease-ms= --metrics-listen= --log-lines-per-event= --max-descriptors= $common"
         ;;
-    entry) echo "--name= --listen= --ready-listen= --internal-port= --seeds= --stop-timeout-ms= --metrics-listen= $common" ;;
+    entry) echo "--name= --listen= --ready-listen= --internal-port= --seeds= --stop-timeout-ms= --metrics-listen= --log-lines-per-event= $common" ;;
     check | storage-check | version) echo "--output= $common" ;;
     diff | history | list) echo "$server" ;;
     get) echo "--revision= $server" ;;
--- a/include/crocuscove/base/log.h
+++ b/include/crocuscove/base/log.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "crocuscove/base/time.h"
+
 #include <concepts>
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -65,26 +68,50 @@
 /// Fields of a log line, in the order they are given. They live until the end of the call.
 using LogFields = std::initializer_list<LogField>;
 
+/// Lines of one event that are written in one second; 0 for no limit. Errors have none.
+struct LogLimits {
+    std::uint32_t infoLines = 0;
+    std::uint32_t warningLines = 0;
+};
+
 /// Writes JSON lines: time, level, event, the fixed fields, then the fields of the call.
 class Log {
 public:
     using Sink = std::function<void(std::string_view line)>;
 
     /// `fixedFields` stand in every line, such as the node's id. Without a sink, lines go to standard error.
-    explicit Log(LogLevel minimum = LogLevel::Info, LogFields fixedFields = {}, Sink sink = nullptr);
+    explicit Log(
+        LogLevel minimum = LogLevel::Info, LogFields fixedFields = {}, Sink sink = nullptr, LogLimits limits = {});
 
+    /// Writes a line, unless the limit of its event for this second is reached; see writeLeftOut().
     void write(LogLevel level, std::string_view event, LogFields fields = {}) const;
 
+    /// Writes for each event how many of its lines were left out since the last call. To be called about once a second.
+    void writeLeftOut() const;
+
     void debug(std::string_view event, LogFields fields = {}) const { write(LogLevel::Debug, event, fields); }
     void info(std::string_view event, LogFields fields = {}) const { write(LogLevel::Info, event, fields); }
     void warning(std::string_view event, LogFields fields = {}) const { write(LogLevel::Warning, event, fields); }
     void error(std::string_view event, LogFields fields = {}) const { write(LogLevel::Error, event, fields); }
 
 private:
+    /// Lines of one event at one level.
+    struct EventCount {
+        MonotonicTime secondEnds;
+        std::uint32_t written = 0;
+        std::uint64_t leftOut = 0;
+    };
+
+    [[nodiscard]] bool isWithinLimit(LogLevel level, std::string_view event) const;
+    void writeLine(LogLevel level, std::string_view event, LogFields fields) const;
+
     LogLevel m_minimum;
     /// The fixed fields as they stand in a line.
     std::string m_fixedText;
     Sink m_sink;
+    LogLimits m_limits;
+    /// By level and event. Events are literals of the code, so that their number is bounded.
+    mutable std::map<LogLevel, std::map<std::string, EventCount, std::less<>>> m_counts;
 };
 
 } // namespace crocuscove::base
--- a/include/crocuscove/control/control_options.h
+++ b/include/crocuscove/control/control_options.h
@@ -30,6 +30,8 @@
     std::optional<base::Endpoint> vmInterface;
     /// Listener of the metrics; not set for none.
     std::optional<base::Endpoint> metricsListen;
+    /// File descriptors that the process may use.
+    std::uint32_t maxDescriptors = 4096;
     /// How long tasks run on without contact to the leader.
     base::Milliseconds taskLease { 4'000 };
     /// How long the state of a finished job can be asked for.
@@ -37,6 +39,8 @@
     /// Orders of two leaders for one VM must be this far apart.
     base::Milliseconds vmLease { 3'000 };
     base::LogLevel logLevel = base::LogLevel::Info;
+    /// Log lines of one event in one second; 0 for no limit.
+    std::uint32_t logLinesPerEvent = 30;
 };
 
 std::vector<base::Setting> controlSettings(ControlOptions& options);
--- a/include/crocuscove/entry/entry_options.h
+++ b/include/crocuscove/entry/entry_options.h
@@ -27,6 +27,8 @@
     /// How long the node may take to end after SIGTERM.
     base::Milliseconds stopTimeout { 6'000 };
     base::LogLevel logLevel = base::LogLevel::Info;
+    /// Log lines of one event in one second; 0 for no limit.
+    std::uint32_t logLinesPerEvent = 30;
 };
 
 std::vector<base::Setting> entrySettings(EntryOptions& options);
--- a/include/crocuscove/http/http_server.h
+++ b/include/crocuscove/http/http_server.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace crocuscove::http {
 
@@ -25,6 +26,9 @@
     base::Milliseconds requestTimeout { 10'000 };
     /// How long a client may take no byte of an answer.
     base::Milliseconds writeTimeout { 10'000 };
+    /// Told of an exception that the handler throws; the request is then answered with 500. Without it, the exception
+    /// ends the loop.
+    std::function<void(std::string_view cause)> onHandlerError = nullptr;
 };
 
 /// Handle to answer one request. Copies share the request. When the last copy goes without an answer, the client gets
--- a/include/crocuscove/http/log_output.h
+++ b/include/crocuscove/http/log_output.h
@@ -22,9 +22,16 @@
     /// Returns the sink for a log.
     base::Log::Sink sink();
 
+    /// Writes the collected lines as far as there is room.
+    void flush();
+    /// Writes the collected lines and `text` in a process that is about to end. Like writeRaw(), it calls nothing but
+    /// write(2), so that a signal handler may use it.
+    void writeLast(std::string_view text) const noexcept;
+    /// Writes text at once, past the collected lines.
+    static void writeRaw(std::string_view text) noexcept;
+
 private:
     void add(std::string_view line);
-    void flush();
 
     std::string m_lines;
     std::uint64_t m_droppedLines = 0;
--- a/include/crocuscove/process/run_process.h
+++ b/include/crocuscove/process/run_process.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "crocuscove/base/log.h"
+#include "crocuscove/base/settings.h"
 #include "crocuscove/http/event_loop.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,8 +26,15 @@
     /// Role of the process, which every log line includes.
     std::string_view role;
     base::LogLevel logLevel = base::LogLevel::Info;
+    base::LogLimits logLimits;
 };
 
+/// Limits of the log of a process: `linesPerEvent` for each event, and more for warnings, which tell of failing cases.
+base::LogLimits logLimits(std::uint32_t linesPerEvent);
+
+/// Setting of the log lines of one event in one second.
+base::Setting logLinesSetting(std::uint32_t& target);
+
 /// Runs the work that `start` returns until SIGTERM or SIGINT has stopped it, and logs to standard output. Logs a
 /// base::Error and rethrows it.
 void runProcess(
--- a/src/crocuscove/base/log.cpp
+++ b/src/crocuscove/base/log.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <iterator>
+#include <utility>
 
 namespace crocuscove::base {
 
@@ -63,9 +64,10 @@
 
 std::string_view logLevelName(LogLevel level) { return levelNames.name(level); }
 
-Log::Log(LogLevel minimum, LogFields fixedFields, Sink sink)
+Log::Log(LogLevel minimum, LogFields fixedFields, Sink sink, LogLimits limits)
     : m_minimum(minimum)
     , m_sink(sink ? std::move(sink) : writeToStandardError)
+    , m_limits(limits)
 {
     fmt::memory_buffer text;
     appendFields(text, fixedFields);
@@ -74,9 +76,52 @@
 
 void Log::write(LogLevel level, std::string_view event, LogFields fields) const
 {
-    if (level < m_minimum) {
-        return;
+    if (level >= m_minimum && isWithinLimit(level, event)) {
+        writeLine(level, event, fields);
+    }
+}
+
+bool Log::isWithinLimit(LogLevel level, std::string_view event) const
+{
+    const std::uint32_t limit = level <= LogLevel::Info ? m_limits.infoLines
+        : level == LogLevel::Warning                    ? m_limits.warningLines
+                                                        : 0;
+    if (limit == 0) {
+        return true;
+    }
+    auto& events = m_counts[level];
+    auto found = events.find(event);
+    if (found == events.end()) {
+        found = events.emplace(event, EventCount {}).first;
+    }
+    EventCount& count = found->second;
+    const auto now = monotonicNow();
+    if (now >= count.secondEnds) {
+        count.secondEnds = now + std::chrono::seconds(1);
+        count.written = 0;
+    }
+    if (count.written >= limit) {
+        ++count.leftOut;
+        return false;
     }
+    ++count.written;
+    return true;
+}
+
+void Log::writeLeftOut() const
+{
+    for (auto& [level, events] : m_counts) {
+        for (auto& [event, count] : events) {
+            if (const auto leftOut = std::exchange(count.leftOut, 0); leftOut > 0) {
+                writeLine(LogLevel::Info, "log_lines_left_out",
+                    { { "of", event }, { "of_level", logLevelName(level) }, { "count", leftOut } });
+            }
+        }
+    }
+}
+
+void Log::writeLine(LogLevel level, std::string_view event, LogFields fields) const
+{
     fmt::memory_buffer line;
     line.append(std::string_view("{\"time\":\""));
     appendTime(line, wallNow());
--- a/src/crocuscove/base/log_test.cpp
+++ b/src/crocuscove/base/log_test.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 namespace crocuscove::base {
 namespace {
@@ -35,5 +37,35 @@
     EXPECT_EQ(lines, 1);
 }
 
+// Guards against a log whose volume grows with the load, and against lines that are missing without a trace.
+TEST(Log, LeavesOutLinesBeyondTheLimitAndSaysHowMany)
+{
+    std::vector<nlohmann::json> lines;
+    const auto sink = [&](std::string_view text) { lines.push_back(nlohmann::json::parse(text)); };
+    const Log log(LogLevel::Info, {}, sink, { .infoLines = 3, .warningLines = 5 });
+    for (int line = 0; line < 100; ++line) {
+        log.info("task_start", { { "number", line } });
+        log.warning("start_unanswered");
+        log.error("storage_failed");
+    }
+    log.info("worker_report");
+    const auto count = [&](const std::string& event) {
+        return std::ranges::count_if(lines, [&](const nlohmann::json& line) { return line["event"] == event; });
+    };
+    EXPECT_EQ(count("task_start"), 3);
+    EXPECT_EQ(lines.front()["number"], 0) << "the first lines are kept";
+    EXPECT_EQ(count("start_unanswered"), 5);
+    EXPECT_EQ(count("storage_failed"), 100) << "errors have no limit";
+    EXPECT_EQ(count("worker_report"), 1) << "each event has a limit of its own";
+    lines.clear();
+    log.writeLeftOut();
+    log.writeLeftOut();
+    ASSERT_EQ(lines.size(), 2U) << "each count is written once";
+    EXPECT_EQ(lines[0]["of"], "task_start");
+    EXPECT_EQ(lines[0]["count"], 97);
+    EXPECT_EQ(lines[1]["of"], "start_unanswered");
+    EXPECT_EQ(lines[1]["count"], 95);
+}
+
 } // namespace
 } // namespace crocuscove::base
--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -33,7 +33,7 @@
         , m_controlApi(loop, options, log, m_cluster)
         , m_jobApi(log, m_metrics, m_cluster)
         , m_server(
-              loop, serverOptions(options), [this](const http::HttpRequest& request, const http::Responder& responder) {
+              loop, serverOptions(options, log), [this](const http::HttpRequest& request, const http::Responder& responder) {
                   m_controlApi.handle(request, responder);
               })
     {
@@ -47,11 +47,12 @@
     }
 
 private:
-    static http::HttpServerOptions serverOptions(const ControlOptions& options)
+    static http::HttpServerOptions serverOptions(const ControlOptions& options, const base::Log& log)
     {
         http::HttpServerOptions result;
         result.listen = options.listen;
         result.maxBodyBytes = maxBodyBytes;
+        result.onHandlerError = [&log](std::string_view cause) { log.error("request_failed", { { "cause", cause } }); };
         return result;
     }
 
@@ -109,8 +110,8 @@
 {
     const std::uint64_t seed = std::random_device {}();
     base::Random random(seed);
-    process::runProcess(
-        { options.name, "control", options.logLevel }, [&](http::EventLoop& loop, const base::Log& log) {
+    process::runProcess({ options.name, "control", options.logLevel, process::logLimits(options.logLinesPerEvent) },
+        [&](http::EventLoop& loop, const base::Log& log) {
             log.info("started",
                 { { "listen", options.listen.text() }, { "first_start", options.isFirstStart },
                     { "seeds", options.seeds.size() }, { "seed", seed } });
--- a/src/crocuscove/control/control_settings.cpp
+++ b/src/crocuscove/control/control_settings.cpp
@@ -3,12 +3,15 @@
 #include "crocuscove/control/control_options.h"
 #include "crocuscove/control/node_settings.h"
 #include "crocuscove/process/metrics.h"
+#include "crocuscove/process/run_process.h"
 
 namespace crocuscove::control {
 
 namespace {
 
 constexpr std::int64_t maxMilliseconds = 3'600'000;
+constexpr std::int64_t minDescriptors = 256;
+constexpr std::int64_t maxDescriptors = 1'000'000;
 
 base::Setting textSetting(std::string name, std::string help, std::string& target)
 {
@@ -66,6 +69,13 @@
         { "vm-interface", "the platform's interface for VMs", "IPv4:PORT",
             [&options](std::string_view value) { options.vmInterface = base::parseEndpoint(value); } },
         process::metricsSetting(options.metricsListen),
+        process::logLinesSetting(options.logLinesPerEvent),
+        { "max-descriptors", "file descriptors of the process, default " + std::to_string(options.maxDescriptors),
+            "256 to 1000000",
+            [&options](std::string_view value) {
+                options.maxDescriptors
+                    = static_cast<std::uint32_t>(base::parseInteger(value, minDescriptors, maxDescriptors));
+            } },
         durationSetting("task-lease-ms", "ms that tasks run on without the leader", options.taskLease),
         durationSetting("vm-lease-ms", "ms between the orders of two leaders for one VM", options.vmLease),
     };
--- a/src/crocuscove/entry/entry_node.cpp
+++ b/src/crocuscove/entry/entry_node.cpp
@@ -54,7 +54,7 @@
                   ? std::make_unique<process::MetricsServer>(loop, *options.metricsListen, m_metrics)
                   : nullptr)
         , m_link(loop, options, log)
-        , m_server(loop, serverOptions(options),
+        , m_server(loop, serverOptions(options, log),
               [this](http::HttpRequest request, const http::Responder& responder) {
                   handle(std::move(request), responder);
               })
@@ -85,7 +85,7 @@
     }
 
 private:
-    static http::HttpServerOptions serverOptions(const EntryOptions& options)
+    static http::HttpServerOptions serverOptions(const EntryOptions& options, const base::Log& log)
     {
         http::HttpServerOptions result;
         result.listen = options.listen;
@@ -93,6 +93,7 @@
         result.maxHeaderBytes = maxHeaderBytes;
         result.requestTimeout = headerTimeout;
         result.idleTimeout = idleTimeout;
+        result.onHandlerError = [&log](std::string_view cause) { log.error("request_failed", { { "cause", cause } }); };
         return result;
     }
 
@@ -183,6 +184,7 @@
         control::internalPortSetting(options.internalPort),
         control::seedsSetting(options.seeds),
         process::metricsSetting(options.metricsListen),
+        process::logLinesSetting(options.logLinesPerEvent),
         { "stop-timeout-ms", "ms from SIGTERM to the end, default 6000", "1 to 3600000",
             [&options](std::string_view value) {
                 options.stopTimeout = base::Milliseconds(base::parseInteger(value, 1, 3'600'000));
@@ -192,11 +194,12 @@
 
 void runEntry(const EntryOptions& options)
 {
-    process::runProcess({ options.name, "entry", options.logLevel }, [&](http::EventLoop& loop, const base::Log& log) {
-        log.info("started", { { "listen", options.listen.text() }, { "seeds", options.seeds.size() } });
-        const auto node = std::make_shared<EntryNode>(loop, options, log);
-        return process::Work { node, [node] { node->beginStop(); } };
-    });
+    process::runProcess({ options.name, "entry", options.logLevel, process::logLimits(options.logLinesPerEvent) },
+        [&](http::EventLoop& loop, const base::Log& log) {
+            log.info("started", { { "listen", options.listen.text() }, { "seeds", options.seeds.size() } });
+            const auto node = std::make_shared<EntryNode>(loop, options, log);
+            return process::Work { node, [node] { node->beginStop(); } };
+        });
 }
 
 } // namespace crocuscove::entry
--- a/src/crocuscove/http/http_server.cpp
+++ b/src/crocuscove/http/http_server.cpp
@@ -245,7 +245,19 @@
         } else if (!request || hasAmbiguousFraming(request->headers)) {
             refuse(connection, responder, 400);
         } else {
-            m_handler(std::move(*request), responder);
+            callHandler(std::move(*request), responder);
+        }
+    }
+
+    void callHandler(HttpRequest request, const Responder& responder)
+    {
+        try {
+            m_handler(std::move(request), responder);
+        } catch (const std::exception& error) {
+            if (!m_options.onHandlerError) {
+                throw;
+            }
+            m_options.onHandlerError(error.what());
         }
     }
 
--- a/src/crocuscove/http/http_server_test.cpp
+++ b/src/crocuscove/http/http_server_test.cpp
@@ -69,6 +69,24 @@
     expectStillServing();
 }
 
+// Guards against one unexpected error that ends the process and so all other requests.
+TEST_F(HttpServerTest, AnExceptionOfTheHandlerFailsOneRequestOnly)
+{
+    std::vector<std::string> causes;
+    HttpServerOptions options;
+    options.onHandlerError = [&](std::string_view cause) { causes.emplace_back(cause); };
+    start(options, [](const HttpRequest& request, const Responder& responder) {
+        if (request.path == "/bad") {
+            throw std::out_of_range("no such entry");
+        }
+        responder.respond({ 200, {}, "" });
+    });
+    const std::string answer = exchange("GET /bad HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 500")) << answer;
+    EXPECT_EQ(causes, std::vector<std::string> { "no such entry" });
+    expectStillServing();
+}
+
 // Guards against mixing up pipelined requests, and against evhttp's exit when bytes arrive during handling.
 TEST_F(HttpServerTest, AnswersPipelinedRequestsInOrder)
 {
--- a/src/crocuscove/http/log_output.cpp
+++ b/src/crocuscove/http/log_output.cpp
@@ -67,4 +67,21 @@
     m_lines.erase(0, written);
 }
 
+void LogOutput::writeLast(std::string_view text) const noexcept
+{
+    writeRaw(m_lines);
+    writeRaw(text);
+}
+
+void LogOutput::writeRaw(std::string_view text) noexcept
+{
+    while (!text.empty()) {
+        const ssize_t part = write(STDOUT_FILENO, text.data(), std::min(maxWriteBytes, text.size()));
+        if (part <= 0) {
+            return;
+        }
+        text.remove_prefix(static_cast<std::size_t>(part));
+    }
+}
+
 } // namespace crocuscove::http
--- a/src/crocuscove/process/run_process.cpp
+++ b/src/crocuscove/process/run_process.cpp
@@ -2,11 +2,36 @@
 
 #include "crocuscove/base/error.h"
 #include "crocuscove/http/log_output.h"
+#include "fatal_signals.h"
 
 #include <csignal>
+#include <exception>
 
 namespace crocuscove::process {
 
+namespace {
+
+/// Warnings may be this much more frequent than other lines of an event.
+constexpr std::uint32_t warningFactor = 4;
+constexpr base::Milliseconds leftOutInterval { 1'000 };
+constexpr std::int64_t maxLogLines = 100'000;
+
+} // namespace
+
+base::LogLimits logLimits(std::uint32_t linesPerEvent)
+{
+    return { .infoLines = linesPerEvent, .warningLines = linesPerEvent * warningFactor };
+}
+
+base::Setting logLinesSetting(std::uint32_t& target)
+{
+    return { "log-lines-per-event",
+        "log lines of one event in one second, 0 for no limit, default " + std::to_string(target), "0 to 100000",
+        [&target](std::string_view value) {
+            target = static_cast<std::uint32_t>(base::parseInteger(value, 0, maxLogLines));
+        } };
+}
+
 void runProcess(
     const ProcessOptions& options, const std::function<Work(http::EventLoop& loop, const base::Log& log)>& start)
 {
@@ -14,8 +39,10 @@
     static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
     http::EventLoop loop;
     http::LogOutput output(loop);
-    const base::Log log(
-        options.logLevel, { { "node", options.name }, { "role", std::string(options.role) } }, output.sink());
+    const base::Log log(options.logLevel, { { "node", options.name }, { "role", std::string(options.role) } },
+        output.sink(), options.logLimits);
+    const FatalSignals fatalSignals(output, options.name, std::string(options.role));
+    const http::Timer leftOut = loop.runEvery(leftOutInterval, [&log] { log.writeLeftOut(); });
     try {
         const Work work = start(loop, log);
         const auto terminate = loop.onSignal(SIGTERM, [&work] { work.beginStop(); });
@@ -26,6 +53,10 @@
     } catch (const base::Error& error) {
         log.error("node_failed", { { "cause", error.what() } });
         throw;
+    } catch (const std::exception& error) {
+        // Nobody above catches these, and without unwinding the last lines would not be written.
+        log.error("node_failed", { { "cause", error.what() } });
+        throw base::Error(error.what());
     }
 }
 
