Let nodes that don't lead answer worker reports that change nothing

Cause: 730 reports a second went to the leader and changed nothing; its processor time was what bound the large site. Change: the leader names another node for a worker's later reports. That node answers from its state while it hears the leader, and sends on what changes something.

--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -273,6 +273,18 @@
     return isKnown ? addressOf(leader) : std::string();
 }
 
+std::string Cluster::reportAddress(const std::string& workerId) const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.isReady) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses.empty() ? m_options.listen.host
+                             : addresses[std::hash<std::string> {}(workerId) % addresses.size()];
+}
+
 bool Cluster::hasLeadership(base::MonotonicTime now) const
 {
     const auto confirmed = m_log.raft().leadershipConfirmedAt();
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -49,6 +49,12 @@
     /// Address of the serving leader as far as known; empty when there is none.
     [[nodiscard]] std::string leaderAddress() const;
 
+    /// Tells whether this node has heard from the leader lately, so that its state is at most some heartbeats old.
+    [[nodiscard]] bool isInContact(base::MonotonicTime now) const { return m_log.raft().hasQuorumContact(now); }
+    /// Address of the node that a worker's reports should go to. Workers are spread over the other nodes, so that their
+    /// reports cost the leader nothing; without another node it is this one.
+    [[nodiscard]] std::string reportAddress(const std::string& workerId) const;
+
     /// Proposes a command; those of one loop turn are committed together. `callback` runs exactly once.
     void propose(jobs::Command command, std::function<void(ProposalOutcome)> callback);
 
--- a/src/crocuscove/control/control_api.cpp
+++ b/src/crocuscove/control/control_api.cpp
@@ -32,6 +32,18 @@
     return result;
 }
 
+/// Tells whether a report says nothing that the state doesn't hold already. Only an earlier incarnation, or an earlier
+/// report of the known one, may differ from the state.
+bool isUnchanged(const jobs::Worker& known, const jobs::WorkerReport& report)
+{
+    if (known.report.incarnation != report.incarnation) {
+        return known.report.incarnation > report.incarnation;
+    }
+    const bool isSame = known.report.isDraining == report.isDraining && known.report.address == report.address
+        && known.report.service == report.service;
+    return isSame || known.report.sequence > report.sequence;
+}
+
 } // namespace
 
 ControlApi::ControlApi(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster)
@@ -50,7 +62,10 @@
         return;
     }
     if (!m_cluster.isServing()) {
-        redirect(request, responder);
+        const bool isReport = target.call == platform::ControlCall::ReportWorker;
+        if (!isReport || !answerUnchangedReport(request, target.id, responder)) {
+            redirect(request, responder);
+        }
         return;
     }
     switch (target.call) {
@@ -138,20 +153,14 @@
         return;
     }
     const std::string body
-        = platform::encodeReportAnswer(base::Endpoint { m_options.listen.host, m_options.listen.port }.text());
+        = platform::encodeReportAnswer(base::Endpoint { m_cluster.reportAddress(id), m_options.listen.port }.text());
     const jobs::FleetState& state = m_cluster.state();
     if (state.configuration().findService(report.service) == nullptr) {
         responder.respond(response(state.configuration().version == 0 ? statusUnavailable : statusOk));
         return;
     }
     const jobs::Worker* known = state.findWorker(id);
-    const bool isOld = known != nullptr
-        && (known->report.incarnation > report.incarnation
-            || (known->report.incarnation == report.incarnation
-                && (known->report.sequence > report.sequence
-                    || (known->report.isDraining == report.isDraining && known->report.address == report.address
-                        && known->report.service == report.service))));
-    if (isOld) {
+    if (known != nullptr && isUnchanged(*known, report)) {
         if (m_cluster.hasLeadership(base::monotonicNow())) {
             responder.respond(response(statusOk, body));
         } else {
@@ -165,6 +174,26 @@
     commit(jobs::RecordWorker { std::move(report) }, responder, body);
 }
 
+bool ControlApi::answerUnchangedReport(
+    const http::HttpRequest& request, const std::string& id, const http::Responder& responder) const
+{
+    const jobs::Worker* known = m_cluster.state().findWorker(id);
+    if (known == nullptr || !m_cluster.isInContact(base::monotonicNow())) {
+        return false;
+    }
+    try {
+        if (!isUnchanged(*known, platform::decodeWorkerReport(id, request.body))) {
+            return false;
+        }
+    } catch (const platform::MalformedMessage& error) {
+        m_log.warning("worker_report_refused", { { "worker", id }, { "cause", error.what() } });
+        responder.respond(response(statusBadRequest));
+        return true;
+    }
+    responder.respond(response(statusOk, platform::encodeReportAnswer(m_options.listen.text())));
+    return true;
+}
+
 // The worker ends right after this call; what runs there is counted until then.
 void ControlApi::removeWorker(const std::string& id, const http::Responder& responder)
 {
--- a/src/crocuscove/control/control_api.h
+++ b/src/crocuscove/control/control_api.h
@@ -22,6 +22,10 @@
     void putConfiguration(const http::HttpRequest& request, const http::Responder& responder);
     void getConfiguration(const http::Responder& responder);
     void reportWorker(const http::HttpRequest& request, const std::string& id, const http::Responder& responder);
+    /// Answers a report on a node that doesn't lead, if it changes nothing. Returns false for one that the leader must
+    /// see.
+    bool answerUnchangedReport(
+        const http::HttpRequest& request, const std::string& id, const http::Responder& responder) const;
     void removeWorker(const std::string& id, const http::Responder& responder);
     void startWave(const http::HttpRequest& request, const http::Responder& responder);
     void getWave(const std::string& id, const http::Responder& responder);
