Plan in proportion to what waits, and bound the share of time of plans

Cause: every plan walked all active jobs and every 5 ms; each assignment updated its worker's session anew; the pacer walked all running tasks ten times a second. Near its limit the leader planned more and started less. Change: an index of jobs with a ready task; one session update a worker and turn; a WorkPacer bounds plans to a tenth, waves and pools to a twentieth of the time; only workers with tasks that use leftover time are paced; workers by address.

--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -31,6 +31,8 @@
     [[nodiscard]] const std::map<std::string, std::string>& vmOrderHolders() const { return m_vmOrderHolders; }
     /// Jobs that are neither done, failed nor cancelled, by queue.
     [[nodiscard]] const std::map<std::string, std::set<JobId>>& activeJobs() const { return m_activeJobs; }
+    /// Active jobs with a waiting task whose dependencies are done, by queue. Due times are not considered.
+    [[nodiscard]] const std::map<std::string, std::set<JobId>>& readyJobs() const { return m_readyJobs; }
     /// The tasks assigned to each worker.
     [[nodiscard]] const std::set<TaskKey>& tasksOf(WorkerNumber worker) const;
 
@@ -62,6 +64,7 @@
     void applyCommand(const RecordNode& command);
     void applyCommand(const RecordVmOrder& command);
 
+    void forgetAddress(const Worker& worker);
     [[nodiscard]] bool canAssign(const Assignment& assignment) const;
     void assign(const Assignment& assignment);
     void endTask(Worker& worker, const TaskEnd& end, std::int64_t nowMs);
@@ -72,6 +75,8 @@
     void freeReservation(const Job& job, const TaskKey& key, WorkerNumber worker);
     void finishJob(Job& job, JobPhase phase, std::int64_t nowMs);
     void finishIfDone(Job& job, std::int64_t nowMs);
+    /// Updates the index of ready jobs after a change of the job's tasks or phase.
+    void updateReady(Job& job);
     void rebuildIndexes();
 
     Configuration m_configuration;
@@ -86,7 +91,9 @@
     // Indexes derived from the members above; not part of a snapshot.
     std::map<std::string, WorkerNumber> m_workerById;
     std::map<std::string, std::set<JobId>> m_activeJobs;
+    std::map<std::string, std::set<JobId>> m_readyJobs;
     std::map<WorkerNumber, std::set<TaskKey>> m_tasksByWorker;
+    std::map<std::string, WorkerNumber> m_workerByAddress;
 };
 
 /// Encodes commands that are committed as one log entry.
--- a/include/crocuscove/jobs/job.h
+++ b/include/crocuscove/jobs/job.h
@@ -71,10 +71,15 @@
     JobPhase phase = JobPhase::Queued;
     /// Indexed by occurrence, then by step. All occurrences are created when the job is accepted.
     std::vector<std::vector<StepProgress>> occurrences;
+    /// Whether a task waits in a step whose dependencies are done. Derived from the members above by the owner of the
+    /// job; not encoded.
+    bool hasReadyTask = false;
 
     [[nodiscard]] bool isActive() const { return phase == JobPhase::Queued || phase == JobPhase::Running; }
     /// Returns whether every dependency of `step` is done.
     [[nodiscard]] bool isStepReady(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Returns whether some task waits in a step whose dependencies are done. Due times are not considered.
+    [[nodiscard]] bool findReadyTask() const;
     /// Returns the task with this key, or a null pointer if there is none.
     [[nodiscard]] const Task* find(const TaskKey& key) const;
     [[nodiscard]] Task* find(const TaskKey& key);
--- a/src/crocuscove/control/fleet_manager.cpp
+++ b/src/crocuscove/control/fleet_manager.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr base::Milliseconds tickInterval { 100 };
+/// Share of the time that waves and pools may take.
+constexpr double maxTickShare = 0.05;
 
 } // namespace
 
@@ -21,6 +23,7 @@
     : m_cluster(cluster)
     , m_runTimes(runTimes)
     , m_client(loop, http::HttpClientOptions {})
+    , m_pacer(tickInterval / 2, maxTickShare)
 {
     if (options.vmInterface) {
         m_parts = std::make_unique<Parts>(m_client, options, log, cluster, findSession);
@@ -45,7 +48,7 @@
 void FleetManager::tick()
 {
     const auto now = base::monotonicNow();
-    if (m_cluster.state().configuration().version == 0 || !m_cluster.hasLeadership(now)) {
+    if (now < m_pacer.nextAt() || m_cluster.state().configuration().version == 0 || !m_cluster.hasLeadership(now)) {
         return;
     }
     m_parts->directory.refresh(now);
@@ -54,6 +57,7 @@
     }
     m_parts->waves.advance(now, [this](const std::string& vm) { return m_parts->moves.isMoving(vm); });
     m_parts->moves.advance(m_runTimes, now, [this](const std::string& vm) { return m_parts->waves.isDraining(vm); });
+    m_pacer.record(now, base::monotonicNow());
 }
 
 } // namespace crocuscove::control
--- a/src/crocuscove/control/fleet_manager.h
+++ b/src/crocuscove/control/fleet_manager.h
@@ -2,6 +2,7 @@
 
 #include "cluster.h"
 #include "crocuscove/base/log.h"
+#include "crocuscove/base/work_pacer.h"
 #include "crocuscove/control/control_options.h"
 #include "crocuscove/http/event_loop.h"
 #include "crocuscove/http/http_client.h"
@@ -43,6 +44,7 @@
     Cluster& m_cluster;
     const jobs::RunTimes& m_runTimes;
     http::HttpClient m_client;
+    base::WorkPacer m_pacer;
     std::unique_ptr<Parts> m_parts;
     http::Timer m_timer;
 };
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -14,20 +14,26 @@
 
 /// Changes within this time are planned together.
 constexpr base::Milliseconds planDelay { 5 };
+/// Share of the time that plans may take.
+constexpr double maxPlanShare = 0.1;
 /// Tasks that become due by time alone, and workers that become usable, are found at this interval.
 constexpr base::Milliseconds tickInterval { 100 };
 constexpr base::Milliseconds forgetInterval { 5'000 };
 /// Assignments of one plan, so that one entry of the log stays small.
 constexpr std::size_t maxTasksPerPlan = 400;
+/// Share of the descriptors for idle connections to workers. The rest is left for a renewal with each worker, callers,
+/// our own nodes and files.
+constexpr double idleConnectionShare = 0.4;
 /// Penalty of a worker all of whose last runs failed; above that of a distant rack.
 constexpr double failurePenalty = 4.0;
 /// Penalty of a worker whose VM is still to be maintained, so that tasks aren't interrupted twice.
 constexpr double duePenalty = 0.5;
 
-http::HttpClientOptions workerClientOptions()
+http::HttpClientOptions workerClientOptions(std::size_t maxDescriptors)
 {
     http::HttpClientOptions options;
     options.maxIdlePerEndpoint = 6;
+    options.maxIdleConnections = static_cast<std::size_t>(static_cast<double>(maxDescriptors) * idleConnectionShare);
     options.connectTimeout = base::Milliseconds(500);
     options.maxBodyBytes = std::size_t { 4 } * 1024 * 1024;
     return options;
@@ -49,11 +55,13 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_cluster(cluster)
-    , m_client(loop, workerClientOptions())
-    , m_fleet(loop, options, log, cluster, m_runTimes, [this](jobs::WorkerNumber number) -> WorkerSession* {
-        const auto session = m_sessions.find(number);
-        return session == m_sessions.end() ? nullptr : session->second.get();
-    })
+    , m_client(loop, workerClientOptions(options.maxDescriptors))
+    , m_fleet(loop, options, log, cluster, m_runTimes,
+          [this](jobs::WorkerNumber number) -> WorkerSession* {
+              const auto session = m_sessions.find(number);
+              return session == m_sessions.end() ? nullptr : session->second.get();
+          })
+    , m_planPacer(planDelay, maxPlanShare)
 {
     syncSessions();
     m_tickTimer = loop.runEvery(tickInterval, [this, lastForget = base::monotonicNow()]() mutable {
@@ -112,16 +120,8 @@
     }
 }
 
-void Leader::updateSession(jobs::WorkerNumber worker)
-{
-    const auto session = m_sessions.find(worker);
-    if (session != m_sessions.end()) {
-        session->second->update();
-    }
-}
-
 /// A job that ended otherwise than as done leaves tasks that must be stopped.
-void Leader::updateJob(jobs::JobId id)
+void Leader::collectTasksOfEndedJob(jobs::JobId id, std::set<jobs::WorkerNumber>& changed) const
 {
     const jobs::Job* job = m_cluster.state().findJob(id);
     if (job == nullptr || job->isActive()) {
@@ -129,31 +129,31 @@
     }
     for (const auto& steps : job->occurrences) {
         for (const auto& step : steps) {
-            std::ranges::for_each(step.tasks, [this](const jobs::Task& task) {
+            std::ranges::for_each(step.tasks, [&](const jobs::Task& task) {
                 if (task.phase == jobs::TaskPhase::Assigned) {
-                    updateSession(task.worker);
+                    changed.insert(task.worker);
                 }
             });
         }
     }
 }
 
-void Leader::touch(const jobs::Command& command)
+void Leader::collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed)
 {
     std::visit(
-        [this](const auto& typed) {
+        [&](const auto& typed) {
             using Type = std::decay_t<decltype(typed)>;
             if constexpr (std::is_same_v<Type, jobs::AssignTasks>) {
                 std::ranges::for_each(
-                    typed.assignments, [this](const jobs::Assignment& item) { updateSession(item.worker); });
+                    typed.assignments, [&](const jobs::Assignment& item) { changed.insert(item.worker); });
             } else if constexpr (std::is_same_v<Type, jobs::RecordTaskEnds>) {
-                updateSession(typed.worker);
-                std::ranges::for_each(typed.ends, [this](const jobs::TaskEnd& end) {
+                changed.insert(typed.worker);
+                std::ranges::for_each(typed.ends, [&](const jobs::TaskEnd& end) {
                     m_metrics.count("task_ended", std::string(jobs::taskEndReasonName(end.kind)));
+                    collectTasksOfEndedJob(end.task.job, changed);
                 });
-                std::ranges::for_each(typed.ends, [this](const jobs::TaskEnd& end) { updateJob(end.task.job); });
             } else if constexpr (std::is_same_v<Type, jobs::CancelAcceptedJob>) {
-                updateJob(typed.job);
+                collectTasksOfEndedJob(typed.job, changed);
             } else if constexpr (std::is_same_v<Type, jobs::AcceptJob>) {
                 if (const jobs::Job* job = m_cluster.state().findJob(typed.job)) {
                     m_fleet.addArrival(*job);
@@ -161,7 +161,7 @@
             } else if constexpr (std::is_same_v<Type, jobs::RecordWorker>) {
                 const jobs::Worker* worker = m_cluster.state().findWorker(typed.report.id);
                 if (worker != nullptr) {
-                    updateSession(worker->number);
+                    changed.insert(worker->number);
                 }
             }
         },
@@ -174,7 +174,14 @@
     if (commands.empty() || std::ranges::any_of(commands, changesWorkers)) {
         syncSessions();
     }
-    std::ranges::for_each(commands, [this](const jobs::Command& command) { touch(command); });
+    std::set<jobs::WorkerNumber> changed;
+    std::ranges::for_each(commands, [&](const jobs::Command& command) { collectChanged(command, changed); });
+    std::ranges::for_each(changed, [this](jobs::WorkerNumber worker) {
+        const auto session = m_sessions.find(worker);
+        if (session != m_sessions.end()) {
+            session->second->update();
+        }
+    });
     schedulePlan();
 }
 
@@ -184,9 +191,12 @@
         return;
     }
     m_isPlanWanted = true;
-    m_planTimer = m_loop.runAt(base::monotonicNow() + planDelay, [this] {
+    const base::MonotonicTime earliest = base::monotonicNow() + planDelay;
+    m_planTimer = m_loop.runAt(std::max(earliest, m_planPacer.nextAt()), [this] {
         m_isPlanWanted = false;
+        const auto begin = base::monotonicNow();
         plan();
+        m_planPacer.record(begin, base::monotonicNow());
     });
 }
 
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -2,6 +2,7 @@
 
 #include "cluster.h"
 #include "crocuscove/base/log.h"
+#include "crocuscove/base/work_pacer.h"
 #include "crocuscove/control/control_options.h"
 #include "crocuscove/http/event_loop.h"
 #include "crocuscove/http/http_client.h"
@@ -13,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace crocuscove::control {
@@ -31,9 +33,9 @@
 
 private:
     void syncSessions();
-    void updateSession(jobs::WorkerNumber worker);
-    void updateJob(jobs::JobId job);
-    void touch(const jobs::Command& command);
+    /// Adds the workers whose orders may have changed with an applied command.
+    void collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed);
+    void collectTasksOfEndedJob(jobs::JobId job, std::set<jobs::WorkerNumber>& changed) const;
     void schedulePlan();
     void plan();
     void forgetJobs();
@@ -50,6 +52,7 @@
     jobs::RunTimes m_runTimes;
     FleetManager m_fleet;
     Pacer m_pacer;
+    base::WorkPacer m_planPacer;
     bool m_isPlanning = false;
     bool m_isPlanWanted = false;
     http::Timer m_planTimer;
--- a/src/crocuscove/control/pacer.cpp
+++ b/src/crocuscove/control/pacer.cpp
@@ -49,6 +49,10 @@
 {
     std::erase_if(m_paces, [&](const auto& pace) { return !sessions.contains(pace.first); });
     for (const auto& [number, session] : sessions) {
+        if (!session->hasPaceableTask()) {
+            m_paces.erase(number);
+            continue;
+        }
         const auto tail = worstTail(state, *session);
         Pace& pace = m_paces[number];
         if (now - pace.changedAt >= settleTime) {
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -97,6 +97,7 @@
     job.occurrences = initialProgress(command.spec);
     m_activeJobs[job.queue].insert(job.id);
     Job& stored = m_jobs.emplace(command.job, std::move(job)).first->second;
+    updateReady(stored);
     finishIfDone(stored, command.nowMs);
 }
 
@@ -113,14 +114,13 @@
 void FleetState::applyCommand(const RecordWorker& command)
 {
     const WorkerReport& report = command.report;
-    const auto sameAddress = std::ranges::find_if(m_workers, [&](const auto& entry) {
-        return entry.second.report.address == report.address && entry.second.report.id != report.id;
-    });
-    if (sameAddress != m_workers.end()) {
-        if (sameAddress->second.report.incarnation > report.incarnation) {
+    const auto sameAddress = m_workerByAddress.find(report.address);
+    const Worker* other = sameAddress == m_workerByAddress.end() ? nullptr : findWorker(sameAddress->second);
+    if (other != nullptr && other->report.id != report.id) {
+        if (other->report.incarnation > report.incarnation) {
             return;
         }
-        applyCommand(RemoveWorker { sameAddress->first });
+        applyCommand(RemoveWorker { other->number });
     }
     const auto known = m_workerById.find(report.id);
     if (known != m_workerById.end()) {
@@ -131,7 +131,9 @@
         if (worker.report.incarnation == report.incarnation) {
             const bool wasDraining = worker.report.isDraining;
             if (report.sequence > worker.report.sequence) {
+                forgetAddress(worker);
                 worker.report = report;
+                m_workerByAddress[report.address] = worker.number;
             }
             worker.report.isDraining = worker.report.isDraining || wasDraining;
             return;
@@ -142,9 +144,18 @@
     worker.number = ++m_lastWorker;
     worker.report = report;
     m_workerById[report.id] = worker.number;
+    m_workerByAddress[report.address] = worker.number;
     m_workers.emplace(worker.number, std::move(worker));
 }
 
+void FleetState::forgetAddress(const Worker& worker)
+{
+    const auto entry = m_workerByAddress.find(worker.report.address);
+    if (entry != m_workerByAddress.end() && entry->second == worker.number) {
+        m_workerByAddress.erase(entry);
+    }
+}
+
 void FleetState::applyCommand(const RemoveWorker& command)
 {
     const auto worker = m_workers.find(command.worker);
@@ -154,6 +165,7 @@
     const std::set<TaskKey> tasks = tasksOf(command.worker);
     std::ranges::for_each(tasks, [this](const TaskKey& key) { unassign(key); });
     m_tasksByWorker.erase(command.worker);
+    forgetAddress(worker->second);
     m_workerById.erase(worker->second.report.id);
     m_workers.erase(worker);
 }
@@ -198,6 +210,7 @@
     ++worker.assignedTasks;
     m_tasksByWorker[assignment.worker].insert(assignment.task);
     job.phase = JobPhase::Running;
+    updateReady(job);
 }
 
 void FleetState::freeReservation(const Job& job, const TaskKey& key, WorkerNumber number)
@@ -228,6 +241,7 @@
     task->phase = TaskPhase::Waiting;
     task->worker = 0;
     ++job.occurrences[key.occurrence][key.step].waitingTasks;
+    updateReady(job);
 }
 
 void FleetState::applyCommand(const ReleaseTask& command)
@@ -297,6 +311,7 @@
         --progress.waitingTasks;
         ++progress.doneTasks;
     }
+    updateReady(job);
     finishIfDone(job, nowMs);
 }
 
@@ -328,6 +343,21 @@
     job.phase = phase;
     job.finishedMs = nowMs;
     m_activeJobs[job.queue].erase(job.id);
+    updateReady(job);
+}
+
+void FleetState::updateReady(Job& job)
+{
+    const bool hasReadyTask = job.isActive() && job.findReadyTask();
+    if (hasReadyTask == job.hasReadyTask) {
+        return;
+    }
+    job.hasReadyTask = hasReadyTask;
+    if (hasReadyTask) {
+        m_readyJobs[job.queue].insert(job.id);
+    } else {
+        m_readyJobs[job.queue].erase(job.id);
+    }
 }
 
 // Jobs with running tasks are kept, because the end of those tasks frees their reservations.
@@ -364,12 +394,17 @@
 void FleetState::rebuildIndexes()
 {
     m_workerById.clear();
+    m_workerByAddress.clear();
     m_activeJobs.clear();
+    m_readyJobs.clear();
     m_tasksByWorker.clear();
     for (const auto& [number, worker] : m_workers) {
         m_workerById[worker.report.id] = number;
+        m_workerByAddress[worker.report.address] = number;
     }
-    for (const auto& [id, job] : m_jobs) {
+    for (auto& [id, job] : m_jobs) {
+        job.hasReadyTask = false;
+        updateReady(job);
         if (job.isActive()) {
             m_activeJobs[job.queue].insert(id);
         }
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -239,6 +239,11 @@
         RC_ASSERT(worker.reserved == reserved[number]);
         RC_ASSERT(worker.reserved.fitsInto(worker.report.capacity));
     }
+    for (const auto& [id, job] : state.jobs()) {
+        const auto ready = state.readyJobs().find(job.queue);
+        const bool isIndexed = ready != state.readyJobs().end() && ready->second.contains(id);
+        RC_ASSERT(isIndexed == (job.isActive() && job.findReadyTask()));
+    }
 }
 
 // Guards against leaked or doubly reserved capacity, completed tasks that start again, and snapshots that do not
--- a/src/crocuscove/jobs/job.cpp
+++ b/src/crocuscove/jobs/job.cpp
@@ -39,6 +39,18 @@
         [&](std::uint32_t dependency) { return steps[dependency].doneTasks == steps[dependency].tasks.size(); });
 }
 
+bool Job::findReadyTask() const
+{
+    for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
+        for (std::uint32_t step = 0; step < occurrences[occurrence].size(); ++step) {
+            if (occurrences[occurrence][step].waitingTasks > 0 && isStepReady(occurrence, step)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 const Task* Job::find(const TaskKey& key) const
 {
     const bool exists = key.occurrence < occurrences.size() && key.step < occurrences[key.occurrence].size()
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -66,13 +66,6 @@
     return work;
 }
 
-bool hasWaitingTask(const Job& job)
-{
-    return std::ranges::any_of(job.occurrences, [](const auto& steps) {
-        return std::ranges::any_of(steps, [](const StepProgress& step) { return step.waitingTasks > 0; });
-    });
-}
-
 /// Returns whether some waiting task of the job fits into `free`.
 bool hasFittingTask(const Job& job, const Resources& free)
 {
@@ -294,16 +287,12 @@
 JobsByService waitingJobsByService(const SchedulingView& view)
 {
     JobsByService result;
-    for (const auto& [queueName, jobs] : view.state.activeJobs()) {
+    for (const auto& [queueName, jobs] : view.state.readyJobs()) {
         const Queue* queue = view.state.findQueue(queueName);
-        if (queue == nullptr) {
-            continue;
-        }
-        for (const JobId id : jobs) {
-            const Job& job = view.state.jobs().at(id);
-            if (hasWaitingTask(job)) {
-                result[queue->service].push_back({ &job, queue });
-            }
+        if (queue != nullptr && !jobs.empty()) {
+            std::ranges::transform(jobs, std::back_inserter(result[queue->service]), [&](JobId id) {
+                return QueuedJob { &view.state.jobs().at(id), queue };
+            });
         }
     }
     return result;
