Settle starts on draining workers, and maintain VMs that a list leaves out

Change: such a start is settled by a confirmed stop, then placed elsewhere. A VM that three lists in a row lack is ordered all the same; only the platform's answer that there is no such VM counts.

--- a/src/crocuscove/control/vm_directory.cpp
+++ b/src/crocuscove/control/vm_directory.cpp
@@ -38,6 +38,9 @@
             }
             try {
                 platform::VmPage part = platform::decodeVmPage(result.response->body);
+                if (part.malformedEntries > 0) {
+                    m_log.warning("vm_entries_malformed", { { "count", part.malformedEntries } });
+                }
                 std::ranges::for_each(part.vms, [&](platform::Vm& vm) {
                     const std::string id = vm.id;
                     found->insert_or_assign(id, std::move(vm));
--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -12,6 +12,9 @@
 
 constexpr base::Milliseconds callTimeout { 2'000 };
 constexpr base::Milliseconds callPause { 400 };
+/// A VM that this many lists in a row have left out is ordered all the same: the platform refuses the order only if
+/// there is no such VM.
+constexpr std::uint32_t absentListings = 3;
 /// Tasks that end by themselves get this long before the VM is taken.
 constexpr base::Milliseconds drainPatience { 2'500 };
 
@@ -32,6 +35,7 @@
 {
     settleOrdered();
     followWorkers(now);
+    countListings();
     m_dueWorkers.clear();
     for (const auto& [id, wave] : m_cluster.state().waves()) {
         if (!wave.isDone()) {
@@ -90,20 +94,53 @@
     }
 }
 
+// A list is read in pages while VMs move, and may have been asked for before the wave was received, so that one that
+// lacks a VM proves nothing.
+void WaveRunner::countListings()
+{
+    if (m_countedListing == m_directory.askedAt()) {
+        return;
+    }
+    m_countedListing = m_directory.askedAt();
+    std::map<std::string, Absence> absences;
+    for (const auto& [id, wave] : m_cluster.state().waves()) {
+        for (const auto& [vm, phase] : wave.vms) {
+            const auto listed = m_directory.vms().find(vm);
+            if (phase == jobs::WaveVmPhase::Done) {
+                continue;
+            }
+            const auto known = m_absences.find(vm);
+            Absence absence = known == m_absences.end() ? Absence {} : known->second;
+            if (listed != m_directory.vms().end()) {
+                absence = { listed->second.workerId, 0 };
+            } else {
+                ++absence.listings;
+            }
+            absences[vm] = std::move(absence);
+        }
+    }
+    m_absences = std::move(absences);
+}
+
+bool WaveRunner::isLongAbsent(const std::string& vm) const
+{
+    const auto absence = m_absences.find(vm);
+    return absence != m_absences.end() && absence->second.listings >= absentListings;
+}
+
 void WaveRunner::advanceWave(
     const jobs::Wave& wave, base::MonotonicTime now, const std::function<bool(const std::string& vm)>& isMoving)
 {
     for (const auto& [vm, phase] : wave.vms) {
-        if (phase != jobs::WaveVmPhase::Done && !m_directory.vms().contains(vm)) {
-            m_log.info("wave_vm_gone", { { "wave", wave.id }, { "vm", vm } });
-            recordStep(wave.id, vm, jobs::WaveVmPhase::Done);
-        } else if (phase != jobs::WaveVmPhase::Done) {
-            m_dueWorkers.insert(m_directory.vms().at(vm).workerId);
+        const auto listed = m_directory.vms().find(vm);
+        if (phase != jobs::WaveVmPhase::Done && listed != m_directory.vms().end()) {
+            m_dueWorkers.insert(listed->second.workerId);
         }
     }
+    std::size_t down = downVms(wave);
     for (auto& [vm, drain] : m_drains) {
         if (drain.wave == wave.id) {
-            advanceDrain(wave, vm, drain, now);
+            advanceDrain(wave, vm, drain, down, now);
         }
     }
     startDrains(wave, now, isMoving);
@@ -119,14 +156,16 @@
         if (emptying >= static_cast<std::ptrdiff_t>(wave.maxConcurrent)) {
             return;
         }
-        const platform::Vm& vm = m_directory.vms().at(id);
+        const auto listed = m_directory.vms().find(id);
         Drain drain;
         drain.wave = wave.id;
-        drain.workerId = vm.workerId;
+        drain.workerId = listed == m_directory.vms().end() ? m_absences.at(id).lastWorkerId : listed->second.workerId;
         drain.startedAt = now;
         m_drains.emplace(id, drain);
         ++emptying;
-        m_log.info("vm_drain", { { "wave", wave.id }, { "vm", id }, { "worker", vm.workerId } });
+        m_log.info("vm_drain",
+            { { "wave", wave.id }, { "vm", id }, { "worker", drain.workerId },
+                { "listed", listed != m_directory.vms().end() } });
     }
 }
 
@@ -136,11 +175,13 @@
     std::vector<std::pair<std::uint64_t, std::string>> candidates;
     for (const auto& [id, phase] : wave.vms) {
         const auto vm = m_directory.vms().find(id);
-        if (phase == jobs::WaveVmPhase::Done || m_drains.contains(id) || vm == m_directory.vms().end()
-            || !vm->second.isUp || isMoving(id)) {
+        const bool isListed = vm != m_directory.vms().end();
+        const bool isCandidate = isListed ? vm->second.isUp : isLongAbsent(id);
+        if (phase == jobs::WaveVmPhase::Done || !isCandidate || m_drains.contains(id) || isMoving(id)) {
             continue;
         }
-        const jobs::Worker* worker = m_cluster.state().findWorker(vm->second.workerId);
+        const jobs::Worker* worker
+            = m_cluster.state().findWorker(isListed ? vm->second.workerId : m_absences.at(id).lastWorkerId);
         candidates.emplace_back(worker == nullptr ? 0 : worker->assignedTasks, id);
     }
     std::ranges::sort(candidates);
@@ -149,13 +190,15 @@
     return ids;
 }
 
-void WaveRunner::advanceDrain(const jobs::Wave& wave, const std::string& vm, Drain& drain, base::MonotonicTime now)
+void WaveRunner::advanceDrain(
+    const jobs::Wave& wave, const std::string& vm, Drain& drain, std::size_t& down, base::MonotonicTime now)
 {
     if (drain.orderedAt || drain.isCalling || drain.callAgainAt > now) {
         return;
     }
-    if (empty(drain, now) && downVms(wave) < wave.maxConcurrent) {
+    if (empty(drain, now) && down < wave.maxConcurrent) {
         order(wave, vm, drain);
+        down += drain.isCalling ? 1 : 0;
     }
 }
 
@@ -246,6 +289,7 @@
         drain.orderedAt = base::monotonicNow();
         recordStep(wave, vm, jobs::WaveVmPhase::Done);
     } else if (status == statusNoSuchVm) {
+        m_log.info("wave_vm_gone", { { "wave", wave }, { "vm", vm } });
         m_drains.erase(found);
         recordStep(wave, vm, jobs::WaveVmPhase::Done);
     } else {
--- a/src/crocuscove/control/wave_runner.h
+++ b/src/crocuscove/control/wave_runner.h
@@ -51,18 +51,31 @@
         base::MonotonicTime callAgainAt;
     };
 
+    /// A VM of an open wave that the list may lack.
+    struct Absence {
+        /// Its worker when it was last listed; empty before.
+        std::string lastWorkerId;
+        /// Lists in a row that lacked it.
+        std::uint32_t listings = 0;
+    };
+
     /// Removes the workers of VMs whose maintenance has begun by the list, and drops what is back.
     void settleOrdered();
     /// Gives up drains of VMs that now run another worker, or empties that one where an order may be carried out yet.
     void followWorkers(base::MonotonicTime now);
     void advanceWave(
         const jobs::Wave& wave, base::MonotonicTime now, const std::function<bool(const std::string& vm)>& isMoving);
+    /// Counts the lists that left out VMs of open waves.
+    void countListings();
+    [[nodiscard]] bool isLongAbsent(const std::string& vm) const;
     /// Returns the VMs that may be emptied next, the idlest first.
     [[nodiscard]] std::vector<std::string> drainCandidates(
         const jobs::Wave& wave, const std::function<bool(const std::string& vm)>& isMoving) const;
     void startDrains(
         const jobs::Wave& wave, base::MonotonicTime now, const std::function<bool(const std::string& vm)>& isMoving);
-    void advanceDrain(const jobs::Wave& wave, const std::string& vm, Drain& drain, base::MonotonicTime now);
+    /// Empties a VM and orders its maintenance while fewer than the wave allows are `down`, which it then counts.
+    void advanceDrain(
+        const jobs::Wave& wave, const std::string& vm, Drain& drain, std::size_t& down, base::MonotonicTime now);
     [[nodiscard]] std::size_t downVms(const jobs::Wave& wave) const;
     /// Stops what may be stopped; returns true when nothing is left that must be kept.
     bool empty(const Drain& drain, base::MonotonicTime now);
@@ -80,6 +93,8 @@
     Cluster& m_cluster;
     SessionFinder m_findSession;
     std::map<std::string, Drain> m_drains;
+    std::map<std::string, Absence> m_absences;
+    std::optional<base::MonotonicTime> m_countedListing;
     std::set<std::string> m_reservedWorkers;
     std::set<std::string> m_dueWorkers;
     /// Cleared at the end, for callbacks that come later.
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -27,23 +27,30 @@
     if (!m_clock.isKnown()) {
         return;
     }
+    m_hasPaceableTask = false;
     for (const jobs::TaskKey& key : assigned) {
-        const jobs::Job* job = m_state.findJob(key.job);
+        const jobs::Job& job = *m_state.findJob(key.job);
         const auto [order, isNew]
-            = m_orders.try_emplace(key, Order { job->find(key)->run, OrderPhase::Unsent, {}, {}, false, false });
-        updateOrder(key, order->second);
+            = m_orders.try_emplace(key, Order { job.find(key)->run, OrderPhase::Unsent, {}, {}, false, false });
+        m_hasPaceableTask = m_hasPaceableTask || job.spec.steps[key.step].usesLeftover;
+        updateOrder(key, job, order->second);
     }
     armRetry();
 }
 
-void WorkerSession::updateOrder(const jobs::TaskKey& key, Order& order)
+void WorkerSession::updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order)
 {
-    const jobs::Job& job = *m_state.findJob(key.job);
     const jobs::Worker* current = worker();
     const auto now = base::monotonicNow();
     if (order.sendAgainAt > now) {
         return;
     }
+    if (order.phase == OrderPhase::Unsent && job.isActive() && current->report.isDraining) {
+        // An order that was sent before, also by an earlier leader, may be carried out late; a confirmed stop prevents
+        // that, and the task starts elsewhere.
+        stopOrder(key, order, "worker-draining");
+        return;
+    }
     if (order.phase == OrderPhase::Unsent && job.isActive()) {
         if (m_startsInFlight < maxStartsInFlight && m_health.unanswered == 0 && m_hooks.mayOrder()) {
             start(key, order);
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -53,6 +53,8 @@
     /// Tells whether the worker has answered lately, so that it may be given tasks.
     [[nodiscard]] bool isUsable(base::MonotonicTime now) const;
     [[nodiscard]] const WorkerHealth& health() const { return m_health; }
+    /// Tells whether a task is assigned to the worker that uses leftover time, so that its pace may have to change.
+    [[nodiscard]] bool hasPaceableTask() const { return m_hasPaceableTask; }
     /// What runs on the worker by its last answer.
     [[nodiscard]] const std::vector<platform::RunningTask>& running() const { return m_running; }
 
@@ -100,7 +102,7 @@
     void onSilence();
     void remove(std::string_view reason);
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
-    void updateOrder(const jobs::TaskKey& key, Order& order);
+    void updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order);
     void start(const jobs::TaskKey& key, Order& order);
     void onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result);
     void stopOrder(const jobs::TaskKey& key, Order& order, std::string_view reason);
@@ -125,6 +127,7 @@
     bool m_isRecording = false;
     bool m_isRemoving = false;
     std::map<jobs::TaskKey, Order> m_orders;
+    bool m_hasPaceableTask = false;
     std::uint32_t m_startsInFlight = 0;
     std::vector<platform::RunningTask> m_running;
     WorkerHealth m_health;
--- a/tests/commands/standin_executor.cpp
+++ b/tests/commands/standin_executor.cpp
@@ -18,6 +18,7 @@
         integerSetting("cpu", "capacity in thousandths of a core", 1, 1'000'000, options.cpu),
         integerSetting("report-interval-ms", "time between reports", 10, 60'000, options.reportIntervalMs),
         integerSetting("unanswered-starts", "first starts without an answer", 0, 1'000, options.unansweredStarts),
+        switchSetting("drains-on-start", "drain instead of carrying out the first start", options.drainsOnStart),
         textSetting("records", "file that gets a JSON line for each start and end", options.recordsFile),
     };
 }
--- a/tests/commands/standin_vms.cpp
+++ b/tests/commands/standin_vms.cpp
@@ -15,6 +15,7 @@
         textSetting("pool", "pool that they belong to", options.pool),
         integerSetting("maintenance-ms", "how long maintenance takes", 1, 60'000, options.maintenanceMs),
         switchSetting("already-done", "confirm every order as carried out before", options.isAlreadyDone),
+        textSetting("left-out", "VM that every other list leaves out", options.leftOut),
         textSetting("records", "file that gets a JSON line for each order and return", options.recordsFile),
     };
 }
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -195,6 +195,63 @@
     expectNoTaskTwice();
 }
 
+// Guards against a start that is sent again to a worker that has said that it drains since its first start got no
+// answer.
+TEST_F(PlatformTest, AnUnansweredStartIsNotRepeatedToADrainingWorker)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { "--drains-on-start" });
+    submit("00000000000000aa", twoSteps);
+    EXPECT_TRUE(waitUntil([&] {
+        return std::ranges::any_of(
+            records(), [](const nlohmann::json& line) { return line.at("event") == "draining-noted"; });
+    }));
+    startWorker("w2");
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; }));
+    const auto lines = readJsonLines(cluster.path("w1.records"));
+    const auto noted
+        = std::ranges::find_if(lines, [](const auto& line) { return line.at("event") == "draining-noted"; });
+    EXPECT_TRUE(std::none_of(noted, lines.end(), [](const auto& line) { return line.at("event") == "start"; }));
+    expectNoTaskTwice();
+}
+
+// Guards against a wave that counts a VM as maintained because a list of VMs left it out once.
+TEST_F(PlatformTest, AVmThatAListLeavesOutIsStillMaintained)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1");
+    startWorker("w2");
+    startVms({ flag("left-out", "vm-w2") });
+    const std::string wave = R"({"wave":1,"machines":["vm-w1","vm-w2","vm-none"],"completeByS":20,"maxCount":1})";
+    ASSERT_EQ(startWave(wave), 200);
+    EXPECT_TRUE(waitUntil([&] { return isWaveDone(1); })) << "there is no vm-none, which must not hold the wave up";
+    const auto lines = readJsonLines(cluster.path("vms.records"));
+    EXPECT_EQ(std::ranges::count_if(lines, [](const nlohmann::json& line) { return line.at("event") == "down"; }), 2);
+}
+
+// Guards against reports that all cost the leader, and against a report that changes something and stays with a node
+// that doesn't lead.
+TEST_F(PlatformTest, NodesThatDoNotLeadAnswerReportsThatChangeNothing)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    const int other = first % 3 + 1;
+    const auto report = [&](int node, const std::string& state, int sequence) {
+        const std::string body
+            = fmt::format(R"({{"service":"pool","address":"127.0.0.1:9","zone":"z","state":"{}","seq":{},"born":1,)"
+                          R"("capacity":{{"cpu":1000,"memMb":64}},"labels":["a"]}})",
+                state, sequence);
+        const auto result = Cluster::request(control(node), "PUT", "/api/instances/w9", body);
+        return result.response ? result.response->status : 0;
+    };
+    EXPECT_EQ(report(other, "ready", 1), 307) << "unknown";
+    EXPECT_EQ(report(first, "ready", 1), 200);
+    EXPECT_TRUE(waitUntil([&] { return report(other, "ready", 2) == 200; }));
+    EXPECT_EQ(report(other, "draining", 3), 307);
+    EXPECT_EQ(report(first, "draining", 3), 200);
+    EXPECT_TRUE(waitUntil([&] { return report(other, "draining", 4) == 200; }));
+}
+
 /// Sends bytes to a port and returns whether the other side then closes the connection.
 bool isClosedAfter(const base::Endpoint& endpoint, const std::string& bytes)
 {
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -17,6 +17,13 @@
     return options;
 }
 
+/// Leaves a connection open without an answer.
+void leaveOpen(const http::Responder& responder)
+{
+    static std::vector<http::Responder> silent;
+    silent.push_back(responder);
+}
+
 } // namespace
 
 StandinExecutor::StandinExecutor(http::EventLoop& loop, StandinExecutorOptions options)
@@ -106,6 +113,10 @@
     const auto task = body.at("task").get<std::string>();
     const auto run = body.at("run").get<std::uint32_t>();
     extendLease(body);
+    if (m_options.drainsOnStart && !std::exchange(m_isDraining, true)) {
+        leaveOpen(responder);
+        return;
+    }
     const auto running = m_running.find(task);
     if (running != m_running.end() && running->second.number == run) {
         respond(responder, 200, nlohmann::json::object());
@@ -130,9 +141,7 @@
     record("start", task, run, body.value("checkpoint", ""));
     if (m_options.unansweredStarts > 0) {
         --m_options.unansweredStarts;
-        // The connection stays open without an answer.
-        static std::vector<http::Responder> silent;
-        silent.push_back(responder);
+        leaveOpen(responder);
         return;
     }
     respond(responder, 200, nlohmann::json::object());
@@ -236,15 +245,20 @@
             (m_options.advertise.port != 0 ? m_options.advertise
                                            : base::Endpoint { m_options.listen.host, m_server.port() })
                 .text() },
-        { "zone", "z" }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
-        { "capacity", { { "cpu", m_options.cpu }, { "memMb", m_options.memMb }, { "gpu", 0 } } },
+        { "zone", "z" }, { "version", "v1" }, { "slots", 8 }, { "state", m_isDraining ? "draining" : "ready" },
+        { "coldLeftMs", 0 }, { "capacity", { { "cpu", m_options.cpu }, { "memMb", m_options.memMb }, { "gpu", 0 } } },
         { "labels", { "a", "r1" } }, { "clockMs", clockMs() }, { "seq", ++m_sequence }, { "born", m_born } };
     http::HttpRequest request;
     request.method = "PUT";
     request.path = "/api/instances/" + m_options.id;
     request.body = body.dump();
     // A node that doesn't lead sends on to the leader, which is among the nodes that are asked in turn.
-    m_client.call(control, request, base::monotonicNow() + reportTimeout, [](const http::ExchangeResult&) {});
+    m_client.call(control, request, base::monotonicNow() + reportTimeout,
+        [this, isDraining = m_isDraining](const http::ExchangeResult& result) {
+            if (isDraining && result.response && result.response->status == 200) {
+                record("draining-noted", "", 0, "");
+            }
+        });
 }
 
 } // namespace crocuscove::testing
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -29,6 +29,8 @@
     std::int64_t reportIntervalMs = 300;
     /// The first starts that are carried out but not answered.
     std::int64_t unansweredStarts = 0;
+    /// The first start is neither carried out nor answered, and from then on the worker reports that it drains.
+    bool drainsOnStart = false;
     /// File that gets a JSON line for each start, end and refusal.
     std::string recordsFile;
 };
@@ -80,6 +82,7 @@
     /// The last end before the lease has ended most recently. Ends up to it never count as noted (RULES, TWICE).
     std::uint64_t m_lastEndBeforeLapse = 0;
     std::uint64_t m_sequence = 0;
+    bool m_isDraining = false;
     std::size_t m_nextControl = 0;
     std::map<std::string, Run> m_running;
     /// The highest run of each task that ended or was stopped here.
--- a/tests/support/standin_vms.cpp
+++ b/tests/support/standin_vms.cpp
@@ -59,10 +59,14 @@
     }
 }
 
-void StandinVms::list(const http::Responder& responder) const
+void StandinVms::list(const http::Responder& responder)
 {
+    const bool leavesOut = ++m_lists % 2 == 0;
     nlohmann::json vms = nlohmann::json::array();
     for (const auto& [id, vm] : m_vms) {
+        if (leavesOut && id == m_options.leftOut) {
+            continue;
+        }
         vms.push_back({ { "machine", id }, { "pool", m_options.pool }, { "state", vm.isUp ? "up" : "upkeep" },
             { "zone", "z" }, { "labels", { "a", "r1" } },
             { "capacity", { { "cpu", 8000 }, { "memMb", 8192 }, { "gpu", 0 } } }, { "id", vm.worker } });
--- a/tests/support/standin_vms.h
+++ b/tests/support/standin_vms.h
@@ -24,6 +24,8 @@
     std::int64_t maintenanceMs = 500;
     /// Every order is confirmed as carried out before, and nothing happens.
     bool isAlreadyDone = false;
+    /// A VM that every other list leaves out; empty for none.
+    std::string leftOut;
     /// File that gets a JSON line for each order and return of a VM.
     std::string recordsFile;
 };
@@ -46,7 +48,7 @@
     };
 
     void handle(const http::HttpRequest& request, const http::Responder& responder);
-    void list(const http::Responder& responder) const;
+    void list(const http::Responder& responder);
     void maintain(const nlohmann::json& body, const http::Responder& responder);
     void record(const std::string& event, const std::string& vm);
 
@@ -54,6 +56,7 @@
     StandinVmsOptions m_options;
     JsonLinesFile m_records;
     std::map<std::string, Vm> m_vms;
+    std::uint64_t m_lists = 0;
     http::HttpClient m_client;
     http::HttpServer m_server;
 };
