--- a/include/crocuscove/replication/replicated_log.h
+++ b/include/crocuscove/replication/replicated_log.h
@@ -137,6 +137,8 @@
     std::map<std::uint64_t, PendingRead> m_reads;
     std::uint64_t m_nextRead = 1;
     consensus::Index m_applied = 0;
+    /// Index of the last snapshot; a later one must be newer.
+    consensus::Index m_snapshotIndex = 0;
     bool m_isFlushScheduled = false;
     /// Set after a failed write. The node then takes no part in consensus, but its state can still be read.
     bool m_hasStorageFailed = false;
--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t compactionBytes = std::size_t { 8 } * 1024 * 1024;
 /// Entries kept before a snapshot, so that a follower that lags a little needs no snapshot.
 constexpr consensus::Index entriesKept = 1024;
+/// Bytes of the entries kept; beyond this, none are.
+constexpr std::size_t maxKeptBytes = compactionBytes / 2;
 constexpr base::Milliseconds pendingCheckInterval { 50 };
 constexpr std::chrono::hours longestSleep { 1 };
 
@@ -39,6 +41,7 @@
         m_restoredSnapshot.clear();
     }
     m_applied = m_raft.compactedIndex();
+    m_snapshotIndex = m_applied;
     m_restored = {};
     if (m_folder) {
         m_writer = std::make_unique<DiskWriter>(
@@ -269,6 +272,7 @@
     }
     m_hooks.restoreSnapshot(snapshot.data);
     m_applied = snapshot.meta.index;
+    m_snapshotIndex = snapshot.meta.index;
     m_log.info("snapshot_installed", { { "index", snapshot.meta.index }, { "bytes", snapshot.data.size() } });
 }
 
@@ -340,7 +344,7 @@
 
 void ReplicatedLog::compactIfLarge()
 {
-    if (m_raft.logBytes() < compactionBytes || m_applied <= m_raft.compactedIndex()) {
+    if (m_raft.logBytes() < compactionBytes || m_applied <= m_snapshotIndex) {
         return;
     }
     finishAllWrites();
@@ -348,9 +352,14 @@
     if (m_folder) {
         meta = m_folder->saveSnapshot(std::move(meta), m_hooks.encodeSnapshot());
     }
+    m_snapshotIndex = meta.index;
     const auto keepAfter = meta.index > entriesKept ? meta.index - entriesKept : 0;
     m_log.info("log_compacted", { { "index", meta.index }, { "snapshot_bytes", meta.size } });
-    m_raft.compact(std::max(keepAfter, m_raft.compactedIndex()), std::move(meta));
+    m_raft.compact(std::max(keepAfter, m_raft.compactedIndex()), meta);
+    if (m_raft.logBytes() > maxKeptBytes) {
+        // Large entries: those kept would soon fill the log again.
+        m_raft.compact(meta.index, meta);
+    }
     scheduleFlush();
 }
 
--- /dev/null
+++ b/src/crocuscove/replication/replicated_log_test.cpp
@@ -0,0 +1,80 @@
+#include "crocuscove/replication/replicated_log.h"
+
+#include "crocuscove/http/socket_testing.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <string>
+
+namespace crocuscove::replication {
+namespace {
+
+using http::testing::runUntil;
+
+/// A single voter with a disk.
+class ReplicatedLogTest : public ::testing::Test {
+protected:
+    ReplicatedLogTest()
+        : m_folder(std::filesystem::temp_directory_path() / ("replicated-log-" + std::to_string(getpid())))
+        , m_log(m_loop, options(), m_logLines, m_random, hooks())
+    {
+    }
+
+    ~ReplicatedLogTest() override { std::filesystem::remove_all(m_folder); }
+
+    ReplicatedLogOptions options() const
+    {
+        ReplicatedLogOptions result;
+        result.node = base::NodeId("n1");
+        result.dataFolder = m_folder;
+        result.firstMembership = [](const base::NodeId& self) { return consensus::Membership { { self }, {} }; };
+        return result;
+    }
+
+    ReplicatedLogHooks hooks()
+    {
+        ReplicatedLogHooks result;
+        result.send = [](const consensus::Message&) {};
+        result.apply = [this](consensus::Index, std::string_view) { ++m_applied; };
+        result.encodeSnapshot = [this] { return std::to_string(m_applied); };
+        result.restoreSnapshot = [](std::string_view) {};
+        result.onApplied = [] {};
+        result.onRoleChange = [](const consensus::RoleChange&) {};
+        return result;
+    }
+
+    /// Proposes an entry of this size and returns its outcome.
+    ProposalOutcome propose(std::size_t bytes)
+    {
+        std::optional<ProposalOutcome> outcome;
+        m_log.propose(std::string(bytes, 'x'), base::monotonicNow() + std::chrono::seconds(20),
+            [&](ProposalOutcome result) { outcome = result; });
+        EXPECT_TRUE(runUntil(m_loop, [&] { return outcome.has_value(); }));
+        return outcome.value_or(ProposalOutcome::Unknown);
+    }
+
+    http::EventLoop m_loop;
+    std::filesystem::path m_folder;
+    base::Log m_logLines { base::LogLevel::Error };
+    base::Random m_random { 1 };
+    int m_applied = 0;
+    ReplicatedLog m_log;
+};
+
+// Guards against a node that leaves consensus because its last entries alone exceed the size at which the log is
+// compacted, so that it tried to save two snapshots at one index.
+TEST_F(ReplicatedLogTest, LargeEntriesAreCompactedAgainAndAgain)
+{
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_log.isLeader(); }));
+    constexpr std::size_t entryBytes = 256UL * 1024;
+    constexpr int entries = 100;
+    for (int entry = 0; entry < entries; ++entry) {
+        ASSERT_EQ(propose(entryBytes), ProposalOutcome::Applied) << "entry " << entry;
+    }
+    EXPECT_TRUE(m_log.isLeader());
+    EXPECT_LT(m_log.raft().logBytes(), 10UL * 1024 * 1024);
+}
+
+} // namespace
+} // namespace crocuscove::replication
