Choose VMs for surging pools without a quadratic search, the emptiest pool first

Cause: for each VM wanted the planner searched all empty VMs with string lookups; in a surge of 200 VMs among 500 that took longer than the rest of a round, and the round is paced by its time. Change: empty VMs by pool, one pass; pools by the share of their VMs that they have. Test: PoolPlanTest.APoolWithoutVmsComesBeforeASurgingOne.

--- a/include/crocuscove/jobs/pool_plan.h
+++ b/include/crocuscove/jobs/pool_plan.h
@@ -65,6 +65,9 @@
     void recordRefusal(const std::string& vm, const std::string& pool) { m_refusedMoves.emplace(vm, pool); }
 
 private:
+    /// Empty VMs of the view, by pool.
+    using EmptyVms = std::map<std::string, std::vector<const PoolVm*>>;
+
     struct Arrival {
         base::MonotonicTime at;
         std::string pool;
@@ -76,8 +79,9 @@
     [[nodiscard]] std::map<std::string, Resources> arrivalRates(base::MonotonicTime now);
     [[nodiscard]] std::map<std::string, Resources> demandByPool(
         const FleetState& state, const RunTimes& runTimes, std::int64_t nowMs, base::MonotonicTime now);
+    /// Adds moves of up to `count` empty VMs to `pool`, and takes these VMs from `emptyVms`.
     void selectVms(const std::string& pool, std::uint32_t count, const std::map<std::string, std::uint32_t>& surplus,
-        std::vector<PoolVm*>& emptyVms, std::vector<PoolMove>& moves);
+        EmptyVms& emptyVms, std::vector<PoolMove>& moves) const;
 
     std::deque<Arrival> m_arrivals;
     /// Largest capacity of any VM in the last plan, per resource; not set before the first plan.
--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -152,6 +152,9 @@
 {
     auto emptying = std::ranges::count_if(
         m_drains, [&](const auto& entry) { return entry.second.wave == wave.id && !entry.second.orderedAt; });
+    if (emptying >= static_cast<std::ptrdiff_t>(wave.maxConcurrent)) {
+        return;
+    }
     for (const std::string& id : drainCandidates(wave, isMoving)) {
         if (emptying >= static_cast<std::ptrdiff_t>(wave.maxConcurrent)) {
             return;
--- a/src/crocuscove/jobs/pool_plan.cpp
+++ b/src/crocuscove/jobs/pool_plan.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
+#include <ranges>
+#include <string_view>
 
 namespace crocuscove::jobs {
 
@@ -25,6 +28,20 @@
 /// and back costs about as much as keeping a VM in a pool for this long.
 constexpr base::Milliseconds surplusDelay { 1'000 };
 
+/// A pool with fewer VMs than it should have.
+struct Shortage {
+    std::string pool;
+    std::uint32_t currentVms = 0;
+    std::uint32_t targetVms = 1;
+
+    /// The emptiest pools get VMs first: a pool without any serves nothing, whereas one that has most of its VMs serves
+    /// most of its work.
+    [[nodiscard]] double filledShare() const
+    {
+        return static_cast<double>(currentVms) / static_cast<double>(targetVms);
+    }
+};
+
 Resources scaled(const Resources& amount, double factor)
 {
     const auto scale
@@ -150,19 +167,18 @@
         m_largestVm = vmSize;
     }
     const auto demand = demandByPool(state, runTimes, nowMs, now);
-    std::vector<PoolVm> vms = view.vms;
     std::map<std::string, std::uint32_t> currentVms = view.incomingVms;
-    std::vector<PoolVm*> emptyVms;
-    for (PoolVm& vm : vms) {
+    EmptyVms emptyVms;
+    for (const PoolVm& vm : view.vms) {
         if (vm.isAvailable) {
             ++currentVms[vm.pool];
             if (vm.isEmpty) {
-                emptyVms.push_back(&vm);
+                emptyVms[vm.pool].push_back(&vm);
             }
         }
     }
     std::map<std::string, std::uint32_t> surplus;
-    std::vector<std::pair<std::string, std::uint32_t>> shortages;
+    std::vector<Shortage> shortages;
     std::string standby;
     for (const Service& service : state.configuration().services) {
         if (service.isStandby) {
@@ -171,12 +187,10 @@
             continue;
         }
         const std::uint32_t targetVms = std::max(minimumVms, vmsFor(demand.at(service.name), vmSize) + spareVms);
-        const auto idleVms
-            = std::ranges::count_if(emptyVms, [&](const PoolVm* vm) { return vm->pool == service.name; });
-        m_lastPlan[service.name]
-            = { targetVms, currentVms[service.name], static_cast<std::uint32_t>(idleVms), demand.at(service.name) };
+        const auto idleVms = static_cast<std::uint32_t>(emptyVms[service.name].size());
+        m_lastPlan[service.name] = { targetVms, currentVms[service.name], idleVms, demand.at(service.name) };
         if (currentVms[service.name] < targetVms) {
-            shortages.emplace_back(service.name, targetVms - currentVms[service.name]);
+            shortages.push_back({ service.name, currentVms[service.name], targetVms });
         }
         if (currentVms[service.name] > targetVms) {
             surplus[service.name] = currentVms[service.name] - targetVms;
@@ -186,52 +200,63 @@
         }
     }
     std::vector<PoolMove> moves;
-    std::ranges::sort(shortages, std::ranges::greater {}, &std::pair<std::string, std::uint32_t>::second);
-    for (const auto& [pool, count] : shortages) {
-        selectVms(pool, count, surplus, emptyVms, moves);
+    std::ranges::sort(shortages, {}, &Shortage::filledShare);
+    for (const Shortage& shortage : shortages) {
+        selectVms(shortage.pool, shortage.targetVms - shortage.currentVms, surplus, emptyVms, moves);
     }
     for (const auto& entry : m_surplusSince) {
         const std::string& pool = entry.first;
         if (standby.empty() || !shortages.empty() || now - entry.second < surplusDelay) {
             continue;
         }
-        std::erase_if(emptyVms, [&](PoolVm* vm) {
-            if (vm->pool != pool || surplus[pool] == 0 || m_refusedMoves.contains({ vm->id, standby })) {
-                return false;
+        for (const PoolVm* vm : emptyVms[pool]) {
+            if (surplus[pool] > 0 && !m_refusedMoves.contains({ vm->id, standby })) {
+                --surplus[pool];
+                moves.push_back({ vm->id, pool, standby });
             }
-            --surplus[pool];
-            moves.push_back({ vm->id, pool, standby });
-            return true;
-        });
+        }
     }
     return moves;
 }
 
 // Takes VMs from the pools with the largest surplus. All VMs on standby count as surplus, since they cost nothing.
 void PoolPlanner::selectVms(const std::string& pool, std::uint32_t count,
-    const std::map<std::string, std::uint32_t>& surplus, std::vector<PoolVm*>& emptyVms, std::vector<PoolMove>& moves)
+    const std::map<std::string, std::uint32_t>& surplus, EmptyVms& emptyVms, std::vector<PoolMove>& moves) const
 {
     std::map<std::string, std::uint32_t> taken;
     std::ranges::for_each(moves, [&](const PoolMove& move) { ++taken[move.from]; });
-    for (std::uint32_t item = 0; item < count; ++item) {
-        PoolVm* best = nullptr;
-        std::uint32_t bestSurplus = 0;
-        for (PoolVm* vm : emptyVms) {
-            const auto spare = surplus.find(vm->pool);
-            const std::uint32_t remaining = spare == surplus.end() || vm->pool == pool
-                ? 0
-                : spare->second - std::min(spare->second, taken[vm->pool]);
-            if (remaining > bestSurplus && !m_refusedMoves.contains({ vm->id, pool })) {
-                best = vm;
-                bestSurplus = remaining;
-            }
+    struct Source {
+        const std::string* pool = nullptr;
+        std::uint32_t surplus = 0;
+        /// Empty VMs that may be moved to `pool`, the next one last.
+        std::vector<const PoolVm*> vms;
+    };
+    std::vector<Source> sources;
+    for (const auto& [name, vms] : emptyVms) {
+        const auto spare = surplus.find(name);
+        if (name == pool || spare == surplus.end()) {
+            continue;
         }
-        if (best == nullptr) {
-            return;
+        Source source { &name, spare->second - std::min(spare->second, taken[name]), {} };
+        std::ranges::copy_if(std::views::reverse(vms), std::back_inserter(source.vms), [&](const PoolVm* vm) {
+            return !m_refusedMoves.contains({ vm->id, pool });
+        });
+        sources.push_back(std::move(source));
+    }
+    for (std::uint32_t item = 0; item < count; ++item) {
+        const auto best = std::ranges::max_element(
+            sources, {}, [](const Source& source) { return source.vms.empty() ? 0 : source.surplus; });
+        if (best == sources.end() || best->vms.empty() || best->surplus == 0) {
+            break;
         }
-        moves.push_back({ best->id, best->pool, pool });
-        ++taken[best->pool];
-        std::erase(emptyVms, best);
+        moves.push_back({ best->vms.back()->id, *best->pool, pool });
+        best->vms.pop_back();
+        --best->surplus;
+    }
+    std::set<std::string_view> chosen;
+    std::ranges::for_each(moves, [&](const PoolMove& move) { chosen.insert(move.vm); });
+    for (auto& entry : emptyVms) {
+        std::erase_if(entry.second, [&](const PoolVm* vm) { return chosen.contains(vm->id); });
     }
 }
 
--- a/src/crocuscove/jobs/pool_plan_test.cpp
+++ b/src/crocuscove/jobs/pool_plan_test.cpp
@@ -54,6 +54,16 @@
     EXPECT_EQ(count(moves, "other", "pool"), 0) << "the other pool has its minimum";
 }
 
+// Guards against a surging pool that gets all VMs while another pool has none at all.
+TEST_F(PoolPlanTest, APoolWithoutVmsComesBeforeASurgingOne)
+{
+    addVms("pool", 6);
+    addVms("spare", 3);
+    m_state.apply(accept(1, { step(100) }));
+    const auto moves = plan();
+    EXPECT_EQ(count(moves, "spare", "other"), 3) << "its minimum";
+}
+
 TEST_F(PoolPlanTest, IncomingVmsAreNotOrderedTwice)
 {
     addVms("pool", 3);
