--- a/include/crocuscove/replication/replicated_log.h
+++ b/include/crocuscove/replication/replicated_log.h
@@ -126,6 +126,7 @@
     const base::Log& m_log;
     ReplicatedLogHooks m_hooks;
     ReplicatedLogOptions m_options;
+    std::size_t m_compactionBytes;
     std::string m_restoredSnapshot;
     consensus::Restored m_restored;
     std::optional<storage::DataFolder> m_folder;
--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -16,7 +16,8 @@
 constexpr base::Milliseconds stalenessBound { 3000 };
 constexpr std::size_t maxPendingProposals = 65536;
 constexpr std::size_t maxPendingReads = 4096;
-/// A snapshot is taken when the log in memory is larger than this and than the last snapshot.
+/// A snapshot is taken when the log in memory is larger than this, and up to half as much more on some nodes: a
+/// snapshot holds up the loop, and a quorum must not be held up at the same time.
 constexpr std::size_t compactionBytes = std::size_t { 8 } * 1024 * 1024;
 /// Entries kept before a snapshot, so that a follower that lags a little needs no snapshot.
 constexpr consensus::Index entriesKept = 1024;
@@ -33,6 +34,7 @@
     , m_log(log)
     , m_hooks(std::move(hooks))
     , m_options(std::move(options))
+    , m_compactionBytes(compactionBytes + random() % (compactionBytes / 2))
     , m_folder(openFolder())
     , m_raft(makeRaft(random))
 {
@@ -344,7 +346,7 @@
 
 void ReplicatedLog::compactIfLarge()
 {
-    if (m_raft.logBytes() < compactionBytes || m_applied <= m_snapshotIndex) {
+    if (m_raft.logBytes() < m_compactionBytes || m_applied <= m_snapshotIndex) {
         return;
     }
     finishAllWrites();
