--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -32,8 +32,8 @@
         , m_cluster(loop, options, log, random, clusterHooks())
         , m_controlApi(loop, options, log, m_cluster)
         , m_jobApi(log, m_metrics, m_cluster)
-        , m_server(
-              loop, serverOptions(options, log), [this](const http::HttpRequest& request, const http::Responder& responder) {
+        , m_server(loop, serverOptions(options, log),
+              [this](const http::HttpRequest& request, const http::Responder& responder) {
                   m_controlApi.handle(request, responder);
               })
     {
--- a/src/crocuscove/jobs/pool_plan.cpp
+++ b/src/crocuscove/jobs/pool_plan.cpp
@@ -6,7 +6,6 @@
 #include <array>
 #include <cmath>
 #include <iterator>
-#include <ranges>
 #include <string_view>
 
 namespace crocuscove::jobs {
@@ -238,7 +237,7 @@
             continue;
         }
         Source source { &name, spare->second - std::min(spare->second, taken[name]), {} };
-        std::ranges::copy_if(std::views::reverse(vms), std::back_inserter(source.vms), [&](const PoolVm* vm) {
+        std::copy_if(vms.rbegin(), vms.rend(), std::back_inserter(source.vms), [&](const PoolVm* vm) {
             return !m_refusedMoves.contains({ vm->id, pool });
         });
         sources.push_back(std::move(source));
