--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -111,13 +111,15 @@
     }
     const std::int64_t nowMs = base::wallNow().time_since_epoch().count();
     m_cluster.propose(jobs::CancelAcceptedJob { id, nowMs }, [this, request, reply, id](ProposalOutcome outcome) {
-        m_log.info(
-            "job_cancelled", { { "job", platform::jobName(id) }, { "applied", outcome == ProposalOutcome::Applied } });
+        const jobs::Job* cancelled = m_cluster.state().findJob(id);
+        m_log.info("job_cancelled",
+            { { "job", platform::jobName(id) }, { "applied", outcome == ProposalOutcome::Applied },
+                { "phase", cancelled == nullptr ? "unknown" : jobs::jobPhaseName(cancelled->phase) } });
         if (outcome != ProposalOutcome::Applied) {
             reply(refusal(request, ForwardOutcome::Unknown));
             return;
         }
-        reply(answer(request, m_cluster.state().findJob(id) == nullptr ? statusGone : statusOk));
+        reply(answer(request, cancelled == nullptr ? statusGone : statusOk));
     });
 }
 
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -14,6 +14,7 @@
 /// Starts sent to one worker at the same time, so that a burst reuses connections.
 constexpr std::uint32_t maxStartsInFlight = 4;
 constexpr std::uint32_t fullPercent = 100;
+constexpr int statusOk = 200;
 
 } // namespace
 
@@ -82,14 +83,16 @@
         [this, key, run = order.run, now](const http::ExchangeResult& result) {
             m_hooks.onOrder(http::exchangeFailureName(result.failure), now);
             --m_startsInFlight;
-            onStartAnswer(key, run, result);
+            onStartAnswer(key, run, result, now);
             update();
         });
 }
 
-void WorkerSession::onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result)
+void WorkerSession::onStartAnswer(
+    const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result, base::MonotonicTime sentAt)
 {
     const auto now = base::monotonicNow();
+    const std::int64_t waitedMs = std::chrono::duration_cast<base::Milliseconds>(now - sentAt).count();
     const auto found = m_orders.find(key);
     if (found == m_orders.end() || found->second.run != run || found->second.phase != OrderPhase::Sending) {
         return;
@@ -102,7 +105,7 @@
         order.sendAgainAt = now + retryPause;
         m_log.warning("start_unanswered",
             { { "task", platform::taskName(key) }, { "run", run }, { "worker", m_id },
-                { "failure", http::exchangeFailureName(result.failure) } });
+                { "failure", http::exchangeFailureName(result.failure) }, { "waited_ms", waitedMs } });
         return;
     }
     const auto answer = platform::decodeOrderAnswer(*result.response);
@@ -111,7 +114,7 @@
     }
     m_log.info("task_start",
         { { "task", platform::taskName(key) }, { "run", run }, { "worker", m_id },
-            { "outcome", platform::orderOutcomeName(answer.outcome) } });
+            { "outcome", platform::orderOutcomeName(answer.outcome) }, { "waited_ms", waitedMs } });
     switch (answer.outcome) {
     case platform::OrderOutcome::Accepted:
         order.phase = OrderPhase::Started;
@@ -153,7 +156,7 @@
                 return;
             }
             const auto now = base::monotonicNow();
-            const bool isStopped = result.response && result.response->status == 200;
+            const bool isStopped = isConfirmed(key, run, result);
             if (isStopped) {
                 found->second.phase = OrderPhase::Settled;
                 found->second.since = now + base::Milliseconds(0);
@@ -174,9 +177,23 @@
     }
     m_log.info("task_stop",
         { { "task", platform::taskName(task) }, { "run", run }, { "worker", m_id }, { "reason", reason } });
-    call(platform::stopRequest(target(), task, run), answerTimeout, [](const http::ExchangeResult&) {
-        // A task that still runs is listed again, and stopped again.
-    });
+    call(platform::stopRequest(target(), task, run), answerTimeout,
+        [this, task, run](const http::ExchangeResult& result) {
+            // A task that still runs is listed again, and stopped again.
+            static_cast<void>(isConfirmed(task, run, result));
+        });
+}
+
+bool WorkerSession::isConfirmed(const jobs::TaskKey& task, std::uint32_t run, const http::ExchangeResult& result) const
+{
+    if (result.response && result.response->status == statusOk) {
+        return true;
+    }
+    m_log.warning("stop_unconfirmed",
+        { { "task", platform::taskName(task) }, { "run", run }, { "worker", m_id },
+            { "failure", http::exchangeFailureName(result.failure) },
+            { "status", result.response ? result.response->status : 0 } });
+    return false;
 }
 
 bool WorkerSession::isAtWork(const jobs::TaskKey& task, std::uint32_t run) const
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -104,8 +104,12 @@
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
     void updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order);
     void start(const jobs::TaskKey& key, Order& order);
-    void onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result);
+    void onStartAnswer(
+        const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result, base::MonotonicTime sentAt);
     void stopOrder(const jobs::TaskKey& key, Order& order, std::string_view reason);
+    /// Returns whether the worker has confirmed a stop, and writes a line if it hasn't.
+    [[nodiscard]] bool isConfirmed(
+        const jobs::TaskKey& task, std::uint32_t run, const http::ExchangeResult& result) const;
     void armRetry();
 
     http::EventLoop& m_loop;
