Bound the time in which a worker may begin a start

Callers see: seconds after the cancelling of a job was acknowledged, a worker begins one of its tasks. Cause: a start was valid for the whole lease (4 s), but 3 s after a cancelling nothing of the job may start. A start that is held up on its way for 3 to 4 s was accepted, since the stop that settles it takes the same way and comes later. The class: a permission that outlives the belief that it was given on. Change: a start is valid for 2.5 s; renewals, which go on beside it, extend the lease of what has started.

--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -76,7 +76,8 @@
     message.run = order.run;
     message.payload = job.spec.payload;
     message.checkpoint = job.find(key)->checkpoint;
-    message.leaseDeadlineMs = m_clock.grant(m_options.taskLease, now).value_or(0);
+    // Renewals extend the lease of what has started.
+    message.leaseDeadlineMs = m_clock.grant(std::min(startValidity, m_options.taskLease), now).value_or(0);
     order.phase = OrderPhase::Sending;
     ++m_startsInFlight;
     call(platform::startRequest(target(), message), answerTimeout,
--- a/tests/commands/standin_executor.cpp
+++ b/tests/commands/standin_executor.cpp
@@ -19,6 +19,9 @@
         integerSetting("report-interval-ms", "time between reports", 10, 60'000, options.reportIntervalMs),
         integerSetting("unanswered-starts", "first starts without an answer", 0, 1'000, options.unansweredStarts),
         switchSetting("drains-on-start", "drain instead of carrying out the first start", options.drainsOnStart),
+        integerSetting("late-orders-for-ms", "time from the first start in which orders are carried out late", 0,
+            60'000, options.lateOrdersForMs),
+        integerSetting("late-order-delay-ms", "delay of such orders", 0, 60'000, options.lateOrderDelayMs),
         textSetting("records", "file that gets a JSON line for each start and end", options.recordsFile),
     };
 }
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -215,6 +215,26 @@
     expectNoTaskTwice();
 }
 
+// Guards against a start that is carried out for a cancelled job seconds after its cancelling was acknowledged.
+TEST_F(PlatformTest, AStartThatIsCarriedOutLateStartsNoCancelledTask)
+{
+    constexpr std::int64_t cancelBoundMs = 3'000;
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { flag("late-orders-for-ms", 6'000), flag("late-order-delay-ms", cancelBoundMs + 500) });
+    submit("00000000000000aa", lasting);
+    const auto has = [&](const std::string& event) {
+        return std::ranges::any_of(
+            records(), [&](const nlohmann::json& line) { return line.at("event") == event && line.at("run") == 1; });
+    };
+    ASSERT_TRUE(waitUntil([&] { return has("deferred"); }));
+    ASSERT_EQ(call("DELETE", "/q/00000000000000aa"), 200);
+    const std::int64_t cancelledAtMs = base::wallNow().time_since_epoch().count();
+    ASSERT_TRUE(waitUntil([&] { return has("start") || has("refused"); }));
+    EXPECT_TRUE(std::ranges::none_of(records(), [&](const nlohmann::json& line) {
+        return line.at("event") == "start" && line.at("atMs").get<std::int64_t>() > cancelledAtMs + cancelBoundMs;
+    }));
+}
+
 // Guards against a wave that counts a VM as maintained because a list of VMs left it out once.
 TEST_F(PlatformTest, AVmThatAListLeavesOutIsStillMaintained)
 {
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -83,6 +83,28 @@
         respond(responder, 421, nlohmann::json::object());
         return;
     }
+    if (isLateOrder(request.path)) {
+        const auto body = nlohmann::json::parse(request.body);
+        record("deferred", body.at("task"), body.at("run"), request.path);
+        leaveOpen(responder);
+        m_lateOrders.push_back(m_loop.runAt(base::monotonicNow() + base::Milliseconds(m_options.lateOrderDelayMs),
+            [this, request, responder] { carryOut(request, responder); }));
+        return;
+    }
+    carryOut(request, responder);
+}
+
+bool StandinExecutor::isLateOrder(const std::string& path)
+{
+    const auto now = base::monotonicNow();
+    if (m_options.lateOrdersForMs > 0 && !m_lateOrdersUntil && path == "/api/run-start") {
+        m_lateOrdersUntil = now + base::Milliseconds(m_options.lateOrdersForMs);
+    }
+    return m_lateOrdersUntil && now < *m_lateOrdersUntil && (path == "/api/run-start" || path == "/api/run-stop");
+}
+
+void StandinExecutor::carryOut(const http::HttpRequest& request, const http::Responder& responder)
+{
     const auto body = nlohmann::json::parse(request.body);
     const auto fence = body.value("fence", std::uint64_t { 0 });
     if (fence < m_fence) {
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,10 @@
     std::int64_t unansweredStarts = 0;
     /// The first start is neither carried out nor answered, and from then on the worker reports that it drains.
     bool drainsOnStart = false;
+    /// Starts and stops that arrive within this time of the first start are not answered, and are carried out
+    /// `lateOrderDelayMs` after they arrived.
+    std::int64_t lateOrdersForMs = 0;
+    std::int64_t lateOrderDelayMs = 0;
     /// File that gets a JSON line for each start, end and refusal.
     std::string recordsFile;
 };
@@ -54,6 +59,9 @@
     };
 
     void handle(const http::HttpRequest& request, const http::Responder& responder);
+    void carryOut(const http::HttpRequest& request, const http::Responder& responder);
+    /// Returns whether an order that arrives now is to be carried out late.
+    bool isLateOrder(const std::string& path);
     void start(const nlohmann::json& body, const http::Responder& responder);
     void stop(const nlohmann::json& body, const http::Responder& responder);
     void hold(const nlohmann::json& body, const http::Responder& responder);
@@ -83,6 +91,8 @@
     std::uint64_t m_lastEndBeforeLapse = 0;
     std::uint64_t m_sequence = 0;
     bool m_isDraining = false;
+    std::optional<base::MonotonicTime> m_lateOrdersUntil;
+    std::vector<http::Timer> m_lateOrders;
     std::size_t m_nextControl = 0;
     std::map<std::string, Run> m_running;
     /// The highest run of each task that ended or was stopped here.
