Remember the cancelling of a job that arrives before the job

Callers see: the cancelling of a job is acknowledged (410, no such job), and the job runs afterwards. Cause: CancelAcceptedJob of an unknown job changed nothing. A POST that an entry node holds while it looks for a leader, or that the client's first attempt left behind, was accepted later and ran, without anybody who would cancel it again. The class: an outcome that depends on which of two messages arrives first. Change: the replicated state keeps such cancellings (10,000 at most, as long as ended jobs); a job that is accepted after its cancelling is cancelled from the start. The answers stay as they were.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -23,6 +23,7 @@
     std::int64_t nowMs = 0;
 };
 
+/// Cancels a job, also one that is accepted only later.
 struct CancelAcceptedJob {
     JobId job = 0;
     std::int64_t nowMs = 0;
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -13,6 +13,8 @@
 /// Limits that bound the size of the replicated state.
 inline constexpr std::size_t maxJobs = 200'000;
 inline constexpr std::size_t maxTasksPerJob = 20'000;
+/// Cancelled jobs that have not been accepted yet.
+inline constexpr std::size_t maxEarlyCancels = 10'000;
 
 /// Replicated state machine of jobs, workers, configuration and maintenance waves. It changes only by applying
 /// committed commands, and deterministically, so that all nodes reach the same state.
@@ -25,6 +27,8 @@
     [[nodiscard]] const std::map<JobId, Job>& jobs() const { return m_jobs; }
     [[nodiscard]] const std::map<WorkerNumber, Worker>& workers() const { return m_workers; }
     [[nodiscard]] const std::map<std::uint64_t, Wave>& waves() const { return m_waves; }
+    /// Jobs that were cancelled before they were accepted, with the time of the cancelling in Unix milliseconds.
+    [[nodiscard]] const std::map<JobId, std::int64_t>& earlyCancels() const { return m_earlyCancels; }
     /// Addresses of the control nodes by node id.
     [[nodiscard]] const std::map<std::string, std::string>& nodes() const { return m_nodes; }
     /// The leader that sent the last order for each VM, by VM id.
@@ -88,6 +92,7 @@
     std::map<std::string, Queue> m_queues;
     std::map<std::string, std::string> m_vmOrderHolders;
     WorkerNumber m_lastWorker = 0;
+    std::map<JobId, std::int64_t> m_earlyCancels;
     // Indexes derived from the members above; not part of a snapshot.
     std::map<std::string, WorkerNumber> m_workerById;
     std::map<std::string, std::set<JobId>> m_activeJobs;
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -247,7 +247,9 @@
     const std::int64_t before = unixNow() - m_options.keepFinishedJobs.count();
     const bool hasOld = std::ranges::any_of(m_cluster.state().jobs(),
         [&](const auto& entry) { return !entry.second.isActive() && entry.second.finishedMs < before; });
-    if (hasOld) {
+    const bool hasOldCancel = std::ranges::any_of(
+        m_cluster.state().earlyCancels(), [&](const auto& cancel) { return cancel.second < before; });
+    if (hasOld || hasOldCancel) {
         proposeCommand(jobs::PruneJobs { before }, nullptr);
     }
 }
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -11,7 +11,7 @@
 
 using SnapshotFields = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerNumber, Worker>,
     std::map<std::uint64_t, Wave>, std::map<std::string, std::string>, std::map<std::string, Queue>,
-    std::map<std::string, std::string>, WorkerNumber>;
+    std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -97,14 +97,23 @@
     job.occurrences = initialProgress(command.spec);
     m_activeJobs[job.queue].insert(job.id);
     Job& stored = m_jobs.emplace(command.job, std::move(job)).first->second;
+    if (m_earlyCancels.erase(command.job) > 0) {
+        finishJob(stored, JobPhase::Cancelled, command.nowMs);
+        return;
+    }
     updateReady(stored);
     finishIfDone(stored, command.nowMs);
 }
 
+// A job and its cancelling may take different ways, so that the outcome must not depend on which arrives first.
 void FleetState::applyCommand(const CancelAcceptedJob& command)
 {
     const auto job = m_jobs.find(command.job);
-    if (job != m_jobs.end() && job->second.isActive()) {
+    if (job == m_jobs.end()) {
+        if (m_earlyCancels.size() < maxEarlyCancels) {
+            m_earlyCancels.emplace(command.job, command.nowMs);
+        }
+    } else if (job->second.isActive()) {
         finishJob(job->second, JobPhase::Cancelled, command.nowMs);
     }
 }
@@ -371,6 +380,7 @@
         const Job& job = entry.second;
         return !job.isActive() && job.finishedMs < command.finishedBeforeMs && !busy.contains(job.id);
     });
+    std::erase_if(m_earlyCancels, [&](const auto& cancel) { return cancel.second < command.finishedBeforeMs; });
 }
 
 void FleetState::applyCommand(const RecordWave& command) { m_waves.emplace(command.wave.id, command.wave); }
@@ -423,13 +433,14 @@
 
 std::string FleetState::encodeSnapshot() const
 {
-    return base::encode(
-        std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker));
+    return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
+        m_lastWorker, m_earlyCancels));
 }
 
 void FleetState::restoreSnapshot(std::string_view bytes)
 {
-    std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker)
+    std::tie(
+        m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker, m_earlyCancels)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
 }
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -122,6 +122,30 @@
     EXPECT_TRUE(m_state.findJob(1)->isActive());
 }
 
+// Guards against a job that runs although its cancelling was applied before the job itself.
+TEST_F(FleetStateTest, AJobThatIsAcceptedAfterItsCancellingIsCancelled)
+{
+    m_state.apply(CancelAcceptedJob { 1, 1500 });
+    FleetState copy;
+    copy.restoreSnapshot(m_state.encodeSnapshot());
+    copy.apply(accept(1, { step(1) }));
+    EXPECT_EQ(copy.findJob(1)->phase, JobPhase::Cancelled);
+    EXPECT_TRUE(copy.activeJobs().at("q").empty());
+    copy.apply(assign({ 1, 0, 0, 0 }, 1, m_worker));
+    EXPECT_EQ(copy.findWorker(m_worker)->assignedTasks, 0U);
+}
+
+// Guards against cancellings of unknown jobs that are kept forever, or without a bound.
+TEST_F(FleetStateTest, EarlyCancellingsAreBoundedAndForgotten)
+{
+    for (JobId id = 1; id <= maxEarlyCancels + 1; ++id) {
+        m_state.apply(CancelAcceptedJob { id, 1500 });
+    }
+    EXPECT_EQ(m_state.earlyCancels().size(), maxEarlyCancels);
+    m_state.apply(PruneJobs { 1501 });
+    EXPECT_TRUE(m_state.earlyCancels().empty());
+}
+
 // Guards against reusing the capacity of a cancelled task while it still runs.
 TEST_F(FleetStateTest, ACancelledTaskKeepsItsCapacityUntilItsEnd)
 {
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -235,6 +235,20 @@
     }));
 }
 
+// Guards against a job that runs although its cancelling, which arrived before it, was acknowledged.
+TEST_F(PlatformTest, AJobThatArrivesAfterItsCancellingDoesNotRun)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1");
+    submit("00000000000000aa", twoSteps);
+    EXPECT_EQ(call("DELETE", "/q/00000000000000bb"), 410);
+    submit("00000000000000bb", twoSteps);
+    submit("00000000000000cc", twoSteps);
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000cc") == "done"; }));
+    EXPECT_EQ(state("00000000000000bb"), "cancelled");
+    EXPECT_EQ(starts("00000000000000bb.0.0.0"), 0U);
+}
+
 // Guards against a wave that counts a VM as maintained because a list of VMs left it out once.
 TEST_F(PlatformTest, AVmThatAListLeavesOutIsStillMaintained)
 {
