Check cancelled jobs in the soak

Change: nothing of a cancelled job may start later than 3 s after its acknowledgement, and in the end nothing of it may run.

--- a/tests/integration/platform_soak_test.cpp
+++ b/tests/integration/platform_soak_test.cpp
@@ -25,6 +25,8 @@
 constexpr int workers = 4;
 constexpr int maxLastingJobs = 8;
 constexpr int controls = 3;
+/// A job starts nothing later than this after its cancelling was acknowledged (RULES, UNASKED).
+constexpr base::Milliseconds cancelBound { 3'000 };
 
 std::uint64_t environmentNumber(const char* name, std::uint64_t fallback)
 {
@@ -42,6 +44,8 @@
         JobFate fate = JobFate::Open;
         /// An attempt may have been carried out without an answer.
         bool isUncertain = false;
+        /// When its cancelling was acknowledged.
+        std::int64_t cancelledAtMs = 0;
     };
     struct Undo {
         base::MonotonicTime at;
@@ -226,6 +230,7 @@
             SoakJob& job = m_jobs[static_cast<std::size_t>(draw(0, static_cast<std::int64_t>(m_jobs.size()) - 1))];
             if (job.fate == JobFate::Accepted && call("DELETE", "/q/" + job.id) == 200) {
                 job.fate = JobFate::Cancelled;
+                job.cancelledAtMs = base::wallNow().time_since_epoch().count();
             }
         }
     }
@@ -264,6 +269,45 @@
         }
     }
 
+    /// Returns the tasks that run by now, of all jobs.
+    [[nodiscard]] std::map<std::string, std::string> runningTasks() const
+    {
+        std::map<std::string, std::string> running;
+        for (const nlohmann::json& line : events()) {
+            const std::string event = line.at("event");
+            if (event == "start") {
+                running[line.at("task")] = line.at("worker");
+            } else if (event == "end") {
+                running.erase(line.at("task"));
+            } else if (event == "killed") {
+                std::erase_if(running, [&](const auto& entry) { return entry.second == line.at("worker"); });
+            }
+        }
+        return running;
+    }
+
+    /// A job that was cancelled starts nothing after the bound, and nothing of it runs on.
+    void checkCancelled() const
+    {
+        std::map<std::string, std::int64_t> cancelled;
+        for (const SoakJob& job : m_jobs) {
+            if (job.fate == JobFate::Cancelled) {
+                cancelled[job.id] = job.cancelledAtMs;
+            }
+        }
+        const auto jobOf = [](const std::string& task) { return task.substr(0, task.find('.')); };
+        EXPECT_TRUE(waitUntil([&] {
+            return std::ranges::none_of(
+                runningTasks(), [&](const auto& entry) { return cancelled.contains(jobOf(entry.first)); });
+        })) << "a cancelled job runs on";
+        for (const nlohmann::json& line : events()) {
+            const auto job = cancelled.find(jobOf(line.at("task")));
+            EXPECT_FALSE(line.at("event") == "start" && job != cancelled.end()
+                && line.at("atMs").get<std::int64_t>() > job->second + cancelBound.count())
+                << "cancelled before: " << line;
+        }
+    }
+
     /// Every accepted job ends or runs; what was cancelled no longer does.
     void checkJobs()
     {
@@ -322,6 +366,7 @@
     runUndo(true);
     proxy("DELETE", "/proxies/*");
     checkJobs();
+    checkCancelled();
     checkRuns();
 }
 
