Count jobs as waiting until a worker has confirmed a start

Cause: a job counted as started once a task was assigned to a worker. While workers leave orders without an answer and carry them out seconds later, nothing of such a job has started. Change: the leader counts a job as waiting until a worker has confirmed the start of one of its tasks, or can't be excluded to have begun it. JobApi gets the count through a hook.

--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -7,8 +7,10 @@
 #include "job_api.h"
 #include "leader.h"
 
+#include <cstdint>
 #include <memory>
 #include <random>
+#include <string>
 
 namespace crocuscove::control {
 
@@ -31,7 +33,7 @@
                   : nullptr)
         , m_cluster(loop, options, log, random, clusterHooks())
         , m_controlApi(loop, options, log, m_cluster)
-        , m_jobApi(log, m_metrics, m_cluster)
+        , m_jobApi(log, m_metrics, m_cluster, [this](const std::string& queue) { return countWaitingJobs(queue); })
         , m_server(loop, serverOptions(options, log),
               [this](const http::HttpRequest& request, const http::Responder& responder) {
                   m_controlApi.handle(request, responder);
@@ -56,6 +58,11 @@
         return result;
     }
 
+    [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const
+    {
+        return m_leader ? m_leader->countWaitingJobs(queue) : m_cluster.state().countWaitingJobs(queue);
+    }
+
     void showState()
     {
         const jobs::FleetState& state = m_cluster.state();
--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -143,7 +143,7 @@
     const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply)
 {
     if (name.empty()) {
-        reply(answer(request, statusOk, platform::encodeWaitingJobs(m_cluster.state().countWaitingJobs(queue))));
+        reply(answer(request, statusOk, platform::encodeWaitingJobs(m_waitingJobs(queue))));
         return;
     }
     const auto id = platform::parseJobName(name);
--- a/src/crocuscove/control/job_api.h
+++ b/src/crocuscove/control/job_api.h
@@ -5,8 +5,10 @@
 #include "crocuscove/control/node_message.h"
 #include "crocuscove/process/metrics.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 
 namespace crocuscove::control {
 
@@ -14,11 +16,14 @@
 class JobApi {
 public:
     using Reply = std::function<void(ForwardedAnswer)>;
+    /// Counts the jobs of a queue that have no due time and no task that has started.
+    using WaitingJobs = std::function<std::uint64_t(const std::string& queue)>;
 
-    JobApi(const base::Log& log, process::Metrics& metrics, Cluster& cluster)
+    JobApi(const base::Log& log, process::Metrics& metrics, Cluster& cluster, WaitingJobs waitingJobs)
         : m_log(log)
         , m_metrics(metrics)
         , m_cluster(cluster)
+        , m_waitingJobs(std::move(waitingJobs))
     {
     }
 
@@ -35,6 +40,7 @@
     const base::Log& m_log;
     process::Metrics& m_metrics;
     Cluster& m_cluster;
+    WaitingJobs m_waitingJobs;
 };
 
 } // namespace crocuscove::control
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -185,6 +185,42 @@
     schedulePlan();
 }
 
+std::uint64_t Leader::countWaitingJobs(const std::string& queue) const
+{
+    const jobs::FleetState& state = m_cluster.state();
+    const auto active = state.activeJobs().find(queue);
+    if (active == state.activeJobs().end()) {
+        return 0;
+    }
+    return static_cast<std::uint64_t>(std::ranges::count_if(active->second, [&](jobs::JobId id) {
+        const jobs::Job& job = *state.findJob(id);
+        return job.spec.repeatCount == 0 && !hasStarted(job);
+    }));
+}
+
+bool Leader::hasStarted(const jobs::Job& job) const
+{
+    if (job.phase == jobs::JobPhase::Queued) {
+        return false;
+    }
+    for (std::uint32_t step = 0; step < job.occurrences.front().size(); ++step) {
+        const auto& tasks = job.occurrences.front()[step].tasks;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+            const jobs::Task& task = tasks[index];
+            const bool isFirstRun = task.run == 1 && task.phase == jobs::TaskPhase::Assigned;
+            if (task.run == 0) {
+                continue;
+            }
+            const auto session = m_sessions.find(task.worker);
+            if (!isFirstRun || session == m_sessions.end()
+                || session->second->mayHaveStarted({ job.id, 0, step, index })) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void Leader::schedulePlan()
 {
     if (m_isPlanWanted) {
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -12,9 +12,11 @@
 #include "pacer.h"
 #include "worker_session.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace crocuscove::control {
@@ -31,7 +33,12 @@
 
     void onApplied(const std::vector<jobs::Command>& commands);
 
+    /// Counts the jobs of a queue that have no due time and no task that has started: assigned tasks whose worker
+    /// hasn't confirmed the start count as waiting.
+    [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const;
+
 private:
+    [[nodiscard]] bool hasStarted(const jobs::Job& job) const;
     void syncSessions();
     /// Adds the workers whose orders may have changed with an applied command.
     void collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed);
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -58,6 +58,9 @@
     /// What runs on the worker by its last answer.
     [[nodiscard]] const std::vector<platform::RunningTask>& running() const { return m_running; }
 
+    /// Tells whether an assigned task is known to have started here, or can't be excluded to have.
+    [[nodiscard]] bool mayHaveStarted(const jobs::TaskKey& task) const;
+
     /// Tells whether a run works at full pace by the worker's last answer, and was not told to stop since.
     [[nodiscard]] bool isAtWork(const jobs::TaskKey& task, std::uint32_t run) const;
 
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -235,6 +235,24 @@
     }));
 }
 
+// Guards against jobs that are not said to wait while their starts get no answer and are carried out late.
+TEST_F(PlatformTest, AJobWaitsUntilItsStartIsConfirmed)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { flag("late-orders-for-ms", 2'000), flag("late-order-delay-ms", 60'000) });
+    submit("00000000000000aa", twoSteps);
+    ASSERT_TRUE(waitUntil([&] {
+        return std::ranges::any_of(
+            records(), [](const nlohmann::json& line) { return line.at("event") == "deferred"; });
+    }));
+    const auto waiting
+        = [&] { return call("GET", "/q/") == 200 ? nlohmann::json::parse(m_body).value("waiting", -1) : -1; };
+    EXPECT_EQ(waiting(), 1);
+    EXPECT_EQ(starts("00000000000000aa.0.0.0"), 0U) << "it waited while it was counted";
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; }));
+    EXPECT_EQ(waiting(), 0);
+}
+
 // Guards against a job that runs although its cancelling, which arrived before it, was acknowledged.
 TEST_F(PlatformTest, AJobThatArrivesAfterItsCancellingDoesNotRun)
 {
