--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -58,6 +58,9 @@
     /// What runs on the worker by its last answer.
     [[nodiscard]] const std::vector<platform::RunningTask>& running() const { return m_running; }
 
+    /// Tells whether an assigned task is known to have started here, or can't be excluded to have.
+    [[nodiscard]] bool mayHaveStarted(const jobs::TaskKey& task) const;
+
     /// Tells whether a run works at full pace by the worker's last answer, and was not told to stop since.
     [[nodiscard]] bool isAtWork(const jobs::TaskKey& task, std::uint32_t run) const;
 
@@ -104,8 +107,12 @@
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
     void updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order);
     void start(const jobs::TaskKey& key, Order& order);
-    void onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result);
+    void onStartAnswer(
+        const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result, base::MonotonicTime sentAt);
     void stopOrder(const jobs::TaskKey& key, Order& order, std::string_view reason);
+    /// Returns whether the worker has confirmed a stop, and writes a line if it hasn't.
+    [[nodiscard]] bool isConfirmed(
+        const jobs::TaskKey& task, std::uint32_t run, const http::ExchangeResult& result) const;
     void armRetry();
 
     http::EventLoop& m_loop;
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -215,6 +215,58 @@
     expectNoTaskTwice();
 }
 
+// Guards against a start that is carried out for a cancelled job seconds after its cancelling was acknowledged.
+TEST_F(PlatformTest, AStartThatIsCarriedOutLateStartsNoCancelledTask)
+{
+    constexpr std::int64_t cancelBoundMs = 3'000;
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { flag("late-orders-for-ms", 6'000), flag("late-order-delay-ms", cancelBoundMs + 500) });
+    submit("00000000000000aa", lasting);
+    const auto has = [&](const std::string& event) {
+        return std::ranges::any_of(
+            records(), [&](const nlohmann::json& line) { return line.at("event") == event && line.at("run") == 1; });
+    };
+    ASSERT_TRUE(waitUntil([&] { return has("deferred"); }));
+    ASSERT_EQ(call("DELETE", "/q/00000000000000aa"), 200);
+    const std::int64_t cancelledAtMs = base::wallNow().time_since_epoch().count();
+    ASSERT_TRUE(waitUntil([&] { return has("start") || has("refused"); }));
+    EXPECT_TRUE(std::ranges::none_of(records(), [&](const nlohmann::json& line) {
+        return line.at("event") == "start" && line.at("atMs").get<std::int64_t>() > cancelledAtMs + cancelBoundMs;
+    }));
+}
+
+// Guards against jobs that are not said to wait while their starts get no answer and are carried out late.
+TEST_F(PlatformTest, AJobWaitsUntilItsStartIsConfirmed)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { flag("late-orders-for-ms", 2'000), flag("late-order-delay-ms", 60'000) });
+    submit("00000000000000aa", twoSteps);
+    ASSERT_TRUE(waitUntil([&] {
+        return std::ranges::any_of(
+            records(), [](const nlohmann::json& line) { return line.at("event") == "deferred"; });
+    }));
+    const auto waiting
+        = [&] { return call("GET", "/q/") == 200 ? nlohmann::json::parse(m_body).value("waiting", -1) : -1; };
+    EXPECT_EQ(waiting(), 1);
+    EXPECT_EQ(starts("00000000000000aa.0.0.0"), 0U) << "it waited while it was counted";
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; }));
+    EXPECT_EQ(waiting(), 0);
+}
+
+// Guards against a job that runs although its cancelling, which arrived before it, was acknowledged.
+TEST_F(PlatformTest, AJobThatArrivesAfterItsCancellingDoesNotRun)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1");
+    submit("00000000000000aa", twoSteps);
+    EXPECT_EQ(call("DELETE", "/q/00000000000000bb"), 410);
+    submit("00000000000000bb", twoSteps);
+    submit("00000000000000cc", twoSteps);
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000cc") == "done"; }));
+    EXPECT_EQ(state("00000000000000bb"), "cancelled");
+    EXPECT_EQ(starts("00000000000000bb.0.0.0"), 0U);
+}
+
 // Guards against a wave that counts a VM as maintained because a list of VMs left it out once.
 TEST_F(PlatformTest, AVmThatAListLeavesOutIsStillMaintained)
 {
