Drop a view whose connection an earlier answer in the same read has ended

Cause: LeaderLink handles frames on the next turn. An answer "not leader" gives up the connection but keeps its number, so that a view read together with it was still handled: a view that named the same node logged leader_found again and sent the waiting requests through the connection that was gone (null). A serving leader sends this pair when it refuses a proposal for want of room or a read it can't confirm, and goes on to name itself in its views. Change: onView() ignores a view without a connection. Answers read in the same turn still finish their requests. Tests: LeaderLinkTest.AViewThatFollowsARefusalInOneReadDoesNotEndTheProcess ended the test process on the old code (null pointer at sendWaiting, UndefinedBehaviorSanitizer), passes now.

--- a/src/crocuscove/entry/leader_link.cpp
+++ b/src/crocuscove/entry/leader_link.cpp
@@ -135,6 +135,10 @@
 
 void LeaderLink::onView(const control::ClusterView& view)
 {
+    if (!m_connection) {
+        // An answer that came before it in the same read has ended the connection.
+        return;
+    }
     std::ranges::for_each(view.nodes, [this](const auto& node) { m_addresses.insert(node.second); });
     const auto now = base::monotonicNow();
     if (view.leader == m_target) {
--- a/src/crocuscove/entry/leader_link_test.cpp
+++ b/src/crocuscove/entry/leader_link_test.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace crocuscove::entry {
@@ -31,6 +32,8 @@
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
     /// Answers the next frames with bytes that are no message.
     void setMalformedAnswers(std::size_t count) { m_malformedAnswers = count; }
+    /// Refuses the next request as not the leader, and names itself as the leader right after.
+    void setContradictsItself() { m_contradictsItself = true; }
     [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
     [[nodiscard]] std::size_t requests() const { return m_requests; }
 
@@ -54,6 +57,11 @@
         const auto message = base::decode<control::NodeMessage>(frame);
         if (const auto* request = std::get_if<control::ForwardedRequest>(&message)) {
             ++m_requests;
+            if (std::exchange(m_contradictsItself, false)) {
+                send(connection, control::ForwardedAnswer { request->id, control::ForwardOutcome::NotLeader, 0, {} });
+                send(connection, nextView());
+                return;
+            }
             if (!m_isSilent) {
                 const auto outcome
                     = m_leader == m_address ? control::ForwardOutcome::Answered : control::ForwardOutcome::NotLeader;
@@ -61,7 +69,12 @@
             }
             return;
         }
-        send(connection, control::ClusterView { m_leader, { { "n" + std::to_string(port()), m_address } } });
+        send(connection, nextView());
+    }
+
+    control::ClusterView nextView()
+    {
+        return { m_leader, { { "n" + std::to_string(port()), m_address } } };
     }
 
     static void send(link::FrameConnection& connection, const control::NodeMessage& message)
@@ -72,6 +85,7 @@
     std::string m_address;
     std::string m_leader;
     bool m_isSilent = false;
+    bool m_contradictsItself = false;
     std::size_t m_requests = 0;
     std::size_t m_malformedAnswers = 0;
     std::vector<std::unique_ptr<link::FrameConnection>> m_connections;
@@ -173,5 +187,17 @@
     EXPECT_FALSE(answer->failure);
 }
 
+// Guards against a view that is handled after the connection it came over was given up.
+TEST_F(LeaderLinkTest, AViewThatFollowsARefusalInOneReadDoesNotEndTheProcess)
+{
+    FakeControlNode& leader = addNode("127.0.0.1", "127.0.0.1");
+    leader.setContradictsItself();
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    const auto answer = ask(leaderLink, 15s, 15s);
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(answer->failure);
+    EXPECT_EQ(leader.requests(), 2U);
+}
+
 } // namespace
 } // namespace crocuscove::entry
