Refuse node messages with an id or an address that can't be used

Seen: one Hello or ClusterView with a text that is no IP address ended a control node at its next tick and an entry node at its next search (InvalidInput from connecting); a Hello whose node is no valid id ended the leader when it admitted it. Cause: decodeNodeMessage() took any text. The texts were first checked inside timers, where an exception ends the loop. Change: decodeNodeMessage() throws MalformedFrame for them, which closes the connection that sent them.

--- a/include/crocuscove/control/node_message.h
+++ b/include/crocuscove/control/node_message.h
@@ -70,7 +70,7 @@
 
 std::string encodeNodeMessage(const NodeMessage& message);
 
-/// Throws link::MalformedFrame.
+/// Throws link::MalformedFrame, also for a node id or an address that can't be used as one.
 NodeMessage decodeNodeMessage(std::string_view frame);
 
 /// Throws link::MalformedFrame.
--- /dev/null
+++ b/src/crocuscove/control/cluster_test.cpp
@@ -0,0 +1,94 @@
+#include "crocuscove/control/cluster.h"
+
+#include "crocuscove/http/socket_testing.h"
+#include "crocuscove/storage/temporary_folder.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocuscove::control {
+namespace {
+
+using http::testing::runUntil;
+
+constexpr auto ownAddress = "127.0.0.1";
+constexpr auto peerAddress = "127.0.0.2";
+
+std::uint16_t freePort()
+{
+    http::EventLoop loop;
+    return link::FrameListener(loop, { ownAddress, 0 }, link::FrameOptions {}, nullptr).port();
+}
+
+class ClusterConnectionTest : public testing::Test {
+protected:
+    ClusterConnectionTest()
+    {
+        m_options.listen = { ownAddress, 1 };
+        m_options.internalPort = freePort();
+        m_options.seeds = { { ownAddress, 1 }, { peerAddress, 1 } };
+        m_options.isFirstStart = true;
+        m_options.dataFolder = m_folder.path("data");
+        m_hooks.onApplied = [](const std::vector<jobs::Command>&) {};
+        m_hooks.onServing = [](bool) {};
+        m_hooks.onRequest = [](const ForwardedRequest&, const std::function<void(ForwardedAnswer)>&) {};
+    }
+
+    void start() { m_cluster.emplace(m_loop, m_options, m_log, m_random, m_hooks); }
+
+    /// Connects to the cluster's node, keeps what it sends and whether it closes the connection.
+    std::unique_ptr<link::FrameConnection> connect()
+    {
+        link::FrameHooks hooks;
+        hooks.onFrame = [this](std::string_view frame) { m_received.push_back(decodeNodeMessage(frame)); };
+        hooks.onClosed = [this](std::string_view) { ++m_closed; };
+        return link::FrameConnection::connect(
+            m_loop, { ownAddress, m_options.internalPort }, link::FrameOptions {}, std::move(hooks));
+    }
+
+    storage::TemporaryFolder m_folder;
+    http::EventLoop m_loop;
+    ControlOptions m_options;
+    base::Log m_log { base::LogLevel::Error };
+    base::Random m_random { 1 };
+    ClusterHooks m_hooks;
+    std::vector<NodeMessage> m_received;
+    int m_closed = 0;
+    std::optional<Cluster> m_cluster;
+};
+
+// Guards against a node that connects to whatever text a peer gave as its address, and ends with that.
+TEST_F(ClusterConnectionTest, APeerWithAnUnusableAddressIsRefused)
+{
+    start();
+    const auto hello = connect();
+    hello->send(encodeNodeMessage(Hello { "n2", "nowhere" }));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return m_closed == 1; }));
+    const auto other = connect();
+    other->send(encodeNodeMessage(ViewRequest {}));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_received.empty(); }));
+}
+
+// Guards against a leader that ends when it admits a peer under a name that is no node id.
+TEST_F(ClusterConnectionTest, APeerThatAnswersWithAnUnusableNameIsRefused)
+{
+    std::vector<std::unique_ptr<link::FrameConnection>> accepted;
+    int closed = 0;
+    const link::FrameListener peer(
+        m_loop, { peerAddress, m_options.internalPort }, link::FrameOptions {}, [&](auto connection) {
+            link::FrameHooks hooks;
+            hooks.onClosed = [&](std::string_view) { ++closed; };
+            connection->setHooks(std::move(hooks));
+            connection->send(encodeNodeMessage(Hello { "Not An Id", peerAddress }));
+            accepted.push_back(std::move(connection));
+        });
+    start();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return closed >= 2; }));
+}
+
+} // namespace
+} // namespace crocuscove::control
--- a/src/crocuscove/entry/leader_link_test.cpp
+++ b/src/crocuscove/entry/leader_link_test.cpp
@@ -32,6 +32,8 @@
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
     /// Answers the next frames with bytes that are no message.
     void setMalformedAnswers(std::size_t count) { m_malformedAnswers = count; }
+    /// Sends views with texts that are no address.
+    void setUnusableAddresses(std::size_t count) { m_unusableAddresses = count; }
     /// Refuses the next request as not the leader, and names itself as the leader right after.
     void setContradictsItself() { m_contradictsItself = true; }
     [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
@@ -74,6 +76,10 @@
 
     control::ClusterView nextView()
     {
+        if (m_unusableAddresses > 0) {
+            --m_unusableAddresses;
+            return { "nowhere", { { "n1", "127.0.0.1.9" } } };
+        }
         return { m_leader, { { "n" + std::to_string(port()), m_address } } };
     }
 
@@ -88,6 +94,7 @@
     bool m_contradictsItself = false;
     std::size_t m_requests = 0;
     std::size_t m_malformedAnswers = 0;
+    std::size_t m_unusableAddresses = 0;
     std::vector<std::unique_ptr<link::FrameConnection>> m_connections;
     link::FrameListener m_listener;
 };
@@ -187,6 +194,17 @@
     EXPECT_FALSE(answer->failure);
 }
 
+// Guards against an entry node that ends because it connects to a text that is no address.
+TEST_F(LeaderLinkTest, AViewWithUnusableAddressesClosesTheConnectionOnly)
+{
+    FakeControlNode& leader = addNode("127.0.0.1", "127.0.0.1");
+    leader.setUnusableAddresses(2);
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    const auto answer = ask(leaderLink, 15s, 15s);
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(answer->failure);
+}
+
 // Guards against a view that is handled after the connection it came over was given up.
 TEST_F(LeaderLinkTest, AViewThatFollowsARefusalInOneReadDoesNotEndTheProcess)
 {
