Answer a forwarded request whose handling fails, and go on

Seen: an exception in the handling of one client's request left the frame's callback and ended the leader. Entry nodes send an unanswered request again to the next leader, so that one request could end one leader after another. No request that does so is known; the test throws from the hook. Cause: a FrameConnection catches MalformedFrame only, and Cluster called its hook unprotected. The HTTP listeners had this protection already (onHandlerError). Change: Cluster logs request_failed with path and cause, and answers 500. Errors of the consensus and the storage still end the process. Test: ClusterConnectionTest.AnErrorInTheHandlingOfARequestIsAnswered failed with the exception on the old code, passes now.

--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -28,6 +28,7 @@
 /// An address that belongs to no member and doesn't answer is forgotten after this time.
 constexpr base::Milliseconds strangerMemory { 30'000 };
 constexpr std::size_t maxKnownAddresses = 64;
+constexpr std::uint32_t statusInternalError = 500;
 
 std::string nodeName(std::uint64_t folderId) { return fmt::format("n{:016x}", folderId); }
 
@@ -196,12 +197,24 @@
     } else if (std::holds_alternative<ViewRequest>(message)) {
         inbound.connection->send(encodeNodeMessage(view()));
     } else if (const auto* request = std::get_if<ForwardedRequest>(&message)) {
-        m_hooks.onRequest(*request, [this, id](const ForwardedAnswer& answer) {
-            const auto caller = m_inbound.find(id);
-            if (caller != m_inbound.end()) {
-                caller->second.connection->send(encodeNodeMessage(answer));
-            }
-        });
+        handleRequest(id, *request);
+    }
+}
+
+void Cluster::handleRequest(std::uint64_t id, const ForwardedRequest& request)
+{
+    const auto reply = [this, id](const ForwardedAnswer& answer) {
+        const auto caller = m_inbound.find(id);
+        if (caller != m_inbound.end()) {
+            caller->second.connection->send(encodeNodeMessage(answer));
+        }
+    };
+    try {
+        m_hooks.onRequest(request, reply);
+    } catch (const std::exception& error) {
+        // Entry nodes would send the request again to the next leader, which it would end as well.
+        m_logLines.error("request_failed", { { "path", request.path }, { "cause", error.what() } });
+        reply({ request.id, ForwardOutcome::Answered, statusInternalError, {} });
     }
 }
 
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -87,6 +87,7 @@
     void connect(const std::string& address, Peer& peer);
     void accept(std::unique_ptr<link::FrameConnection> connection);
     void onInbound(std::uint64_t id, std::string_view frame);
+    void handleRequest(std::uint64_t id, const ForwardedRequest& request);
     void onOutbound(const std::string& address, std::string_view frame);
     void learn(const std::string& address);
     void learnNodes(const ClusterView& view);
--- a/src/crocuscove/control/cluster_test.cpp
+++ b/src/crocuscove/control/cluster_test.cpp
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -90,5 +91,22 @@
     EXPECT_TRUE(runUntil(m_loop, [&] { return closed >= 2; }));
 }
 
+// Guards against a request that ends one leader after another, since entry nodes send it again to the next one.
+TEST_F(ClusterConnectionTest, AnErrorInTheHandlingOfARequestIsAnswered)
+{
+    m_hooks.onRequest = [](const ForwardedRequest&, const std::function<void(ForwardedAnswer)>&) {
+        throw std::runtime_error("the handler failed");
+    };
+    start();
+    const auto connection = connect();
+    connection->send(encodeNodeMessage(ForwardedRequest { 7, "GET", "h", "/", "" }));
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_received.empty(); }));
+    const auto* answer = std::get_if<ForwardedAnswer>(&m_received.front());
+    ASSERT_NE(answer, nullptr);
+    EXPECT_EQ(answer->id, 7U);
+    EXPECT_EQ(answer->outcome, ForwardOutcome::Answered);
+    EXPECT_EQ(answer->status, 500U);
+}
+
 } // namespace
 } // namespace crocuscove::control
