Write the last line of a process that a signal ends where it is seen

After its line the handler returned, the fault repeated, and the process ended without another system call; what was written right before was lost there. Change: the handler raises the signal again, the usual way to end by a signal after handling it; the exit code stays 139. At its start a process logs fatal_signals with those that it handles and those that it left alone.

--- a/src/crocuscove/process/fatal_signals.cpp
+++ b/src/crocuscove/process/fatal_signals.cpp
@@ -58,7 +58,9 @@
         output->writeLast(signal->line);
         writeStack();
     }
-    // SA_RESETHAND has restored the default, which ends the process once the fault repeats or abort() goes on.
+    // SA_RESETHAND has restored the default, so that this ends the process when the handler returns. A fault that only
+    // repeats reaches no further system call, and a supervisor that collects output at system calls misses the line.
+    static_cast<void>(raise(number));
 }
 
 } // namespace
@@ -77,16 +79,22 @@
         signal.line
             = fmt::format(R"({{"level":"error","event":"fatal_signal","node":"{}","role":"{}","signal":"{}","stack":)",
                 name, role, signal.name);
-        struct sigaction current { };
-        if (sigaction(signal.number, nullptr, &current) == 0 && current.sa_handler == SIG_DFL) {
-            struct sigaction action { };
-            action.sa_handler = onFatalSignal;
-            action.sa_flags = static_cast<int>(SA_RESETHAND | SA_ONSTACK);
-            static_cast<void>(sigaction(signal.number, &action, nullptr));
-        }
+        install(signal.number, signal.name);
     }
 }
 
+void FatalSignals::install(int number, const std::string& name)
+{
+    struct sigaction current { };
+    struct sigaction action { };
+    action.sa_handler = onFatalSignal;
+    action.sa_flags = static_cast<int>(SA_RESETHAND | SA_ONSTACK);
+    const bool isFree = sigaction(number, nullptr, &current) == 0 && current.sa_handler == SIG_DFL;
+    const bool isInstalled = isFree && sigaction(number, &action, nullptr) == 0;
+    std::string& names = isInstalled ? m_handled : m_leftAlone;
+    names += (names.empty() ? "" : " ") + name;
+}
+
 FatalSignals::~FatalSignals() { output = nullptr; }
 
 } // namespace crocuscove::process
--- a/src/crocuscove/process/fatal_signals.h
+++ b/src/crocuscove/process/fatal_signals.h
@@ -15,6 +15,17 @@
     ~FatalSignals();
     FatalSignals(const FatalSignals&) = delete;
     FatalSignals& operator=(const FatalSignals&) = delete;
+
+    /// Names of the signals that this object handles, separated by spaces.
+    [[nodiscard]] const std::string& handled() const { return m_handled; }
+    /// Names of the signals that were handled or ignored already.
+    [[nodiscard]] const std::string& leftAlone() const { return m_leftAlone; }
+
+private:
+    void install(int number, const std::string& name);
+
+    std::string m_handled;
+    std::string m_leftAlone;
 };
 
 } // namespace crocuscove::process
--- a/src/crocuscove/process/run_process.cpp
+++ b/src/crocuscove/process/run_process.cpp
@@ -42,6 +42,7 @@
     const base::Log log(options.logLevel, { { "node", options.name }, { "role", std::string(options.role) } },
         output.sink(), options.logLimits);
     const FatalSignals fatalSignals(output, options.name, std::string(options.role));
+    log.info("fatal_signals", { { "handled", fatalSignals.handled() }, { "left_alone", fatalSignals.leftAlone() } });
     const http::Timer leftOut = loop.runEvery(leftOutInterval, [&log] { log.writeLeftOut(); });
     try {
         const Work work = start(loop, log);
