--- a/src/crocuscove/control/cluster_test.cpp
+++ b/src/crocuscove/control/cluster_test.cpp
@@ -4,11 +4,13 @@
 #include "crocuscove/storage/temporary_folder.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 
 #include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace crocuscove::control {
@@ -18,6 +20,7 @@
 
 constexpr auto ownAddress = "127.0.0.1";
 constexpr auto peerAddress = "127.0.0.2";
+constexpr int mutatedConnections = 400;
 
 std::uint16_t freePort()
 {
@@ -108,5 +111,64 @@
     EXPECT_EQ(answer->status, 500U);
 }
 
+/// The bytes of one frame on the wire.
+std::string framed(const std::string& payload)
+{
+    const std::uint32_t length = htonl(static_cast<std::uint32_t>(payload.size()));
+    return std::string(reinterpret_cast<const char*>(&length), sizeof(length)) + payload;
+}
+
+/// Messages of every kind, as a peer "n2" would send them to `node`.
+std::vector<std::string> everyMessage(const std::string& node)
+{
+    const auto consensusFrame = [&](consensus::MessageBody body) {
+        const consensus::Message message { base::NodeId("n2"), base::NodeId(node), 1, std::move(body) };
+        return encodeNodeMessage(ConsensusFrame { consensus::encodeMessage(message) });
+    };
+    return { encodeNodeMessage(Hello { "n2", peerAddress }), encodeNodeMessage(ViewRequest {}),
+        encodeNodeMessage(ForwardedRequest { 7, "POST", "h", "/a", "{}" }),
+        encodeNodeMessage(ForwardedAnswer { 7, ForwardOutcome::Unknown, 200, "{}" }),
+        encodeNodeMessage(ClusterView { peerAddress, { { "n2", peerAddress } } }),
+        consensusFrame(consensus::VoteRequest { true, 1, 1, 1 }),
+        consensusFrame(consensus::VoteAnswer { true, 1, true }),
+        consensusFrame(consensus::AppendAnswer { true, 1, 1, 1 }),
+        consensusFrame(consensus::SnapshotAnswer { 1, 1, 1, 1, true }), consensusFrame(consensus::ReadRequest { 1 }),
+        consensusFrame(consensus::ReadAnswer { 1, true, 1 }) };
+}
+
+// Guards against bytes on the listener of our own nodes that end a control node or its other connections. What a leader
+// sends to a follower is left out: a node must stop when that contradicts what is committed.
+TEST_F(ClusterConnectionTest, MutatedFramesEndOnlyTheirConnection)
+{
+    // Another seed by --gtest_shuffle --gtest_random_seed=N.
+    base::Random random(static_cast<std::uint64_t>(testing::UnitTest::GetInstance()->random_seed()));
+    start();
+    const auto healthy = connect();
+    healthy->send(encodeNodeMessage(Hello { "", peerAddress }));
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_received.empty(); }));
+    const std::vector<std::string> messages = everyMessage(std::get<Hello>(m_received.front()).node);
+    for (int connection = 0; connection < mutatedConnections; ++connection) {
+        http::testing::RawConnection raw(m_loop, m_options.internalPort);
+        std::string bytes;
+        for (auto count = 1 + random() % 4; count > 0; --count) {
+            bytes += framed(messages[random() % messages.size()]);
+        }
+        for (auto count = random() % 4; count > 0; --count) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        raw.send(bytes);
+        http::testing::runTurns(m_loop, 1 + static_cast<int>(random() % 8));
+        if (random() % 2 == 0) {
+            raw.reset();
+        }
+    }
+    // Several ticks, in which a leader manages its members and connects to the addresses it has learned.
+    const auto ticks = m_loop.runAt(base::monotonicNow() + base::Milliseconds(500), [this] { m_loop.stop(); });
+    m_loop.run();
+    m_received.clear();
+    healthy->send(encodeNodeMessage(ViewRequest {}));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_received.empty(); }));
+}
+
 } // namespace
 } // namespace crocuscove::control
