Tests: a task that crashes each worker that starts it; known red

The stand-in executor crashes when it starts a task whose payload says so, and comes back under its id as a new incarnation. Two tests with real processes: the job of such a task must be shown as failed, with at most two starts after three crashes, also when the leader is killed between the crashes and when all control nodes start anew; the jobs beside it must end as done.

--- a/tests/commands/standin_executor.cpp
+++ b/tests/commands/standin_executor.cpp
@@ -22,6 +22,7 @@
         integerSetting("late-orders-for-ms", "time from the first start in which orders are carried out late", 0,
             60'000, options.lateOrdersForMs),
         integerSetting("late-order-delay-ms", "delay of such orders", 0, 60'000, options.lateOrderDelayMs),
+        integerSetting("crash-ms", "time away after a crash", 1, 60'000, options.crashMs),
         textSetting("records", "file that gets a JSON line for each start and end", options.recordsFile),
     };
 }
--- a/tests/integration/platform_fixture.h
+++ b/tests/integration/platform_fixture.h
@@ -166,6 +166,20 @@
             [&](const nlohmann::json& line) { return line.at("event") == "start" && line.at("task") == task; }));
     }
 
+    /// Counts the starts of a task after it has crashed `crashes` workers.
+    [[nodiscard]] std::size_t startsAfterCrashes(const std::string& task, std::size_t crashes) const
+    {
+        std::size_t crashed = 0;
+        std::size_t started = 0;
+        for (const nlohmann::json& line : records()) {
+            if (line.at("task") == task) {
+                crashed += line.at("event") == "crash" ? 1 : 0;
+                started += line.at("event") == "start" && crashed >= crashes ? 1 : 0;
+            }
+        }
+        return started;
+    }
+
     /// Tells whether any task ran twice at the same time, or started after it was done.
     void expectNoTaskTwice() const
     {
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -151,6 +151,61 @@
     cluster.process("w1").signal(SIGCONT);
 }
 
+const std::string deadly = R"({"spec":"300 deadly=.0.0.1","steps":[{"count":2,"cpu":1000,"memMb":64}]})";
+/// Starts that a task may still have after it has crashed three workers (RULES, BUDGET; issue 27).
+constexpr std::size_t maxStartsAfterThreeCrashes = 2;
+
+// Guards against a task that crashes one worker after the other without end, and against jobs that are given up because
+// they ran beside it.
+TEST_F(PlatformTest, ATaskThatCrashesItsWorkersIsGivenUp)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    for (const char* worker : { "w1", "w2", "w3" }) {
+        startWorker(worker);
+    }
+    submit("00000000000000bb", lasting);
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.1") == 1; }));
+    submit("00000000000000dd", deadly);
+    const std::vector<std::string> beside { "0000000000000001", "0000000000000002", "0000000000000003" };
+    std::ranges::for_each(beside, [this](const std::string& job) { submit(job, twoSteps); });
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000dd") == "failed"; }));
+    std::ranges::for_each(beside, [this](const std::string& job) {
+        EXPECT_TRUE(waitUntil([&] { return state(job) == "done"; })) << job << " is " << state(job);
+    });
+    EXPECT_EQ(state("00000000000000bb"), "running");
+    EXPECT_LE(startsAfterCrashes("00000000000000dd.0.0.1", 3), maxStartsAfterThreeCrashes);
+    expectNoTaskTwice();
+}
+
+// Guards against crashes that are forgotten when the leader is killed between them, and when all control nodes start
+// anew.
+TEST_F(PlatformTest, CrashesOfATaskAreCountedAcrossLeadersAndRestarts)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    for (const char* worker : { "w1", "w2", "w3" }) {
+        startWorker(worker);
+    }
+    submit("00000000000000bb", lasting);
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.1") == 1; }));
+    submit("00000000000000dd", deadly);
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000dd.0.0.1") >= 1; }));
+    cluster.process(controlName(first)).kill();
+    startControl(first, false);
+    ASSERT_TRUE(
+        waitUntil([&] { return starts("00000000000000dd.0.0.1") >= 2 || state("00000000000000dd") == "failed"; }));
+    for (int number = 1; number <= 3; ++number) {
+        cluster.process(controlName(number)).kill();
+    }
+    for (int number = 1; number <= 3; ++number) {
+        startControl(number, false);
+    }
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000dd") == "failed"; }));
+    EXPECT_LE(startsAfterCrashes("00000000000000dd.0.0.1", 3), maxStartsAfterThreeCrashes);
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000bb") == "running"; }));
+    expectNoTaskTwice();
+}
+
 // Guards against a task that starts elsewhere while it runs on, because an order of maintenance was confirmed that had
 // been carried out under an earlier worker of the VM.
 TEST_F(PlatformTest, AnOrderCarriedOutBeforeEndsNoTask)
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -9,6 +9,8 @@
 
 constexpr base::Milliseconds leaseCheckInterval { 50 };
 constexpr base::Milliseconds reportTimeout { 1'000 };
+/// A task that crashes its worker does so this long after its start.
+constexpr base::Milliseconds crashDelay { 10 };
 
 http::HttpServerOptions serverOptions(const base::Endpoint& listen)
 {
@@ -24,6 +26,14 @@
     silent.push_back(responder);
 }
 
+/// Tells whether a task crashes its worker: the payload names the end of its name.
+bool isDeadly(const std::string& payload, const std::string& task)
+{
+    static const std::string mark = "deadly=";
+    const auto found = payload.find(mark);
+    return found != std::string::npos && task.ends_with(payload.substr(found + mark.size()));
+}
+
 } // namespace
 
 StandinExecutor::StandinExecutor(http::EventLoop& loop, StandinExecutorOptions options)
@@ -79,6 +89,10 @@
         restart(nlohmann::json::parse(request.body), responder);
         return;
     }
+    if (base::monotonicNow() < m_downUntil) {
+        leaveOpen(responder);
+        return;
+    }
     if (request.headers.get("Expect-Instance") != m_options.id) {
         respond(responder, 421, nlohmann::json::object());
         return;
@@ -154,10 +168,13 @@
         respond(responder, 409, { { "reason", "late" } });
         return;
     }
-    const std::int64_t runMs = std::stoll(body.at("spec").get<std::string>());
+    const auto payload = body.at("spec").get<std::string>();
+    const std::int64_t runMs = std::stoll(payload);
     Run& entry = m_running[task];
     entry.number = run;
-    if (runMs > 0) {
+    if (isDeadly(payload, task)) {
+        m_crashTimer = m_loop.runAt(base::monotonicNow() + crashDelay, [this, task, run] { crash(task, run); });
+    } else if (runMs > 0) {
         entry.end = m_loop.runAt(base::monotonicNow() + base::Milliseconds(runMs), [this, task] { end(task, "done"); });
     }
     record("start", task, run, body.value("checkpoint", ""));
@@ -202,7 +219,22 @@
     answerHold();
 }
 
+void StandinExecutor::crash(const std::string& task, std::uint32_t run)
+{
+    record("crash", task, run, m_options.id);
+    m_hold.responder.reset();
+    m_downUntil = base::monotonicNow() + base::Milliseconds(m_options.crashMs);
+    beginLife(m_downUntil);
+}
+
 void StandinExecutor::restart(const nlohmann::json& body, const http::Responder& responder)
+{
+    m_options.id = body.at("id").get<std::string>();
+    beginLife(base::monotonicNow() + base::Milliseconds(body.at("afterMs").get<std::int64_t>()));
+    respond(responder, 200, nlohmann::json::object());
+}
+
+void StandinExecutor::beginLife(base::MonotonicTime reportsFrom)
 {
     while (!m_running.empty()) {
         end(std::string(m_running.begin()->first), "killed");
@@ -215,11 +247,9 @@
     m_leaseMs = 0;
     m_lastEndBeforeLapse = 0;
     m_sequence = 0;
-    m_options.id = body.at("id").get<std::string>();
     m_born = base::wallNow().time_since_epoch().count();
     m_startedAt = base::monotonicNow();
-    m_reportsFrom = m_startedAt + base::Milliseconds(body.at("afterMs").get<std::int64_t>());
-    respond(responder, 200, nlohmann::json::object());
+    m_reportsFrom = reportsFrom;
 }
 
 void StandinExecutor::hold(const nlohmann::json& body, const http::Responder& responder)
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -36,12 +36,15 @@
     /// `lateOrderDelayMs` after they arrived.
     std::int64_t lateOrdersForMs = 0;
     std::int64_t lateOrderDelayMs = 0;
-    /// File that gets a JSON line for each start, end and refusal.
+    /// How long it neither answers nor reports after a task has crashed it.
+    std::int64_t crashMs = 500;
+    /// File that gets a JSON line for each start, end, refusal and crash.
     std::string recordsFile;
 };
 
 /// A worker as the users' platform has it, by code of its own. The payload of a job gives the run time of its tasks in
-/// milliseconds; 0 lasts.
+/// milliseconds; 0 lasts. With " deadly=.0.0.1" after it, tasks whose names end so crash the worker, which comes back
+/// under its id.
 class StandinExecutor {
 public:
     StandinExecutor(http::EventLoop& loop, StandinExecutorOptions options);
@@ -67,6 +70,9 @@
     void hold(const nlohmann::json& body, const http::Responder& responder);
     /// Ends everything and goes on as another worker, as after the maintenance of a VM.
     void restart(const nlohmann::json& body, const http::Responder& responder);
+    void crash(const std::string& task, std::uint32_t run);
+    /// Ends everything and starts a new incarnation, which reports from the given time on.
+    void beginLife(base::MonotonicTime reportsFrom);
     void answerHold();
     void end(const std::string& task, std::string how);
     void extendLease(const nlohmann::json& body);
@@ -85,6 +91,8 @@
     std::int64_t m_born;
     /// Nothing is reported before.
     base::MonotonicTime m_reportsFrom;
+    /// Nothing is answered before.
+    base::MonotonicTime m_downUntil;
     std::uint64_t m_fence = 0;
     std::int64_t m_leaseMs = 0;
     /// The last end before the lease has ended most recently. Ends up to it never count as noted (RULES, TWICE).
@@ -104,6 +112,7 @@
     http::HttpServer m_server;
     http::Timer m_reportTimer;
     http::Timer m_leaseTimer;
+    http::Timer m_crashTimer;
 };
 
 } // namespace crocuscove::testing
