--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocuscove/jobs/configuration.h"
+#include "crocuscove/jobs/crash.h"
 #include "crocuscove/jobs/job.h"
 #include "crocuscove/jobs/wave.h"
 #include "crocuscove/jobs/worker.h"
@@ -115,8 +116,21 @@
     std::string holder;
 };
 
+/// Records that an incarnation of a worker ended without notice. It is committed before the command that takes its
+/// tasks from the worker.
+struct RecordCrash {
+    std::string worker;
+    std::int64_t incarnation = 0;
+    /// The runs that may have caused it. The crash of a worker whose crash was recorded as not confirmed counts for the
+    /// runs that were recorded then.
+    std::vector<CrashedRun> runs;
+    /// Whether a later incarnation was seen. Until then the worker may only be silent, and nothing is counted.
+    bool isConfirmed = false;
+    std::int64_t nowMs = 0;
+};
+
 using Command = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks,
-    ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder>;
+    ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash>;
 
 CROCUSCOVE_FIELDS(PutConfiguration, v.configuration)
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
@@ -133,5 +147,6 @@
 CROCUSCOVE_FIELDS(RecordWaveStep, v.wave, v.vm, v.phase)
 CROCUSCOVE_FIELDS(RecordNode, v.node, v.address)
 CROCUSCOVE_FIELDS(RecordVmOrder, v.vm, v.holder)
+CROCUSCOVE_FIELDS(RecordCrash, v.worker, v.incarnation, v.runs, v.isConfirmed, v.nowMs)
 
 } // namespace crocuscove::jobs
--- /dev/null
+++ b/include/crocuscove/jobs/crash.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "crocuscove/base/time.h"
+#include "crocuscove/jobs/job.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace crocuscove::jobs {
+
+/// A task under which this many workers have crashed may be given up (issue 27, BUDGET). It is, if one of the crashes
+/// had no other possible cause.
+inline constexpr std::uint32_t maxAttributedCrashes = 2;
+/// A task under which this many workers have crashed is given up in any case: after three crashes it must not be
+/// started three times more (issue 27, BUDGET).
+inline constexpr std::uint32_t maxCrashes = 5;
+/// A task with this many crashes starts where no run of another job is in its probation, and nothing else starts there
+/// during its own.
+inline constexpr std::uint32_t isolationCrashes = 2;
+/// A run that has executed for this long, counted from its accepted start, is not suspected of a crash.
+inline constexpr base::Milliseconds crashProbation { 1'000 };
+/// Tasks whose crashes are counted at the same time.
+inline constexpr std::size_t maxCrashRecords = 20'000;
+/// Workers whose crash is not proven yet; beyond that the oldest is forgotten.
+inline constexpr std::size_t maxUnconfirmedCrashes = 1'000;
+
+/// A run that may have been executing, in its probation, when its worker crashed.
+struct CrashedRun {
+    TaskKey task;
+    std::uint32_t run = 0;
+    /// Whether no run of another job can have caused the crash.
+    bool isAttributed = false;
+
+    bool operator==(const CrashedRun&) const = default;
+};
+
+/// The crashes of workers that stand against a task.
+struct TaskCrashes {
+    std::uint32_t crashes = 0;
+    /// Those that no run of another job can have caused.
+    std::uint32_t attributed = 0;
+    /// The run that was counted last.
+    std::uint32_t lastRun = 0;
+
+    [[nodiscard]] bool isDeadly() const
+    {
+        return crashes >= maxCrashes || (crashes >= maxAttributedCrashes && attributed > 0);
+    }
+};
+
+/// A worker that fell silent, and has crashed if a later incarnation reports.
+struct UnconfirmedCrash {
+    std::int64_t incarnation = 0;
+    std::vector<CrashedRun> runs;
+    /// In Unix milliseconds.
+    std::int64_t recordedMs = 0;
+};
+
+CROCUSCOVE_FIELDS(CrashedRun, v.task, v.run, v.isAttributed)
+CROCUSCOVE_FIELDS(TaskCrashes, v.crashes, v.attributed, v.lastRun)
+CROCUSCOVE_FIELDS(UnconfirmedCrash, v.incarnation, v.runs, v.recordedMs)
+
+} // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -39,6 +39,13 @@
     [[nodiscard]] const std::map<std::string, std::set<JobId>>& readyJobs() const { return m_readyJobs; }
     /// The tasks assigned to each worker.
     [[nodiscard]] const std::set<TaskKey>& tasksOf(WorkerNumber worker) const;
+    /// Crashes of workers that stand against tasks. Those of a job that was given up stay until it is pruned.
+    [[nodiscard]] const std::map<TaskKey, TaskCrashes>& crashes() const { return m_crashes; }
+    /// Workers that were removed because they were silent, by worker id.
+    [[nodiscard]] const std::map<std::string, UnconfirmedCrash>& unconfirmedCrashes() const
+    {
+        return m_unconfirmedCrashes;
+    }
 
     /// Returns the last definition of a queue, even if it was removed from the configuration, or a null pointer.
     [[nodiscard]] const Queue* findQueue(const std::string& name) const;
@@ -67,6 +74,7 @@
     void applyCommand(const RecordWaveStep& command);
     void applyCommand(const RecordNode& command);
     void applyCommand(const RecordVmOrder& command);
+    void applyCommand(const RecordCrash& command);
 
     void forgetAddress(const Worker& worker);
     [[nodiscard]] bool canAssign(const Assignment& assignment) const;
@@ -77,6 +85,12 @@
     /// Returns an assigned task to the waiting phase and frees its reservation.
     void unassign(const TaskKey& key);
     void freeReservation(const Job& job, const TaskKey& key, WorkerNumber worker);
+    /// Returns the runs of the command that are assigned to the worker and have not been counted yet.
+    [[nodiscard]] std::vector<CrashedRun> uncountedRuns(const RecordCrash& command) const;
+    void recordUnconfirmedCrash(const RecordCrash& command);
+    /// Counts a crash against a task, and ends its job when the task has reached its limit.
+    void countCrash(const CrashedRun& run, std::int64_t nowMs);
+    void forgetCrashes(JobId job);
     void finishJob(Job& job, JobPhase phase, std::int64_t nowMs);
     void finishIfDone(Job& job, std::int64_t nowMs);
     /// Updates the index of ready jobs after a change of the job's tasks or phase.
@@ -93,6 +107,8 @@
     std::map<std::string, std::string> m_vmOrderHolders;
     WorkerNumber m_lastWorker = 0;
     std::map<JobId, std::int64_t> m_earlyCancels;
+    std::map<TaskKey, TaskCrashes> m_crashes;
+    std::map<std::string, UnconfirmedCrash> m_unconfirmedCrashes;
     // Indexes derived from the members above; not part of a snapshot.
     std::map<std::string, WorkerNumber> m_workerById;
     std::map<std::string, std::set<JobId>> m_activeJobs;
--- a/include/crocuscove/jobs/scheduler.h
+++ b/include/crocuscove/jobs/scheduler.h
@@ -20,6 +20,9 @@
     std::function<bool(const Worker&)> isUsable;
     /// Returns the cost of choosing a worker; lower is preferred. Workers that fail often or are slow cost more.
     std::function<double(const Worker&)> penalty;
+    /// Returns how long it takes, in milliseconds, until the run of a task that is assigned to the worker has executed
+    /// for crashProbation; 0 if it has. Asked only while crashes are on record.
+    std::function<std::int64_t(const Worker&, const TaskKey&)> unprovenMs;
 };
 
 /// Urgency of a job by its latency objective, most urgent first.
--- a/src/crocuscove/control/control_api.cpp
+++ b/src/crocuscove/control/control_api.cpp
@@ -46,11 +46,13 @@
 
 } // namespace
 
-ControlApi::ControlApi(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster)
+ControlApi::ControlApi(
+    http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster, ReportHook onReport)
     : m_loop(loop)
     , m_options(options)
     , m_log(log)
     , m_cluster(cluster)
+    , m_onReport(std::move(onReport))
 {
 }
 
@@ -171,6 +173,7 @@
     m_log.info("worker_report",
         { { "worker", id }, { "incarnation", report.incarnation }, { "service", report.service },
             { "draining", report.isDraining }, { "sequence", report.sequence } });
+    m_onReport(report);
     commit(jobs::RecordWorker { std::move(report) }, responder, body);
 }
 
--- a/src/crocuscove/control/control_api.h
+++ b/src/crocuscove/control/control_api.h
@@ -13,7 +13,11 @@
 /// Answers workers and operators. Nodes that don't lead send them on to the leader.
 class ControlApi {
 public:
-    ControlApi(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster);
+    /// Runs on the leader before a report that changes something is proposed.
+    using ReportHook = std::function<void(const jobs::WorkerReport&)>;
+
+    ControlApi(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster,
+        ReportHook onReport);
 
     void handle(const http::HttpRequest& request, const http::Responder& responder);
 
@@ -35,6 +39,7 @@
     const ControlOptions& m_options;
     const base::Log& m_log;
     Cluster& m_cluster;
+    ReportHook m_onReport;
 };
 
 } // namespace crocuscove::control
--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -32,7 +32,12 @@
                   ? std::make_unique<process::MetricsServer>(loop, *options.metricsListen, m_metrics)
                   : nullptr)
         , m_cluster(loop, options, log, random, clusterHooks())
-        , m_controlApi(loop, options, log, m_cluster)
+        , m_controlApi(loop, options, log, m_cluster,
+              [this](const jobs::WorkerReport& report) {
+                  if (m_leader) {
+                      m_leader->recordCrashBefore(report);
+                  }
+              })
         , m_jobApi(log, m_metrics, m_cluster, [this](const std::string& queue) { return countWaitingJobs(queue); })
         , m_server(loop, serverOptions(options, log),
               [this](const http::HttpRequest& request, const http::Responder& responder) {
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -1,9 +1,11 @@
 #include "leader.h"
 
 #include "crocuscove/jobs/scheduler.h"
+#include "platform/task_name.h"
 
 #include <algorithm>
 #include <chrono>
+#include <ranges>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -29,6 +31,18 @@
 /// Penalty of a worker whose VM is still to be maintained, so that tasks aren't interrupted twice.
 constexpr double duePenalty = 0.5;
 
+/// Suspects that the log line of a crash names.
+constexpr std::size_t maxLoggedSuspects = 16;
+
+std::string suspectNames(const std::vector<jobs::CrashedRun>& runs)
+{
+    std::string names;
+    for (const jobs::CrashedRun& run : runs | std::views::take(maxLoggedSuspects)) {
+        names += (names.empty() ? "" : " ") + platform::taskName(run.task) + "/" + std::to_string(run.run);
+    }
+    return names;
+}
+
 http::HttpClientOptions workerClientOptions(std::size_t maxDescriptors)
 {
     http::HttpClientOptions options;
@@ -103,6 +117,8 @@
         m_metrics.count("task_start", std::string(outcome));
         m_metrics.observe("task_start", waited.count());
     };
+    hooks.isReserved = [this](const std::string& workerId) { return m_fleet.isReserved(workerId); };
+    hooks.onCrash = [this](jobs::RecordCrash crash) { proposeCrash(std::move(crash)); };
     hooks.mayOrder = [this] { return m_cluster.hasLeadership(base::monotonicNow()); };
     return hooks;
 }
@@ -154,6 +170,8 @@
                 });
             } else if constexpr (std::is_same_v<Type, jobs::CancelAcceptedJob>) {
                 collectTasksOfEndedJob(typed.job, changed);
+            } else if constexpr (std::is_same_v<Type, jobs::RecordCrash>) {
+                onCrashApplied(typed, changed);
             } else if constexpr (std::is_same_v<Type, jobs::AcceptJob>) {
                 if (const jobs::Job* job = m_cluster.state().findJob(typed.job)) {
                     m_fleet.addArrival(*job);
@@ -168,6 +186,53 @@
         command);
 }
 
+void Leader::recordCrashBefore(const jobs::WorkerReport& report)
+{
+    const jobs::Worker* known = m_cluster.state().findWorker(report.id);
+    if (known != nullptr && known->report.incarnation < report.incarnation) {
+        const auto session = m_sessions.find(known->number);
+        auto crash = session == m_sessions.end() ? std::nullopt : session->second->crash(true);
+        if (crash) {
+            proposeCrash(std::move(*crash));
+        }
+    }
+    const auto unconfirmed = m_cluster.state().unconfirmedCrashes().find(report.id);
+    if (unconfirmed != m_cluster.state().unconfirmedCrashes().end()
+        && unconfirmed->second.incarnation < report.incarnation) {
+        proposeCrash({ report.id, unconfirmed->second.incarnation, unconfirmed->second.runs, true, unixNow() });
+    }
+}
+
+void Leader::proposeCrash(jobs::RecordCrash crash)
+{
+    const bool isAttributed = crash.runs.front().isAttributed;
+    m_log.warning("worker_crash",
+        { { "worker", crash.worker }, { "incarnation", crash.incarnation }, { "confirmed", crash.isConfirmed },
+            { "suspects", crash.runs.size() }, { "tasks", suspectNames(crash.runs) }, { "attributed", isAttributed } });
+    if (crash.isConfirmed) {
+        m_metrics.count("worker_crash", isAttributed ? "attributed" : "several-suspects");
+    }
+    proposeCommand(std::move(crash), nullptr);
+}
+
+void Leader::onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed)
+{
+    const jobs::FleetState& state = m_cluster.state();
+    for (const jobs::CrashedRun& run : crash.runs) {
+        const jobs::Job* job = state.findJob(run.task.job);
+        const auto crashes = state.crashes().find(run.task);
+        if (job == nullptr || job->isActive() || crashes == state.crashes().end() || !crashes->second.isDeadly()
+            || job->finishedMs != crash.nowMs) {
+            continue;
+        }
+        m_metrics.count("job_given_up", "worker-crashes");
+        m_log.warning("job_given_up",
+            { { "task", platform::taskName(run.task) }, { "run", run.run }, { "crashes", crashes->second.crashes },
+                { "attributed", crashes->second.attributed }, { "worker", crash.worker } });
+        collectTasksOfEndedJob(run.task.job, changed);
+    }
+}
+
 void Leader::onApplied(const std::vector<jobs::Command>& commands)
 {
     // No commands stand for a snapshot that was installed.
@@ -259,6 +324,12 @@
                 const double due = m_fleet.isDue(worker.report.id) ? duePenalty : 0;
                 return failurePenalty * health.failureShare + health.unanswered + due;
             },
+        .unprovenMs =
+            [&](const jobs::Worker& worker, const jobs::TaskKey& task) {
+                const auto session = m_sessions.find(worker.number);
+                return session == m_sessions.end() ? jobs::crashProbation.count()
+                                                   : session->second->unprovenMs(task, now);
+            },
     };
     auto assignments = jobs::planAssignments(view, maxTasksPerPlan);
     if (assignments.empty()) {
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -36,6 +36,9 @@
     /// Counts the jobs of a queue that have no due time and no task that has started: assigned tasks whose worker
     /// hasn't confirmed the start count as waiting.
     [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const;
+    /// Proposes the record of a crash that a worker's report proves, if it does. To be called before the report is
+    /// proposed.
+    void recordCrashBefore(const jobs::WorkerReport& report);
 
 private:
     [[nodiscard]] bool hasStarted(const jobs::Job& job) const;
@@ -43,6 +46,8 @@
     /// Adds the workers whose orders may have changed with an applied command.
     void collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed);
     void collectTasksOfEndedJob(jobs::JobId job, std::set<jobs::WorkerNumber>& changed) const;
+    void proposeCrash(jobs::RecordCrash crash);
+    void onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed);
     void schedulePlan();
     void plan();
     void forgetJobs();
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -32,7 +32,7 @@
     for (const jobs::TaskKey& key : assigned) {
         const jobs::Job& job = *m_state.findJob(key.job);
         const auto [order, isNew]
-            = m_orders.try_emplace(key, Order { job.find(key)->run, OrderPhase::Unsent, {}, {}, false, false });
+            = m_orders.try_emplace(key, Order { job.find(key)->run, OrderPhase::Unsent, {}, {}, false, false, false });
         m_hasPaceableTask = m_hasPaceableTask || job.spec.steps[key.step].usesLeftover;
         updateOrder(key, job, order->second);
     }
@@ -79,6 +79,7 @@
     // Renewals extend the lease of what has started.
     message.leaseDeadlineMs = m_clock.grant(std::min(startValidity, m_options.taskLease), now).value_or(0);
     order.phase = OrderPhase::Sending;
+    order.wasSent = true;
     ++m_startsInFlight;
     call(platform::startRequest(target(), message), answerTimeout,
         [this, key, run = order.run, now](const http::ExchangeResult& result) {
@@ -129,7 +130,7 @@
         order.phase = OrderPhase::Unsent;
         break;
     case platform::OrderOutcome::OtherIncarnation:
-        remove("other-incarnation");
+        remove("other-incarnation", false);
         break;
     case platform::OrderOutcome::Unhealthy:
         m_health.failureShare += failureWeight * (1.0 - m_health.failureShare);
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -99,7 +99,7 @@
     if (result.response->status != 200) {
         const auto answer = platform::decodeOrderAnswer(*result.response);
         if (answer.outcome == platform::OrderOutcome::OtherIncarnation) {
-            remove("other-incarnation");
+            remove("other-incarnation", false);
             return;
         }
         m_log.warning("renew_refused",
@@ -122,15 +122,18 @@
     const auto now = base::monotonicNow();
     const auto end = std::max(m_clock.latestLeaseExpiry(), m_answeredAt ? base::MonotonicTime() : m_earlierLeasesEnd);
     if (now > end) {
-        remove("lease-ended");
+        remove("lease-ended", false);
         return;
     }
     scheduleRenew(retryPause);
 }
 
-void WorkerSession::remove(std::string_view reason)
+void WorkerSession::remove(std::string_view reason, bool hasCrashed)
 {
     m_isRemoving = true;
+    if (auto record = crash(hasCrashed)) {
+        m_hooks.onCrash(std::move(*record));
+    }
     m_log.warning("worker_removed",
         { { "worker", m_id }, { "incarnation", m_incarnation }, { "reason", reason },
             { "tasks", m_state.tasksOf(m_number).size() } });
@@ -145,7 +148,7 @@
 void WorkerSession::onStatus(const platform::WorkerStatus& status, base::MonotonicTime sentAt)
 {
     if (status.incarnation && m_incarnation != 0 && *status.incarnation != m_incarnation) {
-        remove("restarted");
+        remove("restarted", *status.incarnation > m_incarnation);
         return;
     }
     const auto now = base::monotonicNow();
@@ -222,7 +225,7 @@
             // A late order of an earlier run was carried out after all.
             stop(task.task, task.run, "not-assigned");
         } else if (known == m_orders.end()) {
-            m_orders[task.task] = Order { task.run, OrderPhase::Started, sentAt, {}, false, false };
+            m_orders[task.task] = Order { task.run, OrderPhase::Started, sentAt, {}, false, false, true };
         }
     }
     if (status.ended.size() >= maxListedEnds) {
@@ -236,6 +239,58 @@
     }
 }
 
+bool WorkerSession::isSuspect(const jobs::TaskKey& key) const
+{
+    if (!m_answeredAt) {
+        // An earlier leader may have started what is assigned.
+        return true;
+    }
+    const auto order = m_orders.find(key);
+    if (order == m_orders.end() || order->second.phase == OrderPhase::Settled) {
+        return false;
+    }
+    if (order->second.phase == OrderPhase::Started) {
+        return *m_answeredAt - order->second.since < jobs::crashProbation;
+    }
+    return order->second.wasSent;
+}
+
+std::optional<jobs::RecordCrash> WorkerSession::crash(bool isConfirmed) const
+{
+    const jobs::Worker* current = worker();
+    if (current == nullptr || current->report.isDraining || m_hooks.isReserved(m_id)) {
+        return std::nullopt;
+    }
+    jobs::RecordCrash record { m_id, m_incarnation, {}, isConfirmed, base::wallNow().time_since_epoch().count() };
+    for (const jobs::TaskKey& key : m_state.tasksOf(m_number)) {
+        const jobs::Job& job = *m_state.findJob(key.job);
+        if (job.isActive() && isSuspect(key)) {
+            record.runs.push_back({ key, job.find(key)->run, false });
+        }
+    }
+    if (record.runs.empty()) {
+        return std::nullopt;
+    }
+    const bool isOneJob = std::ranges::all_of(
+        record.runs, [&](const jobs::CrashedRun& run) { return run.task.job == record.runs.front().task.job; });
+    std::ranges::for_each(record.runs, [&](jobs::CrashedRun& run) { run.isAttributed = isOneJob; });
+    return record;
+}
+
+std::int64_t WorkerSession::unprovenMs(const jobs::TaskKey& task, base::MonotonicTime now) const
+{
+    const auto order = m_orders.find(task);
+    if (order == m_orders.end() || order->second.phase == OrderPhase::Unsent
+        || order->second.phase == OrderPhase::Sending) {
+        return jobs::crashProbation.count();
+    }
+    if (order->second.phase == OrderPhase::Settled) {
+        return 0;
+    }
+    const auto left = std::chrono::ceil<base::Milliseconds>(order->second.since + jobs::crashProbation - now);
+    return std::max<std::int64_t>(0, left.count());
+}
+
 void WorkerSession::release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason)
 {
     m_log.info("task_released",
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -27,6 +27,10 @@
     std::function<void(std::string_view outcome, base::MonotonicTime sentAt)> onOrder;
     /// Tells whether orders may be sent now.
     std::function<bool()> mayOrder;
+    /// Tells whether the worker's VM is about to be taken away by us.
+    std::function<bool(const std::string& workerId)> isReserved;
+    /// Proposes the record of a crash.
+    std::function<void(jobs::RecordCrash)> onCrash;
 };
 
 /// How a worker has done lately, for the choice of workers.
@@ -60,6 +64,12 @@
 
     /// Tells whether an assigned task is known to have started here, or can't be excluded to have.
     [[nodiscard]] bool mayHaveStarted(const jobs::TaskKey& task) const;
+    /// Returns what the end of this incarnation without notice counts against, or nothing if the end was planned or
+    /// nothing in its probation can have been executing.
+    [[nodiscard]] std::optional<jobs::RecordCrash> crash(bool isConfirmed) const;
+    /// Returns how long it takes, in milliseconds, until the run of an assigned task has executed for the probation
+    /// time; 0 if it has, or executes no more.
+    [[nodiscard]] std::int64_t unprovenMs(const jobs::TaskKey& task, base::MonotonicTime now) const;
 
     /// Tells whether a run works at full pace by the worker's last answer, and was not told to stop since.
     [[nodiscard]] bool isAtWork(const jobs::TaskKey& task, std::uint32_t run) const;
@@ -90,6 +100,8 @@
         bool isStopping = false;
         /// A stop was sent, and may have been carried out also without an answer.
         bool wasToldToStop = false;
+        /// A start was sent, and may have been carried out also without an answer.
+        bool wasSent = false;
     };
 
     [[nodiscard]] const jobs::Worker* worker() const { return m_state.findWorker(m_number); }
@@ -103,7 +115,10 @@
     void recordEnds(const platform::WorkerStatus& status);
     void reconcile(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
     void onSilence();
-    void remove(std::string_view reason);
+    /// `hasCrashed` tells that a later incarnation has answered; otherwise the worker may only be silent.
+    void remove(std::string_view reason, bool hasCrashed);
+    /// Tells whether a run may have been executing, for less than the probation time, when the worker crashed.
+    [[nodiscard]] bool isSuspect(const jobs::TaskKey& key) const;
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
     void updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order);
     void start(const jobs::TaskKey& key, Order& order);
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -3,6 +3,7 @@
 #include "crocuscove/base/codec.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace crocuscove::jobs {
@@ -11,7 +12,8 @@
 
 using SnapshotFields = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerNumber, Worker>,
     std::map<std::uint64_t, Wave>, std::map<std::string, std::string>, std::map<std::string, Queue>,
-    std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>>;
+    std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>, std::map<TaskKey, TaskCrashes>,
+    std::map<std::string, UnconfirmedCrash>>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -123,6 +125,11 @@
 void FleetState::applyCommand(const RecordWorker& command)
 {
     const WorkerReport& report = command.report;
+    const auto unconfirmed = m_unconfirmedCrashes.find(report.id);
+    if (unconfirmed != m_unconfirmedCrashes.end() && unconfirmed->second.incarnation <= report.incarnation) {
+        // The same incarnation was only silent; the crash before a later one was counted before this report.
+        m_unconfirmedCrashes.erase(unconfirmed);
+    }
     const auto sameAddress = m_workerByAddress.find(report.address);
     const Worker* other = sameAddress == m_workerByAddress.end() ? nullptr : findWorker(sameAddress->second);
     if (other != nullptr && other->report.id != report.id) {
@@ -315,6 +322,7 @@
             continue;
         }
         unassign({ key.job, key.occurrence, key.step, index });
+        m_crashes.erase({ key.job, key.occurrence, key.step, index });
         task.phase = TaskPhase::Done;
         task.checkpoint.clear();
         --progress.waitingTasks;
@@ -353,6 +361,80 @@
     job.finishedMs = nowMs;
     m_activeJobs[job.queue].erase(job.id);
     updateReady(job);
+    if (phase != JobPhase::Failed) {
+        forgetCrashes(job.id);
+    }
+}
+
+void FleetState::forgetCrashes(JobId job)
+{
+    constexpr auto last = std::numeric_limits<std::uint32_t>::max();
+    m_crashes.erase(m_crashes.lower_bound({ job, 0, 0, 0 }), m_crashes.upper_bound({ job, last, last, last }));
+}
+
+void FleetState::applyCommand(const RecordCrash& command)
+{
+    if (!command.isConfirmed) {
+        recordUnconfirmedCrash(command);
+        return;
+    }
+    const auto unconfirmed = m_unconfirmedCrashes.find(command.worker);
+    if (unconfirmed != m_unconfirmedCrashes.end() && unconfirmed->second.incarnation == command.incarnation) {
+        const std::vector<CrashedRun> runs = std::move(unconfirmed->second.runs);
+        m_unconfirmedCrashes.erase(unconfirmed);
+        std::ranges::for_each(runs, [&](const CrashedRun& run) { countCrash(run, command.nowMs); });
+        return;
+    }
+    std::ranges::for_each(uncountedRuns(command), [&](const CrashedRun& run) { countCrash(run, command.nowMs); });
+}
+
+std::vector<CrashedRun> FleetState::uncountedRuns(const RecordCrash& command) const
+{
+    std::vector<CrashedRun> result;
+    const Worker* worker = findWorker(command.worker);
+    if (worker == nullptr || worker->report.incarnation != command.incarnation || worker->report.isDraining) {
+        return result;
+    }
+    std::ranges::copy_if(command.runs, std::back_inserter(result), [&](const CrashedRun& run) {
+        const Job* job = findJob(run.task.job);
+        const Task* task = job == nullptr ? nullptr : job->find(run.task);
+        const auto crashes = m_crashes.find(run.task);
+        return task != nullptr && task->phase == TaskPhase::Assigned && task->worker == worker->number
+            && task->run == run.run && (crashes == m_crashes.end() || crashes->second.lastRun < run.run);
+    });
+    return result;
+}
+
+void FleetState::recordUnconfirmedCrash(const RecordCrash& command)
+{
+    const std::vector<CrashedRun> runs = uncountedRuns(command);
+    if (runs.empty()) {
+        return;
+    }
+    m_unconfirmedCrashes[command.worker] = { command.incarnation, runs, command.nowMs };
+    if (m_unconfirmedCrashes.size() > maxUnconfirmedCrashes) {
+        m_unconfirmedCrashes.erase(std::ranges::min_element(
+            m_unconfirmedCrashes, {}, [](const auto& entry) { return entry.second.recordedMs; }));
+    }
+}
+
+void FleetState::countCrash(const CrashedRun& run, std::int64_t nowMs)
+{
+    const auto job = m_jobs.find(run.task.job);
+    const Task* task = job == m_jobs.end() ? nullptr : job->second.find(run.task);
+    if (task == nullptr || task->phase == TaskPhase::Done || !job->second.isActive()) {
+        return;
+    }
+    if (!m_crashes.contains(run.task) && m_crashes.size() >= maxCrashRecords) {
+        return;
+    }
+    TaskCrashes& crashes = m_crashes[run.task];
+    ++crashes.crashes;
+    crashes.attributed += run.isAttributed ? 1 : 0;
+    crashes.lastRun = std::max(crashes.lastRun, run.run);
+    if (crashes.isDeadly()) {
+        finishJob(job->second, JobPhase::Failed, nowMs);
+    }
 }
 
 void FleetState::updateReady(Job& job)
@@ -378,7 +460,11 @@
     }
     std::erase_if(m_jobs, [&](const auto& entry) {
         const Job& job = entry.second;
-        return !job.isActive() && job.finishedMs < command.finishedBeforeMs && !busy.contains(job.id);
+        const bool isOld = !job.isActive() && job.finishedMs < command.finishedBeforeMs && !busy.contains(job.id);
+        if (isOld) {
+            forgetCrashes(job.id);
+        }
+        return isOld;
     });
     std::erase_if(m_earlyCancels, [&](const auto& cancel) { return cancel.second < command.finishedBeforeMs; });
 }
@@ -434,13 +520,14 @@
 std::string FleetState::encodeSnapshot() const
 {
     return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
-        m_lastWorker, m_earlyCancels));
+        m_lastWorker, m_earlyCancels, m_crashes, m_unconfirmedCrashes));
 }
 
+// A snapshot of an earlier version ends before the crashes, which are then empty.
 void FleetState::restoreSnapshot(std::string_view bytes)
 {
-    std::tie(
-        m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker, m_earlyCancels)
+    std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
+        m_earlyCancels, m_crashes, m_unconfirmedCrashes)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
 }
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace crocuscove::jobs {
 namespace {
@@ -23,6 +24,27 @@
         m_worker = m_state.findWorker("w1")->number;
     }
 
+    /// Starts tasks on the worker w1, which then crashes under them and comes back.
+    void crashUnder(const std::vector<TaskKey>& keys, bool isAttributed)
+    {
+        std::vector<CrashedRun> runs;
+        for (const TaskKey& key : keys) {
+            const std::uint32_t run = task(key).run + 1;
+            m_state.apply(assign(key, run, m_worker));
+            runs.push_back({ key, run, isAttributed });
+        }
+        const std::int64_t incarnation = m_state.findWorker("w1")->report.incarnation;
+        m_state.apply(crash("w1", incarnation, runs));
+        m_state.apply(RecordWorker { report("w1", incarnation + 1) });
+        m_worker = m_state.findWorker("w1")->number;
+    }
+
+    [[nodiscard]] TaskCrashes crashesOf(const TaskKey& key) const
+    {
+        const auto crashes = m_state.crashes().find(key);
+        return crashes == m_state.crashes().end() ? TaskCrashes {} : crashes->second;
+    }
+
     [[nodiscard]] const Task& task(const TaskKey& key) const { return *m_state.findJob(key.job)->find(key); }
 
     FleetState m_state;
@@ -212,6 +234,165 @@
     EXPECT_EQ(m_state.findWorker(m_worker)->assignedTasks, 0U);
 }
 
+// Guards against a task that crashes one worker after the other without end.
+TEST_F(FleetStateTest, ATaskThatAloneCrashedTwoWorkersIsGivenUp)
+{
+    const TaskKey key { 1, 0, 0, 0 };
+    m_state.apply(accept(1, { step(1) }));
+    crashUnder({ key }, true);
+    EXPECT_TRUE(m_state.findJob(1)->isActive());
+    EXPECT_EQ(task(key).phase, TaskPhase::Waiting);
+    crashUnder({ key }, true);
+    EXPECT_EQ(m_state.findJob(1)->phase, JobPhase::Failed);
+    EXPECT_EQ(m_state.findJob(1)->finishedMs, 3000);
+    EXPECT_TRUE(m_state.readyJobs().at("q").empty());
+}
+
+// Guards against a job that is given up for the crashes of a task that ran beside it.
+TEST_F(FleetStateTest, ATaskBesideADeadlyOneIsNotGivenUp)
+{
+    const TaskKey deadly { 1, 0, 0, 0 };
+    const TaskKey healthy { 2, 0, 0, 0 };
+    m_state.apply(accept(1, { step(1) }));
+    m_state.apply(accept(2, { step(1) }));
+    crashUnder({ deadly, healthy }, false);
+    crashUnder({ deadly, healthy }, false);
+    EXPECT_TRUE(m_state.findJob(1)->isActive()) << "either may be the cause";
+    crashUnder({ deadly }, true);
+    EXPECT_EQ(m_state.findJob(1)->phase, JobPhase::Failed);
+    EXPECT_TRUE(m_state.findJob(2)->isActive());
+    EXPECT_EQ(crashesOf(healthy).crashes, 2U);
+}
+
+// Guards against a task that is started three times more after three crashes because another ran beside it each time.
+TEST_F(FleetStateTest, ATaskThatNeverRanAloneIsGivenUpAfterItsLastAllowedStart)
+{
+    const TaskKey key { 1, 0, 0, 0 };
+    m_state.apply(accept(1, { step(1) }));
+    for (std::uint32_t crashes = 1; crashes <= 4; ++crashes) {
+        crashUnder({ key }, false);
+        EXPECT_TRUE(m_state.findJob(1)->isActive());
+    }
+    crashUnder({ key }, false);
+    EXPECT_EQ(m_state.findJob(1)->phase, JobPhase::Failed);
+    EXPECT_EQ(task(key).run, 5U);
+}
+
+// Guards against a crash that counts twice because the session and the worker's report both told of it.
+TEST_F(FleetStateTest, ACrashIsCountedOnceForEachRun)
+{
+    const TaskKey key { 1, 0, 0, 0 };
+    m_state.apply(accept(1, { step(1) }));
+    m_state.apply(assign(key, 1, m_worker));
+    m_state.apply(crash("w1", 1, { { key, 1, true } }));
+    m_state.apply(crash("w1", 1, { { key, 1, true } }, false));
+    m_state.apply(crash("w1", 1, { { key, 1, true } }));
+    m_state.apply(RecordWorker { report("w1", 2) });
+    m_state.apply(crash("w1", 1, { { key, 1, true } }));
+    EXPECT_EQ(crashesOf(key).crashes, 1U);
+    EXPECT_TRUE(m_state.findJob(1)->isActive());
+}
+
+// Guards against counting a run that was not on the worker, and against the end of a worker that had said it leaves.
+TEST_F(FleetStateTest, OnlyRunsOnAWorkerThatEndsWithoutNoticeCount)
+{
+    const TaskKey key { 1, 0, 0, 0 };
+    m_state.apply(accept(1, { step(1) }));
+    m_state.apply(assign(key, 2, m_worker));
+    m_state.apply(crash("w1", 1, { { key, 1, true }, { { 9, 0, 0, 0 }, 2, true } }));
+    m_state.apply(crash("w1", 2, { { key, 2, true } }));
+    WorkerReport draining = report("w1", 1, 2);
+    draining.isDraining = true;
+    m_state.apply(RecordWorker { draining });
+    m_state.apply(crash("w1", 1, { { key, 2, true } }));
+    m_state.apply(crash("w1", 1, { { key, 2, true } }, false));
+    EXPECT_TRUE(m_state.crashes().empty());
+    EXPECT_TRUE(m_state.unconfirmedCrashes().empty());
+}
+
+// Guards against counting a cut network as a crash, and against a crash that is missed because the worker's lease had
+// ended before it came back.
+TEST_F(FleetStateTest, ASilentWorkerHasCrashedOnlyIfALaterIncarnationReports)
+{
+    const TaskKey key { 1, 0, 0, 0 };
+    m_state.apply(accept(1, { step(1) }));
+    m_state.apply(assign(key, 1, m_worker));
+    m_state.apply(crash("w1", 1, { { key, 1, true } }, false));
+    m_state.apply(RemoveWorker { m_worker });
+    m_state.apply(RecordWorker { report("w1", 1, 7) });
+    m_state.apply(crash("w1", 1, { { key, 1, true } }));
+    EXPECT_TRUE(m_state.crashes().empty()) << "it was only silent";
+    m_worker = m_state.findWorker("w1")->number;
+    m_state.apply(assign(key, 2, m_worker));
+    m_state.apply(crash("w1", 1, { { key, 2, true } }, false));
+    m_state.apply(RemoveWorker { m_worker });
+    m_state.apply(crash("w1", 1, {}));
+    m_state.apply(RecordWorker { report("w1", 2) });
+    EXPECT_EQ(crashesOf(key).crashes, 1U);
+    EXPECT_EQ(crashesOf(key).attributed, 1U);
+    EXPECT_TRUE(m_state.unconfirmedCrashes().empty());
+}
+
+// Guards against silent workers that never come back and fill the state.
+TEST_F(FleetStateTest, SilentWorkersAreForgottenBeyondTheirBound)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (std::size_t number = 0; number < maxUnconfirmedCrashes + 3; ++number) {
+        const std::string id = "x" + std::to_string(number);
+        WorkerReport later = report(id);
+        later.address = "127.0.0.2:" + std::to_string(number);
+        m_state.apply(RecordWorker { later });
+        const std::uint32_t run = task({ 1, 0, 0, 0 }).run + 1;
+        m_state.apply(assign({ 1, 0, 0, 0 }, run, m_state.findWorker(id)->number));
+        RecordCrash silent = crash(id, 1, { { { 1, 0, 0, 0 }, run, true } }, false);
+        silent.nowMs = static_cast<std::int64_t>(number);
+        m_state.apply(silent);
+        m_state.apply(RemoveWorker { m_state.findWorker(id)->number });
+    }
+    EXPECT_EQ(m_state.unconfirmedCrashes().size(), maxUnconfirmedCrashes);
+    EXPECT_FALSE(m_state.unconfirmedCrashes().contains("x0")) << "the oldest";
+}
+
+// Guards against crashes that stay on record without use.
+TEST_F(FleetStateTest, CrashesAreForgottenWithTheirTask)
+{
+    for (const JobId job : { 1, 2, 3 }) {
+        m_state.apply(accept(job, { step(1) }));
+    }
+    crashUnder({ { 1, 0, 0, 0 }, { 2, 0, 0, 0 } }, false);
+    crashUnder({ { 3, 0, 0, 0 } }, true);
+    crashUnder({ { 3, 0, 0, 0 } }, true);
+    m_state.apply(assign({ 1, 0, 0, 0 }, 2, m_worker));
+    m_state.apply(ended(m_worker, 1, { 1, 0, 0, 0 }, 2, TaskEndReason::Done));
+    m_state.apply(CancelAcceptedJob { 2, 3000 });
+    EXPECT_EQ(m_state.crashes().size(), 1U) << "the job that was given up";
+    m_state.apply(PruneJobs { 5000 });
+    EXPECT_TRUE(m_state.crashes().empty());
+}
+
+// Guards against crashes that are forgotten when a node restarts, and against snapshots of earlier versions that no
+// longer load.
+TEST_F(FleetStateTest, CrashesSurviveASnapshotAndEarlierSnapshotsLoad)
+{
+    const TaskKey key { 1, 0, 0, 0 };
+    m_state.apply(accept(1, { step(1) }));
+    crashUnder({ key }, true);
+    m_state.apply(assign(key, 2, m_worker));
+    m_state.apply(crash("w1", 2, { { key, 2, true } }, false));
+    m_state.apply(RemoveWorker { m_worker });
+    FleetState copy;
+    copy.restoreSnapshot(m_state.encodeSnapshot());
+    EXPECT_EQ(copy.encodeSnapshot(), m_state.encodeSnapshot());
+    copy.apply(crash("w1", 2, {}));
+    EXPECT_EQ(copy.findJob(1)->phase, JobPhase::Failed);
+    const std::map<std::string, Queue> queues { { "q", configuration().queues.front() } };
+    copy.restoreSnapshot(base::encode(std::tuple(m_state.configuration(), m_state.jobs(), m_state.workers(),
+        m_state.waves(), m_state.nodes(), queues, m_state.vmOrderHolders(), WorkerNumber { 4 })));
+    EXPECT_TRUE(copy.findJob(1)->isActive());
+    EXPECT_TRUE(copy.crashes().empty());
+    EXPECT_TRUE(copy.unconfirmedCrashes().empty());
+}
+
 /// Returns a random command over few jobs, workers and run numbers, so that commands often concern the same objects.
 Command randomCommand(base::Random& random)
 {
@@ -219,7 +400,7 @@
     const TaskKey key { 1 + pick(4), 0, static_cast<std::uint32_t>(pick(2)), static_cast<std::uint32_t>(pick(3)) };
     const std::uint32_t run = 1 + static_cast<std::uint32_t>(pick(6));
     const WorkerNumber worker = 1 + pick(6);
-    switch (pick(8)) {
+    switch (pick(9)) {
     case 0: {
         StepSpec second = step(3, 1500);
         second.dependencies = { 0 };
@@ -234,6 +415,10 @@
         return CancelAcceptedJob { key.job, 1 };
     case 4:
         return ReleaseTask { key, run };
+    case 6:
+        return crash("w" + std::to_string(pick(3)), static_cast<std::int64_t>(1 + pick(3)),
+            { { key, run, pick(2) == 0 }, { { key.job, 0, 0, 0 }, 1 + static_cast<std::uint32_t>(pick(6)), false } },
+            pick(2) == 0);
     case 5:
         return ended(worker, 1 + pick(20), key, run, static_cast<TaskEndReason>(pick(6)), pick(2) == 0 ? "c" : "");
     default:
@@ -263,6 +448,14 @@
         RC_ASSERT(worker.reserved == reserved[number]);
         RC_ASSERT(worker.reserved.fitsInto(worker.report.capacity));
     }
+    for (const auto& [key, crashes] : state.crashes()) {
+        const Job* job = state.findJob(key.job);
+        RC_ASSERT(job != nullptr && job->find(key)->phase != TaskPhase::Done);
+        const bool isAllowed = job->isActive() ? !crashes.isDeadly() : job->phase == JobPhase::Failed;
+        RC_ASSERT(isAllowed);
+        RC_ASSERT(crashes.attributed <= crashes.crashes && crashes.crashes <= crashes.lastRun);
+        RC_ASSERT(crashes.lastRun <= job->find(key)->run);
+    }
     for (const auto& [id, job] : state.jobs()) {
         const auto ready = state.readyJobs().find(job.queue);
         const bool isIndexed = ready != state.readyJobs().end() && ready->second.contains(id);
@@ -270,8 +463,8 @@
     }
 }
 
-// Guards against leaked or doubly reserved capacity, completed tasks that start again, and snapshots that do not
-// restore the same state, under any order of commands.
+// Guards against leaked or doubly reserved capacity, runs whose crash counts twice, completed tasks that start again,
+// and snapshots that do not restore the same state, under any order of commands.
 RC_GTEST_PROP(FleetStateProperty, InvariantsHoldUnderAnyCommands, (std::uint32_t seed))
 {
     base::Random random(seed);
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -20,12 +20,25 @@
 /// Share of a worker's processor that long-running tasks may use before another worker is preferred.
 constexpr double maxLongRunningUtilisation = 0.5;
 
+/// Cost of each run on a worker that is suspected of crashes and in its probation, for another such run.
+constexpr double suspectPenalty = 2.0;
+/// Share of a service's workers, at least one worker, that may be kept free for tasks that must start alone.
+constexpr double maxKeptShare = 0.25;
+
+/// Runs in their probation that are suspected of crashes, on one worker.
+struct Suspects {
+    std::uint32_t count = 0;
+    /// The job whose run must be alone there, if one does.
+    std::optional<JobId> isolatedJob;
+};
+
 struct Candidate {
     const Worker* worker = nullptr;
     Resources free;
     double penalty = 0;
     /// Thousandths of a core used by long-running tasks on the worker, including tasks that reserve no processor time.
     std::int64_t longRunningCpuMilli = 0;
+    Suspects suspects;
 };
 
 struct Waiting {
@@ -102,6 +115,34 @@
     /// Returns an upper bound of the free resources of any worker, per resource.
     [[nodiscard]] const Resources& largestFree() const { return m_largestFree; }
 
+    /// Places the tasks of this service that must start alone, or keeps workers free for them: their runs end their
+    /// probation before another task's turn could be missed. Tasks for which no worker may be kept free are placed like
+    /// all others.
+    void planIsolated(const std::vector<TaskKey>& tasks, std::vector<AssignTasks>& plan)
+    {
+        auto mayKeep = std::max<std::size_t>(
+            1, static_cast<std::size_t>(maxKeptShare * static_cast<double>(m_candidates.size())));
+        for (const TaskKey& key : tasks) {
+            const auto [candidate, unprovenMs] = selectIsolated(key);
+            if (candidate == nullptr || m_budget == 0 || (unprovenMs > 0 && mayKeep == 0)) {
+                continue;
+            }
+            candidate->suspects.isolatedJob = key.job;
+            m_isolated[key] = unprovenMs > 0 ? 0 : candidate->worker->number;
+            if (unprovenMs > 0) {
+                --mayKeep;
+                continue;
+            }
+            const Job& job = *m_view.state.findJob(key.job);
+            const StepSpec& spec = job.spec.steps[key.step];
+            candidate->free -= spec.reservation();
+            candidate->longRunningCpuMilli += spec.isLongRunning ? spec.perTask.cpuMilli : 0;
+            ++candidate->suspects.count;
+            --m_budget;
+            plan.push_back({ { { key, job.find(key)->run + 1, candidate->worker->number } } });
+        }
+    }
+
     void planJob(const Job& job, std::vector<AssignTasks>& plan)
     {
         for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
@@ -124,29 +165,29 @@
         if (spec.isGang && progress.waitingTasks != progress.tasks.size()) {
             return;
         }
-        std::map<WorkerNumber, std::uint32_t> perWorker;
-        std::uint32_t lastRun = 0;
-        for (const Task& task : progress.tasks) {
-            lastRun = std::max(lastRun, task.run);
-            if (task.phase == TaskPhase::Assigned) {
-                ++perWorker[task.worker];
-            }
-        }
+        auto perWorker = countPerWorker(job, occurrence, step);
+        const std::uint32_t lastRun = std::ranges::max_element(progress.tasks, {}, &Task::run)->run;
         std::vector<Assignment> chosen;
         std::string rack = spec.dataRack;
         Candidate* last = nullptr;
         for (std::uint32_t index = 0; index < progress.tasks.size() && chosen.size() < m_budget; ++index) {
             const Task& task = progress.tasks[index];
-            if (task.phase != TaskPhase::Waiting) {
+            const TaskKey key { job.id, occurrence, step, index };
+            if (task.phase != TaskPhase::Waiting || m_isolated.contains(key)) {
                 continue;
             }
-            if (!isStillBest(spec, last, perWorker)) {
-                last = selectWorker(spec, perWorker, rack);
+            const bool isSuspect = m_view.state.crashes().contains(key);
+            if (isSuspect || !isStillBest(spec, last, perWorker)) {
+                last = selectWorker(key, spec, perWorker, rack, isSuspect);
             }
             if (last == nullptr) {
                 break;
             }
             Candidate* candidate = last;
+            if (isSuspect) {
+                ++candidate->suspects.count;
+                last = nullptr;
+            }
             candidate->free -= spec.reservation();
             candidate->longRunningCpuMilli += spec.isLongRunning ? spec.perTask.cpuMilli : 0;
             ++perWorker[candidate->worker->number];
@@ -154,7 +195,7 @@
                 rack = rackOf(*candidate->worker);
             }
             const std::uint32_t run = spec.isGang ? lastRun + 1 : task.run + 1;
-            chosen.push_back({ { job.id, occurrence, step, index }, run, candidate->worker->number });
+            chosen.push_back({ key, run, candidate->worker->number });
         }
         addToPlan(spec, progress, chosen, plan);
     }
@@ -217,8 +258,8 @@
 
     /// Selects the fullest worker with enough free capacity (best fit), which leaves room for large tasks elsewhere and
     /// idle VMs that can be moved to other pools.
-    Candidate* selectWorker(
-        const StepSpec& spec, const std::map<WorkerNumber, std::uint32_t>& perWorker, const std::string& rack)
+    Candidate* selectWorker(const TaskKey& key, const StepSpec& spec,
+        const std::map<WorkerNumber, std::uint32_t>& perWorker, const std::string& rack, bool isSuspect)
     {
         const Resources required = spec.reservation();
         if (!required.fitsInto(m_largestFree)) {
@@ -236,11 +277,13 @@
             const auto existing = perWorker.find(worker.number);
             const std::uint32_t count = existing == perWorker.end() ? 0 : existing->second;
             if (!required.fitsInto(candidate.free) || (spec.maxPerWorker != 0 && count >= spec.maxPerWorker)
-                || (!spec.requiredLabel.empty() && !worker.hasLabel(spec.requiredLabel))) {
+                || (!spec.requiredLabel.empty() && !worker.hasLabel(spec.requiredLabel))
+                || isKeptForOther(candidate, key.job)) {
                 continue;
             }
             const double distance = rack.empty() || worker.hasLabel(rack) ? 0 : otherRackPenalty;
-            const std::tuple cost { candidate.penalty + distance,
+            const double suspects = isSuspect ? suspectPenalty * candidate.suspects.count : 0;
+            const std::tuple cost { candidate.penalty + distance + suspects,
                 spec.isLongRunning ? longRunningCost(spec, candidate) : 0,
                 spec.isLongRunning ? candidate.longRunningCpuMilli : candidate.free.cpuMilli };
             if (cost < bestCost) {
@@ -252,8 +295,67 @@
         return best;
     }
 
+    static bool isKeptForOther(const Candidate& candidate, JobId job)
+    {
+        return candidate.suspects.isolatedJob && *candidate.suspects.isolatedJob != job;
+    }
+
+    /// Counts the tasks of a step on each worker, with those that were placed alone by this plan.
+    [[nodiscard]] std::map<WorkerNumber, std::uint32_t> countPerWorker(
+        const Job& job, std::uint32_t occurrence, std::uint32_t step) const
+    {
+        std::map<WorkerNumber, std::uint32_t> result;
+        for (const Task& task : job.occurrences[occurrence][step].tasks) {
+            if (task.phase == TaskPhase::Assigned) {
+                ++result[task.worker];
+            }
+        }
+        for (const auto& [key, worker] : m_isolated) {
+            if (key.job == job.id && key.occurrence == occurrence && key.step == step && worker != 0) {
+                ++result[worker];
+            }
+        }
+        return result;
+    }
+
+    /// Returns how long it takes, in milliseconds, until no run of another job is in its probation on the worker.
+    [[nodiscard]] std::int64_t unprovenMs(const Candidate& candidate, JobId job) const
+    {
+        std::int64_t longest = 0;
+        for (const TaskKey& key : m_view.state.tasksOf(candidate.worker->number)) {
+            longest = key.job == job ? longest : std::max(longest, m_view.unprovenMs(*candidate.worker, key));
+        }
+        return longest;
+    }
+
+    /// Selects the worker on which a task can start alone first, and returns when, in milliseconds from now.
+    std::pair<Candidate*, std::int64_t> selectIsolated(const TaskKey& key)
+    {
+        const Job& job = *m_view.state.findJob(key.job);
+        const StepSpec& spec = job.spec.steps[key.step];
+        auto perWorker = countPerWorker(job, key.occurrence, key.step);
+        Candidate* best = nullptr;
+        std::tuple<std::int64_t, double> bestCost;
+        for (Candidate& candidate : m_candidates) {
+            const Worker& worker = *candidate.worker;
+            if (!spec.reservation().fitsInto(candidate.free) || isKeptForOther(candidate, key.job)
+                || (spec.maxPerWorker != 0 && perWorker[worker.number] >= spec.maxPerWorker)
+                || (!spec.requiredLabel.empty() && !worker.hasLabel(spec.requiredLabel))) {
+                continue;
+            }
+            const std::tuple cost { unprovenMs(candidate, key.job), candidate.penalty };
+            if (best == nullptr || cost < bestCost) {
+                best = &candidate;
+                bestCost = cost;
+            }
+        }
+        return { best, std::get<0>(bestCost) };
+    }
+
     const SchedulingView& m_view;
     std::vector<Candidate> m_candidates;
+    /// The workers of tasks that were placed alone; 0 for a task that waits for the worker that is kept free for it.
+    std::map<TaskKey, WorkerNumber> m_isolated;
     /// Upper bound per resource: a task that does not fit into it fits no worker.
     Resources m_largestFree;
     bool m_hasLongRunningCpu = false;
@@ -267,9 +369,41 @@
 
 using JobsByService = std::map<std::string, std::vector<QueuedJob>>;
 
+struct CrashView {
+    std::map<WorkerNumber, Suspects> suspects;
+    /// Tasks that may start now and must start alone, by service.
+    std::map<std::string, std::vector<TaskKey>> isolatedByService;
+};
+
+/// Looks at the tasks with crashes on record only.
+CrashView crashView(const SchedulingView& view)
+{
+    CrashView result;
+    for (const auto& [key, crashes] : view.state.crashes()) {
+        const Job* job = view.state.findJob(key.job);
+        const Task* task = job == nullptr || !job->isActive() ? nullptr : job->find(key);
+        const bool isIsolated = crashes.crashes >= isolationCrashes;
+        if (task == nullptr) {
+            continue;
+        }
+        const Worker* worker = task->phase == TaskPhase::Assigned ? view.state.findWorker(task->worker) : nullptr;
+        const Queue* queue = view.state.findQueue(job->queue);
+        if (worker != nullptr && view.unprovenMs(*worker, key) > 0) {
+            Suspects& suspects = result.suspects[worker->number];
+            ++suspects.count;
+            suspects.isolatedJob = isIsolated ? key.job : suspects.isolatedJob;
+        } else if (isIsolated && task->phase == TaskPhase::Waiting && queue != nullptr
+            && !job->spec.steps[key.step].isGang && job->isStepReady(key.occurrence, key.step)
+            && job->spec.dueMs(key.occurrence) <= view.nowMs) {
+            result.isolatedByService[queue->service].push_back(key);
+        }
+    }
+    return result;
+}
+
 /// Returns the usable workers of the services that have waiting tasks.
 std::map<std::string, std::vector<Candidate>> candidatesByService(
-    const SchedulingView& view, const JobsByService& waiting)
+    const SchedulingView& view, const JobsByService& waiting, const CrashView& crashes)
 {
     std::map<std::string, std::vector<Candidate>> result;
     if (waiting.empty()) {
@@ -278,7 +412,9 @@
     for (const auto& entry : view.state.workers()) {
         const Worker& worker = entry.second;
         if (!worker.report.isDraining && waiting.contains(worker.report.service) && view.isUsable(worker)) {
-            result[worker.report.service].push_back({ &worker, worker.free(), view.penalty(worker), 0 });
+            const auto suspects = crashes.suspects.find(worker.number);
+            result[worker.report.service].push_back({ &worker, worker.free(), view.penalty(worker), 0,
+                suspects == crashes.suspects.end() ? Suspects {} : suspects->second });
         }
     }
     return result;
@@ -336,9 +472,11 @@
     std::vector<AssignTasks> plan;
     std::size_t budget = maxTasks;
     const JobsByService waitingJobs = waitingJobsByService(view);
-    auto candidates = candidatesByService(view, waitingJobs);
+    CrashView crashes = crashView(view);
+    auto candidates = candidatesByService(view, waitingJobs, crashes);
     for (auto& [service, workers] : candidates) {
         ServicePlanner planner(view, std::move(workers), budget);
+        planner.planIsolated(crashes.isolatedByService[service], plan);
         for (const Waiting& entry : rankJobs(view, waitingJobs.at(service), planner.largestFree())) {
             if (budget == 0) {
                 break;
--- a/src/crocuscove/jobs/scheduler_test.cpp
+++ b/src/crocuscove/jobs/scheduler_test.cpp
@@ -26,7 +26,11 @@
     {
         const SchedulingView view { m_state, m_runTimes, nowMs,
             [this](const Worker& worker) { return !m_unusable.contains(worker.report.id); },
-            [this](const Worker& worker) { return worker.report.id == m_slow ? 5.0 : 0.0; } };
+            [this](const Worker& worker) { return worker.report.id == m_slow ? 5.0 : 0.0; },
+            [this](const Worker& worker, const TaskKey&) {
+                const auto left = m_unprovenMs.find(worker.report.id);
+                return left == m_unprovenMs.end() ? std::int64_t { 0 } : left->second;
+            } };
         std::vector<Assignment> result;
         for (const AssignTasks& command : planAssignments(view, 100)) {
             result.insert(result.end(), command.assignments.begin(), command.assignments.end());
@@ -34,6 +38,28 @@
         return result;
     }
 
+    /// Lets a worker crash that a task was started on, once for each of the task's runs up to `crashes`.
+    void crashUnder(const TaskKey& key, std::uint32_t crashes)
+    {
+        for (std::uint32_t run = 1; run <= crashes; ++run) {
+            m_state.apply(RecordWorker { report("x", run) });
+            const WorkerNumber worker = m_state.findWorker("x")->number;
+            m_state.apply(assign(key, run, worker));
+            m_state.apply(crash("x", run, { { key, run, false } }));
+            m_state.apply(RemoveWorker { worker });
+        }
+        ASSERT_EQ(m_state.crashes().at(key).crashes, crashes);
+    }
+
+    [[nodiscard]] WorkerNumber number(const std::string& id) const { return m_state.findWorker(id)->number; }
+
+    /// Returns the worker that a plan chooses for a task, or 0.
+    static WorkerNumber workerOf(const std::vector<Assignment>& assignments, const TaskKey& key)
+    {
+        const auto found = std::ranges::find(assignments, key, &Assignment::task);
+        return found == assignments.end() ? 0 : found->worker;
+    }
+
     [[nodiscard]] std::set<WorkerNumber> workersOf(const std::vector<Assignment>& assignments) const
     {
         std::set<WorkerNumber> workers;
@@ -45,6 +71,8 @@
     RunTimes m_runTimes;
     std::set<std::string> m_unusable;
     std::string m_slow;
+    /// How long the runs on a worker are still in their probation, by worker id.
+    std::map<std::string, std::int64_t> m_unprovenMs;
 };
 
 // Guards against a plan that exceeds the capacity of a worker.
@@ -155,5 +183,79 @@
     EXPECT_TRUE(std::ranges::all_of(perWorker, [](const auto& entry) { return entry.second == 4; }));
 }
 
+// Guards against suspects of a crash that start together again, so that the next crash doesn't tell them apart.
+TEST_F(SchedulerTest, SuspectsOfACrashAreSpread)
+{
+    for (const JobId job : { 1, 2, 3 }) {
+        m_state.apply(accept(job, { step(1) }));
+        crashUnder({ job, 0, 0, 0 }, 1);
+    }
+    EXPECT_EQ(workersOf(plan()).size(), 3U);
+    m_state.apply(assign({ 1, 0, 0, 0 }, 2, number("w1")));
+    m_unprovenMs["w1"] = 500;
+    EXPECT_FALSE(workersOf(plan()).contains(number("w1")));
+    m_unusable = { "w2", "w3" };
+    EXPECT_EQ(plan().size(), 2U) << "a task with one crash does not wait";
+}
+
+// Guards against a task with two crashes that starts where another job's run is in its probation, or another's that
+// starts beside it.
+TEST_F(SchedulerTest, ATaskWithTwoCrashesStartsAlone)
+{
+    m_state.apply(accept(1, { step(1) }));
+    m_state.apply(accept(2, { step(2, 100) }));
+    m_state.apply(accept(3, { step(12, 100) }));
+    crashUnder({ 1, 0, 0, 0 }, 2);
+    m_state.apply(assign({ 2, 0, 0, 0 }, 1, number("w1")));
+    m_state.apply(assign({ 2, 0, 0, 1 }, 1, number("w2")));
+    m_unprovenMs = { { "w1", 700 }, { "w2", 700 }, { "w3", 700 } };
+    const auto together = plan();
+    EXPECT_EQ(workerOf(together, { 1, 0, 0, 0 }), number("w3"));
+    EXPECT_EQ(std::ranges::count(together, number("w3"), &Assignment::worker), 1);
+    EXPECT_EQ(together.size(), 13U);
+    m_state.apply(assign({ 1, 0, 0, 0 }, 3, number("w3")));
+    EXPECT_FALSE(workersOf(plan()).contains(number("w3"))) << "a later plan";
+    m_unusable = { "w1", "w2" };
+    EXPECT_TRUE(plan().empty());
+    m_unprovenMs.clear();
+    EXPECT_EQ(plan().size(), 12U) << "its probation has ended";
+}
+
+// Guards against a task that waits for an empty worker while there is room, and against workers kept free for many
+// such tasks.
+TEST_F(SchedulerTest, OneWorkerIsKeptFreeForATaskThatMustStartAlone)
+{
+    m_state.apply(accept(1, { step(1) }));
+    m_state.apply(accept(2, { step(3, 100) }));
+    crashUnder({ 1, 0, 0, 0 }, 2);
+    for (const std::uint32_t index : { 0, 1, 2 }) {
+        m_state.apply(assign({ 2, 0, 0, index }, 1, number("w" + std::to_string(index + 1))));
+    }
+    m_unprovenMs = { { "w1", 700 }, { "w2", 300 }, { "w3", 700 } };
+    m_state.apply(accept(3, { step(20, 100) }));
+    const auto before = plan();
+    EXPECT_EQ(workerOf(before, { 1, 0, 0, 0 }), 0U);
+    EXPECT_EQ(before.size(), 20U);
+    EXPECT_FALSE(workersOf(before).contains(number("w2")));
+    m_unprovenMs = { { "w1", 700 }, { "w3", 700 } };
+    EXPECT_EQ(workerOf(plan(), { 1, 0, 0, 0 }), number("w2")) << "long-running neighbours need not end";
+    m_unprovenMs = { { "w1", 700 }, { "w2", 300 }, { "w3", 700 } };
+    m_state.apply(accept(4, { step(1) }));
+    crashUnder({ 4, 0, 0, 0 }, 2);
+    EXPECT_NE(workerOf(plan(), { 4, 0, 0, 0 }), 0U) << "the second one doesn't wait";
+}
+
+// Guards against a limit per worker that is exceeded by a task that was placed alone.
+TEST_F(SchedulerTest, ATaskThatStartsAloneCountsForTheLimitPerWorker)
+{
+    StepSpec limited = step(4, 100);
+    limited.maxPerWorker = 1;
+    m_state.apply(accept(1, { limited }));
+    crashUnder({ 1, 0, 0, 3 }, 2);
+    const auto assignments = plan();
+    EXPECT_EQ(assignments.size(), 3U);
+    EXPECT_EQ(workersOf(assignments).size(), 3U);
+}
+
 } // namespace
 } // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/testing.h
+++ b/src/crocuscove/jobs/testing.h
@@ -67,4 +67,10 @@
     return { worker, { { number, key, run, kind, std::move(checkpoint) } }, 2000 };
 }
 
+inline RecordCrash crash(
+    const std::string& worker, std::int64_t incarnation, std::vector<CrashedRun> runs, bool isConfirmed = true)
+{
+    return { worker, incarnation, std::move(runs), isConfirmed, 3000 };
+}
+
 } // namespace crocuscove::jobs::testing
