Count a crash also when another worker replaces it at its address

Cause: there a crashed worker comes back under another id at its address.

A silent worker's record keeps its address for that.

Tests: the stand-in comes back under another id on request, and after its lease; PlatformTest.ATaskIsGivenUpAlsoWhenCrashedWorkersComeBackUnderOtherIds and ...AfterTheirLease pass. They were not run on the code before.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -124,7 +124,8 @@
     /// The runs that may have caused it. The crash of a worker whose crash was recorded as not confirmed counts for the
     /// runs that were recorded then.
     std::vector<CrashedRun> runs;
-    /// Whether a later incarnation was seen. Until then the worker may only be silent, and nothing is counted.
+    /// Whether a later incarnation, or a later worker at its address, was seen. Until then the worker may only be
+    /// silent, and nothing is counted.
     bool isConfirmed = false;
     std::int64_t nowMs = 0;
 };
--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace crocuscove::jobs {
@@ -49,9 +50,10 @@
     }
 };
 
-/// A worker that fell silent, and has crashed if a later incarnation reports.
+/// A worker that fell silent, and has crashed if a later incarnation, or a later worker at its address, reports.
 struct UnconfirmedCrash {
     std::int64_t incarnation = 0;
+    std::string address;
     std::vector<CrashedRun> runs;
     /// In Unix milliseconds.
     std::int64_t recordedMs = 0;
@@ -59,6 +61,6 @@
 
 CROCUSCOVE_FIELDS(CrashedRun, v.task, v.run, v.isAttributed)
 CROCUSCOVE_FIELDS(TaskCrashes, v.crashes, v.attributed, v.lastRun)
-CROCUSCOVE_FIELDS(UnconfirmedCrash, v.incarnation, v.runs, v.recordedMs)
+CROCUSCOVE_FIELDS(UnconfirmedCrash, v.incarnation, v.address, v.runs, v.recordedMs)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -53,6 +53,8 @@
     [[nodiscard]] const Worker* findWorker(WorkerNumber number) const;
     /// Returns the current incarnation of a worker id, or a null pointer.
     [[nodiscard]] const Worker* findWorker(const std::string& id) const;
+    /// Returns the worker at an address, or a null pointer.
+    [[nodiscard]] const Worker* findWorkerAt(const std::string& address) const;
     /// Counts the accepted jobs of a queue that have no due time and no started task.
     [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const;
 
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <ranges>
+#include <span>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -37,7 +37,7 @@
 std::string suspectNames(const std::vector<jobs::CrashedRun>& runs)
 {
     std::string names;
-    for (const jobs::CrashedRun& run : runs | std::views::take(maxLoggedSuspects)) {
+    for (const jobs::CrashedRun& run : std::span(runs).first(std::min(runs.size(), maxLoggedSuspects))) {
         names += (names.empty() ? "" : " ") + platform::taskName(run.task) + "/" + std::to_string(run.run);
     }
     return names;
@@ -188,18 +188,20 @@
 
 void Leader::recordCrashBefore(const jobs::WorkerReport& report)
 {
-    const jobs::Worker* known = m_cluster.state().findWorker(report.id);
-    if (known != nullptr && known->report.incarnation < report.incarnation) {
-        const auto session = m_sessions.find(known->number);
+    const jobs::FleetState& state = m_cluster.state();
+    const std::set<const jobs::Worker*> known { state.findWorker(report.id), state.findWorkerAt(report.address) };
+    for (const jobs::Worker* worker : known) {
+        const bool isReplaced = worker != nullptr && worker->report.incarnation < report.incarnation;
+        const auto session = isReplaced ? m_sessions.find(worker->number) : m_sessions.end();
         auto crash = session == m_sessions.end() ? std::nullopt : session->second->crash(true);
         if (crash) {
             proposeCrash(std::move(*crash));
         }
     }
-    const auto unconfirmed = m_cluster.state().unconfirmedCrashes().find(report.id);
-    if (unconfirmed != m_cluster.state().unconfirmedCrashes().end()
-        && unconfirmed->second.incarnation < report.incarnation) {
-        proposeCrash({ report.id, unconfirmed->second.incarnation, unconfirmed->second.runs, true, unixNow() });
+    for (const auto& [worker, crash] : state.unconfirmedCrashes()) {
+        if ((worker == report.id || crash.address == report.address) && crash.incarnation < report.incarnation) {
+            proposeCrash({ worker, crash.incarnation, crash.runs, true, unixNow() });
+        }
     }
 }
 
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -130,7 +130,7 @@
         order.phase = OrderPhase::Unsent;
         break;
     case platform::OrderOutcome::OtherIncarnation:
-        remove("other-incarnation", false);
+        remove("other-incarnation", true);
         break;
     case platform::OrderOutcome::Unhealthy:
         m_health.failureShare += failureWeight * (1.0 - m_health.failureShare);
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -99,7 +99,7 @@
     if (result.response->status != 200) {
         const auto answer = platform::decodeOrderAnswer(*result.response);
         if (answer.outcome == platform::OrderOutcome::OtherIncarnation) {
-            remove("other-incarnation", false);
+            remove("other-incarnation", true);
             return;
         }
         m_log.warning("renew_refused",
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -115,7 +115,7 @@
     void recordEnds(const platform::WorkerStatus& status);
     void reconcile(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
     void onSilence();
-    /// `hasCrashed` tells that a later incarnation has answered; otherwise the worker may only be silent.
+    /// `hasCrashed` tells that another incarnation has answered; otherwise the worker may only be silent.
     void remove(std::string_view reason, bool hasCrashed);
     /// Tells whether a run may have been executing, for less than the probation time, when the worker crashed.
     [[nodiscard]] bool isSuspect(const jobs::TaskKey& key) const;
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -65,6 +65,12 @@
     return number == m_workerById.end() ? nullptr : findWorker(number->second);
 }
 
+const Worker* FleetState::findWorkerAt(const std::string& address) const
+{
+    const auto number = m_workerByAddress.find(address);
+    return number == m_workerByAddress.end() ? nullptr : findWorker(number->second);
+}
+
 std::uint64_t FleetState::countWaitingJobs(const std::string& queue) const
 {
     const auto active = m_activeJobs.find(queue);
@@ -125,13 +131,12 @@
 void FleetState::applyCommand(const RecordWorker& command)
 {
     const WorkerReport& report = command.report;
-    const auto unconfirmed = m_unconfirmedCrashes.find(report.id);
-    if (unconfirmed != m_unconfirmedCrashes.end() && unconfirmed->second.incarnation <= report.incarnation) {
-        // The same incarnation was only silent; the crash before a later one was counted before this report.
-        m_unconfirmedCrashes.erase(unconfirmed);
-    }
-    const auto sameAddress = m_workerByAddress.find(report.address);
-    const Worker* other = sameAddress == m_workerByAddress.end() ? nullptr : findWorker(sameAddress->second);
+    // The same incarnation was only silent; the crash before a later one was counted before this report.
+    std::erase_if(m_unconfirmedCrashes, [&](const auto& entry) {
+        return (entry.first == report.id || entry.second.address == report.address)
+            && entry.second.incarnation <= report.incarnation;
+    });
+    const Worker* other = findWorkerAt(report.address);
     if (other != nullptr && other->report.id != report.id) {
         if (other->report.incarnation > report.incarnation) {
             return;
@@ -411,7 +416,8 @@
     if (runs.empty()) {
         return;
     }
-    m_unconfirmedCrashes[command.worker] = { command.incarnation, runs, command.nowMs };
+    m_unconfirmedCrashes[command.worker]
+        = { command.incarnation, findWorker(command.worker)->report.address, runs, command.nowMs };
     if (m_unconfirmedCrashes.size() > maxUnconfirmedCrashes) {
         m_unconfirmedCrashes.erase(std::ranges::min_element(
             m_unconfirmedCrashes, {}, [](const auto& entry) { return entry.second.recordedMs; }));
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -331,6 +331,15 @@
     EXPECT_EQ(crashesOf(key).crashes, 1U);
     EXPECT_EQ(crashesOf(key).attributed, 1U);
     EXPECT_TRUE(m_state.unconfirmedCrashes().empty());
+    m_worker = m_state.findWorker("w1")->number;
+    m_state.apply(assign(key, 3, m_worker));
+    m_state.apply(crash("w1", 2, { { key, 3, true } }, false));
+    m_state.apply(RemoveWorker { m_worker });
+    WorkerReport atItsAddress = report("w2", 3);
+    atItsAddress.address = report("w1").address;
+    EXPECT_EQ(m_state.unconfirmedCrashes().at("w1").address, atItsAddress.address);
+    m_state.apply(RecordWorker { atItsAddress });
+    EXPECT_TRUE(m_state.unconfirmedCrashes().empty()) << "nothing is kept after a later worker at the address";
 }
 
 // Guards against silent workers that never come back and fill the state.
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -177,6 +177,34 @@
     expectNoTaskTwice();
 }
 
+// Guards against crashes that are not counted because each worker comes back under another id, at its address.
+TEST_F(PlatformTest, ATaskIsGivenUpAlsoWhenCrashedWorkersComeBackUnderOtherIds)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    for (const char* worker : { "w1", "w2", "w3" }) {
+        startWorker(worker, { "--renames-after-crash" });
+    }
+    submit("00000000000000dd", deadly);
+    submit("0000000000000001", twoSteps);
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000dd") == "failed"; }));
+    EXPECT_TRUE(waitUntil([&] { return state("0000000000000001") == "done"; }));
+    EXPECT_LE(startsAfterCrashes("00000000000000dd.0.0.1", 3), maxStartsAfterThreeCrashes);
+    expectNoTaskTwice();
+}
+
+// Guards against crashes that are not counted because the lease of the worker has ended before it comes back.
+TEST_F(PlatformTest, ATaskIsGivenUpAlsoWhenCrashedWorkersComeBackAfterTheirLease)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { flag("crash-ms", 7'000) });
+    startWorker("w2", { flag("crash-ms", 7'000), "--renames-after-crash" });
+    startWorker("w3", { flag("crash-ms", 7'000) });
+    submit("00000000000000dd", deadly);
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000dd") == "failed"; }));
+    EXPECT_LE(startsAfterCrashes("00000000000000dd.0.0.1", 3), maxStartsAfterThreeCrashes);
+    expectNoTaskTwice();
+}
+
 // Guards against crashes that are forgotten when the leader is killed between them, and when all control nodes start
 // anew.
 TEST_F(PlatformTest, CrashesOfATaskAreCountedAcrossLeadersAndRestarts)
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -224,6 +224,9 @@
     record("crash", task, run, m_options.id);
     m_hold.responder.reset();
     m_downUntil = base::monotonicNow() + base::Milliseconds(m_options.crashMs);
+    if (m_options.renamesAfterCrash) {
+        m_options.id += "." + std::to_string(++m_crashes);
+    }
     beginLife(m_downUntil);
 }
 
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -38,13 +38,15 @@
     std::int64_t lateOrderDelayMs = 0;
     /// How long it neither answers nor reports after a task has crashed it.
     std::int64_t crashMs = 500;
+    /// It comes back from a crash under another id.
+    bool renamesAfterCrash = false;
     /// File that gets a JSON line for each start, end, refusal and crash.
     std::string recordsFile;
 };
 
 /// A worker as the users' platform has it, by code of its own. The payload of a job gives the run time of its tasks in
 /// milliseconds; 0 lasts. With " deadly=.0.0.1" after it, tasks whose names end so crash the worker, which comes back
-/// under its id.
+/// under its id or another.
 class StandinExecutor {
 public:
     StandinExecutor(http::EventLoop& loop, StandinExecutorOptions options);
@@ -93,6 +95,7 @@
     base::MonotonicTime m_reportsFrom;
     /// Nothing is answered before.
     base::MonotonicTime m_downUntil;
+    int m_crashes = 0;
     std::uint64_t m_fence = 0;
     std::int64_t m_leaseMs = 0;
     /// The last end before the lease has ended most recently. Ends up to it never count as noted (RULES, TWICE).
