--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -127,6 +127,7 @@
 {
     const auto& workers = m_cluster.state().workers();
     std::erase_if(m_sessions, [&](const auto& session) { return !workers.contains(session.first); });
+    std::erase_if(m_loggedCrashes, [&](const auto& crash) { return !workers.contains(crash.first); });
     for (const auto& [number, worker] : workers) {
         if (!m_sessions.contains(number)) {
             m_sessions.emplace(number,
@@ -206,6 +207,16 @@
 }
 
 void Leader::proposeCrash(jobs::RecordCrash crash)
+{
+    const jobs::Worker* worker = m_cluster.state().findWorker(crash.worker);
+    const bool isPresent = worker != nullptr && worker->report.incarnation == crash.incarnation;
+    if (!isPresent || m_loggedCrashes.emplace(worker->number, crash.isConfirmed).second) {
+        logCrash(crash);
+    }
+    proposeCommand(std::move(crash), nullptr);
+}
+
+void Leader::logCrash(const jobs::RecordCrash& crash)
 {
     const bool isAttributed = crash.runs.front().isAttributed;
     m_log.warning("worker_crash",
@@ -214,7 +225,6 @@
     if (crash.isConfirmed) {
         m_metrics.count("worker_crash", isAttributed ? "attributed" : "several-suspects");
     }
-    proposeCommand(std::move(crash), nullptr);
 }
 
 void Leader::onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed)
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace crocuscove::control {
@@ -47,6 +48,7 @@
     void collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed);
     void collectTasksOfEndedJob(jobs::JobId job, std::set<jobs::WorkerNumber>& changed) const;
     void proposeCrash(jobs::RecordCrash crash);
+    void logCrash(const jobs::RecordCrash& crash);
     void onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed);
     void schedulePlan();
     void plan();
@@ -61,6 +63,8 @@
     Cluster& m_cluster;
     http::HttpClient m_client;
     std::map<jobs::WorkerNumber, std::unique_ptr<WorkerSession>> m_sessions;
+    /// Workers whose crash was logged and counted, as confirmed or not: the session and a report may both tell of it.
+    std::set<std::pair<jobs::WorkerNumber, bool>> m_loggedCrashes;
     jobs::RunTimes m_runTimes;
     FleetManager m_fleet;
     Pacer m_pacer;
