Keep to the lease of an earlier leader after a worker has answered

Callers would see: a task that starts elsewhere up to 1.0 s before the lease of an earlier leader has ended, when a worker answers the new leader once and then falls silent (TWICE); and a start that a draining worker begins up to 2.55 s after it was sent (DRAIN). Cause: a session forgot the longest lease of earlier leaders with the first answer, since its own grants were longer; with starts valid for less than the lease that no longer holds. Change: LeaseClock keeps the assumed lease beside the granted ones; starts are valid for 1.8 s. Test: LeaseClockTest.TheLeaseOfAnEarlierLeaderOutlivesAnAnswer; there was no such state before.

--- a/include/crocuscove/jobs/lease_clock.h
+++ b/include/crocuscove/jobs/lease_clock.h
@@ -22,8 +22,11 @@
     /// granted. Returns nothing before the first observation.
     std::optional<std::int64_t> grant(base::Milliseconds lease, base::MonotonicTime now);
 
-    /// Returns the local time by which every granted lease has expired, or the time of the last observation if no lease
-    /// was granted.
+    /// Records that another process may have granted a lease that ends at this local time at the latest.
+    void assumeGranted(base::MonotonicTime until);
+
+    /// Returns the local time by which every granted and assumed lease has expired, or the time of the last observation
+    /// if there is none.
     [[nodiscard]] base::MonotonicTime latestLeaseExpiry() const;
 
     [[nodiscard]] bool isKnown() const { return m_workerClockMs.has_value(); }
@@ -34,6 +37,8 @@
     std::optional<std::int64_t> m_workerClockMs;
     base::MonotonicTime m_observedAt;
     std::int64_t m_latestDeadlineMs = 0;
+    /// The end of leases of another process, on the local clock.
+    base::MonotonicTime m_assumedUntil;
 };
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -37,7 +37,7 @@
 {
     const auto longest = std::chrono::duration_cast<base::Milliseconds>(
         options.taskLease / jobs::LeaseClock::minClockRate + earlierLeaderMargin);
-    m_earlierLeasesEnd = base::monotonicNow() + longest;
+    m_clock.assumeGranted(base::monotonicNow() + longest);
     renew();
 }
 
@@ -120,8 +120,7 @@
 void WorkerSession::onSilence()
 {
     const auto now = base::monotonicNow();
-    const auto end = std::max(m_clock.latestLeaseExpiry(), m_answeredAt ? base::MonotonicTime() : m_earlierLeasesEnd);
-    if (now > end) {
+    if (now > m_clock.latestLeaseExpiry()) {
         remove("lease-ended", false);
         return;
     }
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -142,8 +142,6 @@
     base::Endpoint m_endpoint;
     std::uint64_t m_fencingToken;
     jobs::LeaseClock m_clock;
-    /// Leases of an earlier leader have ended by then.
-    base::MonotonicTime m_earlierLeasesEnd;
     std::optional<base::MonotonicTime> m_answeredAt;
     bool m_isRenewing = false;
     bool m_isRecording = false;
--- a/src/crocuscove/control/worker_timing.h
+++ b/src/crocuscove/control/worker_timing.h
@@ -9,9 +9,10 @@
 /// How long an answer may take beyond the wait: several round trips between data centres.
 inline constexpr base::Milliseconds answerTimeout { 700 };
 inline constexpr base::Milliseconds retryPause { 150 };
-/// How long a worker may still begin a start after it was sent. Below the 3 s after which a cancelled job must start
-/// nothing (RULES, UNASKED), since a start may be held up on its way until after the stop has been sent.
-inline constexpr base::Milliseconds startValidity { 2'500 };
+/// How long a worker may still begin a start after it was sent, since a start may be held up on its way until after the
+/// stop that settles it. Below the 2 s after which a draining worker must start nothing, and the 3 s for a cancelled
+/// job (RULES, DRAIN and UNASKED).
+inline constexpr base::Milliseconds startValidity { 1'800 };
 /// Weight of one more run in the share of failed runs.
 inline constexpr double failureWeight = 0.15;
 
--- a/src/crocuscove/jobs/lease_clock.cpp
+++ b/src/crocuscove/jobs/lease_clock.cpp
@@ -29,13 +29,16 @@
     return deadline;
 }
 
+void LeaseClock::assumeGranted(base::MonotonicTime until) { m_assumedUntil = std::max(m_assumedUntil, until); }
+
 base::MonotonicTime LeaseClock::latestLeaseExpiry() const
 {
     if (!m_workerClockMs || m_latestDeadlineMs <= *m_workerClockMs) {
-        return m_observedAt;
+        return std::max(m_observedAt, m_assumedUntil);
     }
     const double remaining = static_cast<double>(m_latestDeadlineMs - *m_workerClockMs) / minClockRate;
-    return m_observedAt + base::Milliseconds(static_cast<std::int64_t>(std::ceil(remaining)));
+    const auto ownEnd = m_observedAt + base::Milliseconds(static_cast<std::int64_t>(std::ceil(remaining)));
+    return std::max<base::MonotonicTime>(ownEnd, m_assumedUntil);
 }
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/lease_clock_test.cpp
+++ b/src/crocuscove/jobs/lease_clock_test.cpp
@@ -25,6 +25,20 @@
     EXPECT_EQ(clock.grant(1000ms, start), 6000);
 }
 
+// Guards against a task that starts elsewhere under the lease of an earlier leader, because the worker has answered the
+// new one, which granted less.
+TEST(LeaseClockTest, TheLeaseOfAnEarlierLeaderOutlivesAnAnswer)
+{
+    LeaseClock clock;
+    clock.assumeGranted(start + 5s);
+    EXPECT_EQ(clock.latestLeaseExpiry(), start + 5s);
+    clock.observe(1000, start + 1s);
+    EXPECT_TRUE(clock.grant(1800ms, start + 1s));
+    EXPECT_EQ(clock.latestLeaseExpiry(), start + 5s);
+    EXPECT_TRUE(clock.grant(4000ms, start + 3s));
+    EXPECT_GT(clock.latestLeaseExpiry(), start + 7s);
+}
+
 // Guards against starting a task elsewhere while its lease is still valid on a worker with a slow clock.
 RC_GTEST_PROP(LeaseClockProperty, NoLeaseOutlivesItsLatestExpiry, ())
 {
