Give cancellings that precede their job a command of their own; forget the oldest first

A log that an earlier version wrote would lead to another state than it did there, and nodes of both versions side by side would disagree. A full table of early cancellings refused the newest, whose job is the likeliest to come. Found by a review. Change: CancelJob, at the end of the command list, cancels also a job that is accepted later; CancelAcceptedJob means what it meant. An earlier version stops at the new command instead of disagreeing, so that all control nodes are upgraded together. Tests: FleetStateTest.ACancellingOfAnEarlierVersionLeavesALaterJobAlone, .EarlyCancellingsAreBoundedAndForgotten (now also: the oldest goes first); the property test draws both commands.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -24,7 +24,7 @@
     std::int64_t nowMs = 0;
 };
 
-/// Cancels a job, also one that is accepted only later.
+/// Cancels a job that was accepted before. Replaced by CancelJob, and kept for logs of earlier versions.
 struct CancelAcceptedJob {
     JobId job = 0;
     std::int64_t nowMs = 0;
@@ -130,8 +130,15 @@
     std::int64_t nowMs = 0;
 };
 
-using Command = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks,
-    ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash>;
+/// Cancels a job, also one that is accepted only later.
+struct CancelJob {
+    JobId job = 0;
+    std::int64_t nowMs = 0;
+};
+
+using Command
+    = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks, ReleaseTask,
+        RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash, CancelJob>;
 
 CROCUSCOVE_FIELDS(PutConfiguration, v.configuration)
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
@@ -148,6 +155,7 @@
 CROCUSCOVE_FIELDS(RecordWaveStep, v.wave, v.vm, v.phase)
 CROCUSCOVE_FIELDS(RecordNode, v.node, v.address)
 CROCUSCOVE_FIELDS(RecordVmOrder, v.vm, v.holder)
+CROCUSCOVE_FIELDS(CancelJob, v.job, v.nowMs)
 CROCUSCOVE_FIELDS(RecordCrash, v.worker, v.incarnation, v.runs, v.isConfirmed, v.nowMs)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -13,7 +13,7 @@
 /// Limits that bound the size of the replicated state.
 inline constexpr std::size_t maxJobs = 200'000;
 inline constexpr std::size_t maxTasksPerJob = 20'000;
-/// Cancelled jobs that have not been accepted yet.
+/// Cancelled jobs that have not been accepted yet; beyond that the oldest is forgotten.
 inline constexpr std::size_t maxEarlyCancels = 10'000;
 
 /// Replicated state machine of jobs, workers, configuration and maintenance waves. It changes only by applying
@@ -77,6 +77,7 @@
     void applyCommand(const RecordNode& command);
     void applyCommand(const RecordVmOrder& command);
     void applyCommand(const RecordCrash& command);
+    void applyCommand(const CancelJob& command);
 
     void forgetAddress(const Worker& worker);
     [[nodiscard]] bool canAssign(const Assignment& assignment) const;
--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -110,7 +110,7 @@
         return;
     }
     const std::int64_t nowMs = base::wallNow().time_since_epoch().count();
-    m_cluster.propose(jobs::CancelAcceptedJob { id, nowMs }, [this, request, reply, id](ProposalOutcome outcome) {
+    m_cluster.propose(jobs::CancelJob { id, nowMs }, [this, request, reply, id](ProposalOutcome outcome) {
         const jobs::Job* cancelled = m_cluster.state().findJob(id);
         m_log.info("job_cancelled",
             { { "job", platform::jobName(id) }, { "applied", outcome == ProposalOutcome::Applied },
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -169,7 +169,8 @@
                     m_metrics.count("task_ended", std::string(jobs::taskEndReasonName(end.kind)));
                     collectTasksOfEndedJob(end.task.job, changed);
                 });
-            } else if constexpr (std::is_same_v<Type, jobs::CancelAcceptedJob>) {
+            } else if constexpr (std::is_same_v<Type,
+                                     jobs::CancelJob> || std::is_same_v<Type, jobs::CancelAcceptedJob>) {
                 collectTasksOfEndedJob(typed.job, changed);
             } else if constexpr (std::is_same_v<Type, jobs::RecordCrash>) {
                 onCrashApplied(typed, changed);
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -113,19 +113,29 @@
     finishIfDone(stored, command.nowMs);
 }
 
-// A job and its cancelling may take different ways, so that the outcome must not depend on which arrives first.
 void FleetState::applyCommand(const CancelAcceptedJob& command)
 {
     const auto job = m_jobs.find(command.job);
-    if (job == m_jobs.end()) {
-        if (m_earlyCancels.size() < maxEarlyCancels) {
-            m_earlyCancels.emplace(command.job, command.nowMs);
-        }
-    } else if (job->second.isActive()) {
+    if (job != m_jobs.end() && job->second.isActive()) {
         finishJob(job->second, JobPhase::Cancelled, command.nowMs);
     }
 }
 
+// A job and its cancelling may take different ways, so that the outcome must not depend on which arrives first.
+void FleetState::applyCommand(const CancelJob& command)
+{
+    if (m_jobs.contains(command.job)) {
+        applyCommand(CancelAcceptedJob { command.job, command.nowMs });
+        return;
+    }
+    m_earlyCancels.emplace(command.job, command.nowMs);
+    if (m_earlyCancels.size() > maxEarlyCancels) {
+        // The job of the latest cancelling is the likeliest to come.
+        m_earlyCancels.erase(
+            std::ranges::min_element(m_earlyCancels, {}, &std::map<JobId, std::int64_t>::value_type::second));
+    }
+}
+
 // Only one process can use an address at a time, so a worker that started later at the same address replaces the
 // earlier one.
 void FleetState::applyCommand(const RecordWorker& command)
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -147,7 +147,7 @@
 // Guards against a job that runs although its cancelling was applied before the job itself.
 TEST_F(FleetStateTest, AJobThatIsAcceptedAfterItsCancellingIsCancelled)
 {
-    m_state.apply(CancelAcceptedJob { 1, 1500 });
+    m_state.apply(CancelJob { 1, 1500 });
     FleetState copy;
     copy.restoreSnapshot(m_state.encodeSnapshot());
     copy.apply(accept(1, { step(1) }));
@@ -157,14 +157,26 @@
     EXPECT_EQ(copy.findWorker(m_worker)->assignedTasks, 0U);
 }
 
-// Guards against cancellings of unknown jobs that are kept forever, or without a bound.
+// Guards against a log of an earlier version that leads to another state than it did there.
+TEST_F(FleetStateTest, ACancellingOfAnEarlierVersionLeavesALaterJobAlone)
+{
+    m_state.apply(CancelAcceptedJob { 1, 1500 });
+    m_state.apply(accept(1, { step(1) }));
+    EXPECT_TRUE(m_state.findJob(1)->isActive());
+    m_state.apply(CancelAcceptedJob { 1, 1600 });
+    EXPECT_EQ(m_state.findJob(1)->phase, JobPhase::Cancelled);
+}
+
+// Guards against cancellings of unknown jobs that are kept forever or without a bound, or push out the latest one.
 TEST_F(FleetStateTest, EarlyCancellingsAreBoundedAndForgotten)
 {
     for (JobId id = 1; id <= maxEarlyCancels + 1; ++id) {
-        m_state.apply(CancelAcceptedJob { id, 1500 });
+        m_state.apply(CancelJob { id, 1500 + static_cast<std::int64_t>(id) });
     }
     EXPECT_EQ(m_state.earlyCancels().size(), maxEarlyCancels);
-    m_state.apply(PruneJobs { 1501 });
+    EXPECT_FALSE(m_state.earlyCancels().contains(1));
+    EXPECT_TRUE(m_state.earlyCancels().contains(maxEarlyCancels + 1));
+    m_state.apply(PruneJobs { 20'000 });
     EXPECT_TRUE(m_state.earlyCancels().empty());
 }
 
@@ -421,7 +433,7 @@
     case 2:
         return RemoveWorker { worker };
     case 3:
-        return CancelAcceptedJob { key.job, 1 };
+        return pick(2) == 0 ? Command(CancelAcceptedJob { key.job, 1 }) : Command(CancelJob { key.job, 1 });
     case 4:
         return ReleaseTask { key, run };
     case 6:
