Count a job as waiting also after its starts were refused

Found by a review. Change: a job has started when a task of it is confirmed as started, done, has failed, or has a checkpoint. Test: PlatformTest.AJobWaitsAfterItsStartWasRefused.

--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -285,13 +285,10 @@
         const auto& tasks = job.occurrences.front()[step].tasks;
         for (std::uint32_t index = 0; index < tasks.size(); ++index) {
             const jobs::Task& task = tasks[index];
-            const bool isFirstRun = task.run == 1 && task.phase == jobs::TaskPhase::Assigned;
-            if (task.run == 0) {
-                continue;
-            }
             const auto session = m_sessions.find(task.worker);
-            if (!isFirstRun || session == m_sessions.end()
-                || session->second->mayHaveStarted({ job.id, 0, step, index })) {
+            const bool runsNow = task.phase == jobs::TaskPhase::Assigned && session != m_sessions.end()
+                && session->second->hasStarted({ job.id, 0, step, index });
+            if (runsNow || task.phase == jobs::TaskPhase::Done || task.failures > 0 || !task.checkpoint.empty()) {
                 return true;
             }
         }
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -34,8 +34,8 @@
 
     void onApplied(const std::vector<jobs::Command>& commands);
 
-    /// Counts the jobs of a queue that have no due time and no task that has started: assigned tasks whose worker
-    /// hasn't confirmed the start count as waiting.
+    /// Counts the jobs of a queue that have no due time, and no task that runs or has achieved anything: an assigned
+    /// task counts as waiting until its worker has confirmed the start.
     [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const;
     /// Proposes the record of a crash that a worker's report proves, if it does. To be called before the report is
     /// proposed.
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -211,12 +211,12 @@
     });
 }
 
-bool WorkerSession::mayHaveStarted(const jobs::TaskKey& task) const
+bool WorkerSession::hasStarted(const jobs::TaskKey& task) const
 {
     const auto order = m_orders.find(task);
-    return !m_clock.isKnown()
-        || (order != m_orders.end()
-            && (order->second.phase == OrderPhase::Started || order->second.phase == OrderPhase::Settled));
+    return order != m_orders.end()
+        && (order->second.phase == OrderPhase::Started
+            || (order->second.phase == OrderPhase::Settled && !order->second.wasToldToStop));
 }
 
 bool WorkerSession::mayPace(const jobs::TaskKey& task, base::MonotonicTime now) const
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -62,8 +62,8 @@
     /// What runs on the worker by its last answer.
     [[nodiscard]] const std::vector<platform::RunningTask>& running() const { return m_running; }
 
-    /// Tells whether an assigned task is known to have started here, or can't be excluded to have.
-    [[nodiscard]] bool mayHaveStarted(const jobs::TaskKey& task) const;
+    /// Tells whether an assigned task is known to have started here.
+    [[nodiscard]] bool hasStarted(const jobs::TaskKey& task) const;
     /// Returns what the end of this incarnation without notice counts against, or nothing if the end was planned or
     /// nothing in its probation can have been executing.
     [[nodiscard]] std::optional<jobs::RecordCrash> crash(bool isConfirmed) const;
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -336,6 +336,22 @@
     EXPECT_EQ(waiting(), 0);
 }
 
+// Guards against jobs that are not said to wait after their only worker has refused their starts.
+TEST_F(PlatformTest, AJobWaitsAfterItsStartWasRefused)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { "--refuses-starts" });
+    submit("00000000000000aa", twoSteps);
+    ASSERT_TRUE(waitUntil([&] {
+        return std::ranges::any_of(
+            records(), [](const nlohmann::json& line) { return line.at("detail") == "unhealthy"; });
+    }));
+    for (int reading = 0; reading < 10; ++reading) {
+        ASSERT_EQ(call("GET", "/q/"), 200);
+        EXPECT_EQ(nlohmann::json::parse(m_body).at("waiting"), 1);
+    }
+}
+
 // Guards against a job that runs although its cancelling, which arrived before it, was acknowledged.
 TEST_F(PlatformTest, AJobThatArrivesAfterItsCancellingDoesNotRun)
 {
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -153,6 +153,11 @@
         leaveOpen(responder);
         return;
     }
+    if (m_options.refusesStarts) {
+        record("refused", task, run, "unhealthy");
+        respond(responder, 503, nlohmann::json::object());
+        return;
+    }
     const auto running = m_running.find(task);
     if (running != m_running.end() && running->second.number == run) {
         respond(responder, 200, nlohmann::json::object());
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -40,6 +40,8 @@
     std::int64_t crashMs = 500;
     /// It comes back from a crash under another id.
     bool renamesAfterCrash = false;
+    /// It refuses every start as unhealthy.
+    bool refusesStarts = false;
     /// File that gets a JSON line for each start, end, refusal and crash.
     std::string recordsFile;
 };
