Cancel jobs of a queue that was removed from the configuration

Cause: a DELETE looked for its queue in the configuration in force only, while the jobs of a removed queue go on. Change: a DELETE of a job of a removed queue cancels it and is answered 410, since no request to a removed queue may succeed. Test: PlatformTest.AJobOfARemovedQueueCanBeCancelled; by reading, the old code answers 404 and runs on (not run there).

--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -49,6 +49,9 @@
 
     /// Returns the last definition of a queue, even if it was removed from the configuration, or a null pointer.
     [[nodiscard]] const Queue* findQueue(const std::string& name) const;
+    /// Returns the queue that a request went to by the last definition of each queue, removed ones included, or a null
+    /// pointer. The longest matching prefix wins.
+    [[nodiscard]] const Queue* matchKnownQueue(std::string_view host, std::string_view path) const;
     [[nodiscard]] const Job* findJob(JobId id) const;
     [[nodiscard]] const Worker* findWorker(WorkerNumber number) const;
     /// Returns the current incarnation of a worker id, or a null pointer.
--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -45,8 +45,11 @@
     if (queue == nullptr) {
         // An older leader could miss a queue that was added meanwhile.
         m_cluster.confirmCurrent([this, request, reply](bool isCurrent) {
-            const bool exists = m_cluster.state().configuration().match(request.host, request.path) != nullptr;
-            reply(isCurrent && !exists ? answer(request, statusNotFound) : refusal(request, ForwardOutcome::NotLeader));
+            if (!isCurrent || m_cluster.state().configuration().match(request.host, request.path) != nullptr) {
+                reply(refusal(request, ForwardOutcome::NotLeader));
+            } else {
+                answerUnknownQueue(request, reply);
+            }
         });
         return;
     }
@@ -67,6 +70,26 @@
     }
 }
 
+// The jobs of a queue outlive it, and must still end when they are cancelled. No request to it succeeds, so that the
+// cancelling is answered as if there were no such job.
+void JobApi::answerUnknownQueue(const ForwardedRequest& request, const Reply& reply)
+{
+    const jobs::Queue* queue = m_cluster.state().matchKnownQueue(request.host, request.path);
+    const auto id
+        = queue == nullptr ? std::nullopt : platform::parseJobName(request.path.substr(queue->pathPrefix.size()));
+    const jobs::Job* job = id ? m_cluster.state().findJob(*id) : nullptr;
+    if (request.method != "DELETE" || job == nullptr || job->queue != queue->name) {
+        reply(answer(request, statusNotFound));
+        return;
+    }
+    cancel(request, *id, [reply](ForwardedAnswer cancelled) {
+        if (cancelled.outcome == ForwardOutcome::Answered) {
+            cancelled.status = statusGone;
+        }
+        reply(std::move(cancelled));
+    });
+}
+
 void JobApi::submit(const ForwardedRequest& request, const jobs::Queue& queue, jobs::JobId id, const Reply& reply)
 {
     if (m_cluster.state().findJob(id) != nullptr) {
--- a/src/crocuscove/control/job_api.h
+++ b/src/crocuscove/control/job_api.h
@@ -33,6 +33,8 @@
 private:
     void submit(const ForwardedRequest& request, const jobs::Queue& queue, jobs::JobId id, const Reply& reply);
     void cancel(const ForwardedRequest& request, jobs::JobId id, const Reply& reply);
+    /// Answers a request for a queue that is not in the configuration.
+    void answerUnknownQueue(const ForwardedRequest& request, const Reply& reply);
     void read(const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply);
     void answerRead(
         const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply);
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -47,6 +47,18 @@
     return queue == m_queues.end() ? nullptr : &queue->second;
 }
 
+const Queue* FleetState::matchKnownQueue(std::string_view host, std::string_view path) const
+{
+    const Queue* best = nullptr;
+    for (const auto& [name, queue] : m_queues) {
+        const bool fits = queue.host == host && path.starts_with(queue.pathPrefix);
+        if (fits && (best == nullptr || queue.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
 const Job* FleetState::findJob(JobId id) const
 {
     const auto job = m_jobs.find(id);
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -352,6 +352,25 @@
     }
 }
 
+// Guards against a job that can't be cancelled any more, and runs on, after its queue was removed.
+TEST_F(PlatformTest, AJobOfARemovedQueueCanBeCancelled)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    startWorker("w1");
+    submit("00000000000000aa", lasting);
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000aa.0.0.1") == 1; }));
+    ASSERT_EQ(putConfiguration(first, R"({"version":4,"routes":[],"services":[{"name":"pool"}],"limits":{}})"), 200);
+    EXPECT_EQ(call("GET", "/q/00000000000000aa"), 404);
+    EXPECT_EQ(call("DELETE", "/q/00000000000000bb"), 404) << "no such job";
+    EXPECT_EQ(call("DELETE", "/q/00000000000000aa"), 410);
+    EXPECT_TRUE(waitUntil([&] {
+        return std::ranges::count_if(records(), [](const nlohmann::json& line) {
+            return line.at("event") == "end" && line.at("detail") == "stopped";
+        }) == 2;
+    }));
+}
+
 // Guards against a job that runs although its cancelling, which arrived before it, was acknowledged.
 TEST_F(PlatformTest, AJobThatArrivesAfterItsCancellingDoesNotRun)
 {
