serve: answer workers only once the state holds what was committed before the term

Cause, by reading: a new leader answered a worker's report before it had applied the log. A task that its state doesn't hold yet is ordered to stop, so that the worker forgets its end; once the log is applied the job counts as running there, isn't reported, and is started again under the same token. Change: Replica::isServing() is true once a leader has applied everything committed before its term; until then reports get 503 and the leader's controllers wait. Test: JobTest.KilledLeaderKeepsRunningJobs; nothing forces the moment, so that the fault was not reproduced at will.

--- a/src/crocuscove/server/fleet_api.cpp
+++ b/src/crocuscove/server/fleet_api.cpp
@@ -142,11 +142,16 @@
 void FleetApi::announceWorker(const http::HttpRequest& request, const http::Responder& responder)
 {
     const auto report = parseWorkerReport(nlohmann::json::parse(request.body));
-    if (m_replica.isLeader()) {
+    if (m_replica.isServing()) {
         const auto answer = m_jobs.handleReport(report);
         respondJson(responder, answer.contains("error") ? 409 : 200, answer);
         return;
     }
+    if (m_replica.isLeader()) {
+        // The state may lack the run of a task that the worker reports, which would be forgotten and started again.
+        respondError(responder, 503, "unavailable");
+        return;
+    }
     const auto leader = m_replica.raft().leader();
     const bool isSent = !leader.empty()
         && m_rpc.call(leader, Procedure::WorkerReport, request.body, base::monotonicNow() + forwardTimeout,
@@ -162,7 +167,7 @@
 
 void FleetApi::handleForwardedReport(const std::string& payload, const PeerRpc::Reply& reply)
 {
-    if (!m_replica.isLeader()) {
+    if (!m_replica.isServing()) {
         reply(Json { { "error", "not-leader" } }.dump());
         return;
     }
--- a/src/crocuscove/server/node.cpp
+++ b/src/crocuscove/server/node.cpp
@@ -186,6 +186,7 @@
         if (m_maintenance) {
             m_maintenance->beginLeading();
         }
+        m_replica.confirmServing();
     }
     m_wasLeader = isLeader;
 }
@@ -195,6 +196,10 @@
     if (!m_replica.isLeader()) {
         return;
     }
+    if (!m_replica.isServing()) {
+        m_replica.confirmServing();
+        return;
+    }
     const auto now = base::monotonicNow();
     m_entryNodes.tick(now);
     m_jobs.tick(now);
--- a/src/crocuscove/server/replica.cpp
+++ b/src/crocuscove/server/replica.cpp
@@ -9,6 +9,7 @@
 
 /// The replicated clock is advanced before a command when it lags the local clock by more than this.
 constexpr base::Milliseconds maxClockLag { 200 };
+constexpr base::Milliseconds confirmTimeout { 2'000 };
 
 consensus::Membership initialMembership(const ServerOptions& options)
 {
@@ -70,6 +71,19 @@
     }
 }
 
+void Replica::confirmServing()
+{
+    if (std::exchange(m_isConfirming, true)) {
+        return;
+    }
+    confirmCurrent(base::monotonicNow() + confirmTimeout, [this, term = raft().term()](bool isCurrent) {
+        m_isConfirming = false;
+        if (isCurrent && isLeader()) {
+            m_servingTerm = term;
+        }
+    });
+}
+
 void Replica::confirmCurrent(base::MonotonicTime deadline, std::function<void(bool isCurrent)> callback)
 {
     m_replicatedLog.confirmCurrent(deadline, std::move(callback));
--- a/src/crocuscove/server/replica.h
+++ b/src/crocuscove/server/replica.h
@@ -10,6 +10,7 @@
 #include "crocuscove/state/state.h"
 
 #include <functional>
+#include <optional>
 
 namespace crocuscove::server {
 
@@ -48,6 +49,12 @@
     [[nodiscard]] const consensus::Raft& raft() const { return m_replicatedLog.raft(); }
     [[nodiscard]] bool isLeader() const { return m_replicatedLog.isLeader(); }
 
+    /// Tells whether this node leads and has applied everything that was committed before its term.
+    [[nodiscard]] bool isServing() const { return isLeader() && raft().term() == m_servingTerm; }
+
+    /// Finds out whether a leader has applied what was committed before its term; see isServing().
+    void confirmServing();
+
     /// Index of the last log entry that this node has applied.
     [[nodiscard]] consensus::Index appliedIndex() const { return m_replicatedLog.appliedIndex(); }
 
@@ -61,6 +68,8 @@
     state::State m_state;
     /// Result of the last applied log entry.
     state::CommandResult m_lastResult;
+    bool m_isConfirming = false;
+    std::optional<consensus::Term> m_servingTerm;
     replication::ReplicatedLog m_replicatedLog;
 };
 
