Check that an order may still be sent right before it is written

Seen: a leader that was stopped while its order for a VM waited for its connection sent it after it had been continued, though it no longer led: PlatformHandOverTest.AnOrderThatWaitedForItsConnectionIsNotSentWithoutLeadership failed on the old code, with the order for maintenance among the bytes received.

Cause: leadership was checked when an order was handed to HttpClient. Stops weren't checked at all. A start was also written when its job had been cancelled, its worker drained or was silent meanwhile.

Change: HttpClient::call takes a MaySend that is asked right before the first byte; when it forbids it, the call ends as Withdrawn with nothing written. Orders to workers and VMs ask for leadership under their fencing token, starts also whether they are still wanted. A VM order that was certainly not written no longer counts as uncertain. Stops are withheld without leadership and repeated.

PlatformHandOverTest.ALeaderThatWasPausedStartsNothingOfCancelledJobs (pauses of 1 to 7 s) passes before and after: late starts were kept off by the fencing token.

--- a/include/crocuscove/http/http_client.h
+++ b/include/crocuscove/http/http_client.h
@@ -40,6 +40,8 @@
     Oversized,
     Malformed,
     Cancelled,
+    /// `MaySend` forbade to write the request.
+    Withdrawn,
 };
 
 std::string_view exchangeFailureName(ExchangeFailure failure);
@@ -74,6 +76,8 @@
 class HttpClient {
 public:
     using Callback = std::function<void(ExchangeResult)>;
+    /// Tells whether a request may still be written. It must not change anything.
+    using MaySend = std::function<bool()>;
 
     /// `loop` must outlive the client.
     HttpClient(EventLoop& loop, HttpClientOptions options);
@@ -83,9 +87,10 @@
 
     /// Sends `request` and runs `callback` exactly once, never before this returns. Host and Content-Length are added;
     /// other framing headers of `request` are dropped. Throws base::InvalidInput for a method, target or header that
-    /// can't stand in a request, or an endpoint that isn't an IP address.
-    Call call(
-        const base::Endpoint& endpoint, const HttpRequest& request, base::MonotonicTime deadline, Callback callback);
+    /// can't stand in a request, or an endpoint that isn't an IP address. `maySend` is asked right before the first
+    /// byte is written, which may be long after the call when a connection has to be established first.
+    Call call(const base::Endpoint& endpoint, const HttpRequest& request, base::MonotonicTime deadline,
+        Callback callback, MaySend maySend = nullptr);
 
     [[nodiscard]] std::size_t openCalls() const;
     [[nodiscard]] std::size_t idleConnections() const;
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -44,6 +44,11 @@
     [[nodiscard]] bool isServing() const { return m_isServing; }
     /// Tells whether no other node can lead at `now`.
     [[nodiscard]] bool hasLeadership(base::MonotonicTime now) const;
+    /// Tells whether an order with this fencing token may be sent at `now`.
+    [[nodiscard]] bool mayOrder(std::uint64_t fencingToken, base::MonotonicTime now) const
+    {
+        return fencingToken == m_servingTerm && hasLeadership(now);
+    }
     /// Term in which this node serves as the leader; the fencing token of its orders.
     [[nodiscard]] std::uint64_t servingTerm() const { return m_servingTerm; }
     /// Address of the serving leader as far as known; empty when there is none.
--- a/src/crocuscove/control/pool_mover.cpp
+++ b/src/crocuscove/control/pool_mover.cpp
@@ -147,9 +147,11 @@
     m_log.info("vm_move",
         { { "vm", vm }, { "from", move.plan.from }, { "to", move.plan.to }, { "worker", move.workerId },
             { "term", m_cluster.servingTerm() } });
-    m_client.call(*m_options.vmInterface,
-        platform::moveRequest({ m_options.name, m_cluster.servingTerm() }, vm, move.plan.to),
-        base::monotonicNow() + callTimeout, [this, vm](const http::ExchangeResult& result) { onOrdered(vm, result); });
+    const std::uint64_t term = m_cluster.servingTerm();
+    m_client.call(
+        *m_options.vmInterface, platform::moveRequest({ m_options.name, term }, vm, move.plan.to),
+        base::monotonicNow() + callTimeout, [this, vm](const http::ExchangeResult& result) { onOrdered(vm, result); },
+        [this, term] { return m_cluster.mayOrder(term, base::monotonicNow()); });
 }
 
 void PoolMover::onOrdered(const std::string& vm, const http::ExchangeResult& result)
@@ -176,7 +178,7 @@
             { "failure", http::exchangeFailureName(result.failure) } });
     if (!result.response || status >= 500) {
         // It may have been carried out; the same order again tells.
-        move.isUncertain = true;
+        move.isUncertain = move.isUncertain || result.response || result.mayHaveStarted;
         move.callAgainAt = base::monotonicNow() + callPause;
         return;
     }
--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -269,10 +269,12 @@
     }
     m_log.info("vm_maintenance",
         { { "wave", wave }, { "vm", vm }, { "worker", drain.workerId }, { "term", m_cluster.servingTerm() } });
-    m_client.call(*m_options.vmInterface,
-        platform::maintenanceRequest({ m_options.name, m_cluster.servingTerm() }, vm, wave),
+    const std::uint64_t term = m_cluster.servingTerm();
+    m_client.call(
+        *m_options.vmInterface, platform::maintenanceRequest({ m_options.name, term }, vm, wave),
         base::monotonicNow() + callTimeout,
-        [this, wave, vm](const http::ExchangeResult& result) { onOrdered(wave, vm, result); });
+        [this, wave, vm](const http::ExchangeResult& result) { onOrdered(wave, vm, result); },
+        [this, term] { return m_cluster.mayOrder(term, base::monotonicNow()); });
 }
 
 void WaveRunner::onOrdered(std::uint64_t wave, const std::string& vm, const http::ExchangeResult& result)
@@ -297,7 +299,7 @@
         recordStep(wave, vm, jobs::WaveVmPhase::Done);
     } else {
         // Also without an answer: the platform answers that it is done when it was carried out after all.
-        drain.isUncertain = drain.isUncertain || !result.response;
+        drain.isUncertain = drain.isUncertain || (!result.response && result.mayHaveStarted);
         drain.callAgainAt = base::monotonicNow() + callPause;
     }
 }
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -81,13 +81,25 @@
     order.phase = OrderPhase::Sending;
     order.wasSent = true;
     ++m_startsInFlight;
-    call(platform::startRequest(target(), message), answerTimeout,
+    call(
+        platform::startRequest(target(), message), answerTimeout,
         [this, key, run = order.run, now](const http::ExchangeResult& result) {
             m_hooks.onOrder(http::exchangeFailureName(result.failure), now);
             --m_startsInFlight;
             onStartAnswer(key, run, result, now);
             update();
-        });
+        },
+        [this, key, run = order.run] { return isStartWanted(key, run); });
+}
+
+bool WorkerSession::isStartWanted(const jobs::TaskKey& key, std::uint32_t run) const
+{
+    const jobs::Worker* current = worker();
+    const jobs::Job* job = m_state.findJob(key.job);
+    const auto order = m_orders.find(key);
+    return current != nullptr && !current->report.isDraining && !m_isRemoving && m_health.unanswered == 0
+        && job != nullptr && job->isActive() && order != m_orders.end() && order->second.run == run
+        && !order->second.isStopping;
 }
 
 void WorkerSession::onStartAnswer(
@@ -100,6 +112,11 @@
         return;
     }
     Order& order = found->second;
+    if (result.failure == http::ExchangeFailure::Withdrawn) {
+        order.phase = OrderPhase::Unsent;
+        order.sendAgainAt = now + retryPause;
+        return;
+    }
     if (!result.response) {
         // The same run may be sent again: a worker that has it already answers that it does.
         ++m_health.unanswered;
@@ -147,6 +164,10 @@
     if (order.isStopping) {
         return;
     }
+    if (!m_hooks.mayOrder()) {
+        order.sendAgainAt = base::monotonicNow() + retryPause;
+        return;
+    }
     order.isStopping = true;
     order.wasToldToStop = true;
     m_log.info("task_stop",
@@ -177,6 +198,9 @@
         stopOrder(task, found->second, reason);
         return;
     }
+    if (!m_hooks.mayOrder()) {
+        return;
+    }
     m_log.info("task_stop",
         { { "task", platform::taskName(task) }, { "run", run }, { "worker", m_id }, { "reason", reason } });
     call(platform::stopRequest(target(), task, run), answerTimeout,
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -44,13 +44,17 @@
 WorkerSession::~WorkerSession() { *m_isAlive = false; }
 
 void WorkerSession::call(const http::HttpRequest& request, base::Milliseconds timeout,
-    std::function<void(const http::ExchangeResult&)> callback)
+    std::function<void(const http::ExchangeResult&)> callback, std::function<bool()> isWanted)
 {
-    m_client.call(m_endpoint, request, base::monotonicNow() + timeout,
+    m_client.call(
+        m_endpoint, request, base::monotonicNow() + timeout,
         [alive = m_isAlive, callback = std::move(callback)](const http::ExchangeResult& result) {
             if (*alive) {
                 callback(result);
             }
+        },
+        [this, alive = m_isAlive, isWanted = std::move(isWanted)] {
+            return *alive && m_hooks.mayOrder() && (!isWanted || isWanted());
         });
 }
 
@@ -91,6 +95,11 @@
 void WorkerSession::onRenewed(const http::ExchangeResult& result, base::MonotonicTime sentAt)
 {
     m_isRenewing = false;
+    if (result.failure == http::ExchangeFailure::Withdrawn) {
+        // Nothing was sent, so that this is no silence.
+        scheduleRenew(retryPause);
+        return;
+    }
     if (!result.response) {
         ++m_health.unanswered;
         onSilence();
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -106,8 +106,9 @@
 
     [[nodiscard]] const jobs::Worker* worker() const { return m_state.findWorker(m_number); }
     [[nodiscard]] platform::WorkerTarget target() const { return { m_id, m_fencingToken }; }
+    /// Sends an order, unless it may not be sent any more when its connection is there, or `isWanted` no longer holds.
     void call(const http::HttpRequest& request, base::Milliseconds timeout,
-        std::function<void(const http::ExchangeResult&)> callback);
+        std::function<void(const http::ExchangeResult&)> callback, std::function<bool()> isWanted = nullptr);
     void renew();
     void scheduleRenew(base::Milliseconds pause);
     void onRenewed(const http::ExchangeResult& result, base::MonotonicTime sentAt);
@@ -122,6 +123,7 @@
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
     void updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order);
     void start(const jobs::TaskKey& key, Order& order);
+    [[nodiscard]] bool isStartWanted(const jobs::TaskKey& key, std::uint32_t run) const;
     void onStartAnswer(
         const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result, base::MonotonicTime sentAt);
     void stopOrder(const jobs::TaskKey& key, Order& order, std::string_view reason);
--- a/src/crocuscove/http/client_connection.cpp
+++ b/src/crocuscove/http/client_connection.cpp
@@ -30,13 +30,14 @@
     }
 }
 
-void ClientConnection::start(
-    std::string request, std::string_view method, base::MonotonicTime deadline, Finished finished)
+void ClientConnection::start(std::string request, std::string_view method, base::MonotonicTime deadline,
+    Finished finished, HttpClient::MaySend maySend)
 {
     m_request = std::move(request);
     m_requestBytes = 0;
     m_parser.emplace(ResponseLimits { m_options.maxHeaderBytes, m_options.maxBodyBytes }, method);
     m_finished = std::move(finished);
+    m_maySend = std::move(maySend);
     m_lost = nullptr;
     m_deadlineTime = deadline;
     m_deadline = m_loop.runAt(deadline, [this] { fail(ExchangeFailure::Deadline); });
@@ -101,6 +102,11 @@
     if (base::monotonicNow() >= m_deadlineTime) {
         return; // The timer ends the exchange before a byte of the request is written.
     }
+    if (m_maySend && !m_maySend()) {
+        // On the next turn, since this may be called by start().
+        m_deadline = m_loop.runAt(base::monotonicNow(), [this] { fail(ExchangeFailure::Withdrawn); });
+        return;
+    }
     m_requestBytes = m_request.size();
     // Most requests fit into the socket's buffer. Writing them here saves watching the socket for writability.
     const auto sent
--- a/src/crocuscove/http/client_connection.h
+++ b/src/crocuscove/http/client_connection.h
@@ -25,7 +25,8 @@
 
     /// Starts an exchange, connecting first when needed. `finished` runs once, never before this returns, and may
     /// destroy the connection.
-    void start(std::string request, std::string_view method, base::MonotonicTime deadline, Finished finished);
+    void start(std::string request, std::string_view method, base::MonotonicTime deadline, Finished finished,
+        HttpClient::MaySend maySend);
 
     /// Ends the running exchange.
     void fail(ExchangeFailure failure);
@@ -71,6 +72,7 @@
     std::size_t m_requestBytes = 0;
     std::optional<ResponseParser> m_parser;
     Finished m_finished;
+    HttpClient::MaySend m_maySend;
     std::function<void()> m_lost;
     base::MonotonicTime m_deadlineTime;
     Timer m_deadline;
--- a/src/crocuscove/http/http_client.cpp
+++ b/src/crocuscove/http/http_client.cpp
@@ -24,6 +24,7 @@
     { ExchangeFailure::Oversized, "oversized" },
     { ExchangeFailure::Malformed, "malformed" },
     { ExchangeFailure::Cancelled, "cancelled" },
+    { ExchangeFailure::Withdrawn, "withdrawn" },
 });
 
 } // namespace
@@ -46,8 +47,8 @@
     {
     }
 
-    Call call(
-        const base::Endpoint& endpoint, const HttpRequest& request, base::MonotonicTime deadline, Callback callback)
+    Call call(const base::Endpoint& endpoint, const HttpRequest& request, base::MonotonicTime deadline,
+        Callback callback, MaySend maySend)
     {
         std::string bytes = writeRequest(request, endpoint);
         auto state = std::make_shared<Call::State>();
@@ -60,7 +61,8 @@
                 base::monotonicNow(), [refuse = state->refuse] { refuse(ExchangeFailure::ConnectFailed); });
         } else {
             state->connection = takeConnection(endpoint);
-            state->connection->start(std::move(bytes), request.method, deadline, std::move(finished));
+            state->connection->start(
+                std::move(bytes), request.method, deadline, std::move(finished), std::move(maySend));
         }
         m_running.insert(state);
         return Call(state);
@@ -188,10 +190,10 @@
 
 HttpClient::~HttpClient() = default;
 
-Call HttpClient::call(
-    const base::Endpoint& endpoint, const HttpRequest& request, base::MonotonicTime deadline, Callback callback)
+Call HttpClient::call(const base::Endpoint& endpoint, const HttpRequest& request, base::MonotonicTime deadline,
+    Callback callback, MaySend maySend)
 {
-    return m_impl->call(endpoint, request, deadline, std::move(callback));
+    return m_impl->call(endpoint, request, deadline, std::move(callback), std::move(maySend));
 }
 
 std::size_t HttpClient::openCalls() const { return m_impl->openCalls(); }
--- a/src/crocuscove/http/http_client_test.cpp
+++ b/src/crocuscove/http/http_client_test.cpp
@@ -162,6 +162,43 @@
     EXPECT_FALSE(results[1].mayHaveStarted);
 }
 
+// Guards against a request whose permission ended while it waited for its connection, and that is written all the same.
+TEST_F(HttpClientTest, ARequestWhosePermissionEndedIsNotWritten)
+{
+    bool maySend = true;
+    const auto callIfPermitted = [&] {
+        client.call(
+            server.endpoint(), {}, after(30'000),
+            [this](ExchangeResult result) { results.push_back(std::move(result)); }, [&] { return maySend; });
+    };
+    callIfPermitted();
+    maySend = false;
+    ASSERT_TRUE(runUntil(loop, [&] { return server.connections.size() == 1 && server.connections[0]->isEnded(); }));
+    EXPECT_EQ(server.connections[0]->received(), "");
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0].failure, ExchangeFailure::Withdrawn);
+    EXPECT_FALSE(results[0].mayHaveStarted);
+
+    call(after(30'000));
+    ASSERT_TRUE(waitForRequest(1));
+    server.connections[1]->send(okHead + "aa");
+    ASSERT_TRUE(waitForResults(2));
+    ASSERT_EQ(client.idleConnections(), 1U);
+    const std::string before = server.connections[1]->received();
+    callIfPermitted();
+    EXPECT_EQ(results.size(), 2U) << "never before the call returns";
+    ASSERT_TRUE(waitForResults(3));
+    EXPECT_EQ(results[2].failure, ExchangeFailure::Withdrawn);
+    EXPECT_EQ(server.connections[1]->received(), before) << "on a connection that was kept";
+
+    maySend = true;
+    callIfPermitted();
+    ASSERT_TRUE(waitForRequest(2));
+    server.connections[2]->send(okHead + "bb");
+    ASSERT_TRUE(waitForResults(4));
+    EXPECT_TRUE(results[3].response);
+}
+
 // Guards against a cancelled call that keeps its connection, and a callback that runs twice.
 TEST_F(HttpClientTest, CancelClosesTheConnection)
 {
