Count VMs that an earlier leader has ordered lately as down

Seen: after a change of leader during an order of maintenance, two VMs were down where the wave allows one.

Cause: the order of the first leader was on its way when it was killed. The second one waited before it ordered the same VM, but counted it as up, as the list showed, and took another one.

Change: a VM of the wave that isn't done and that another leader has ordered within the platform's lease counts as down, as long as the new leader may not order it.

--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -66,13 +66,16 @@
     });
 }
 
-std::size_t WaveRunner::downVms(const jobs::Wave& wave) const
+// An order of an earlier leader may be carried out yet, though the list still shows the VM as up.
+std::size_t WaveRunner::downVms(const jobs::Wave& wave, base::MonotonicTime now) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(wave.vms, [this](const auto& entry) {
+    return static_cast<std::size_t>(std::ranges::count_if(wave.vms, [&](const auto& entry) {
         const auto vm = m_directory.vms().find(entry.first);
         const auto drain = m_drains.find(entry.first);
         const bool isOrdered = drain != m_drains.end() && (drain->second.orderedAt || drain->second.isCalling);
-        return isOrdered || (vm != m_directory.vms().end() && !vm->second.isUp);
+        const bool mayBeOrdered
+            = entry.second != jobs::WaveVmPhase::Done && !m_cluster.mayOrderVm(entry.first, m_options.vmLease, now);
+        return isOrdered || mayBeOrdered || (vm != m_directory.vms().end() && !vm->second.isUp);
     }));
 }
 
@@ -137,7 +140,7 @@
             m_dueWorkers.insert(listed->second.workerId);
         }
     }
-    std::size_t down = downVms(wave);
+    std::size_t down = downVms(wave, now);
     for (auto& [vm, drain] : m_drains) {
         if (drain.wave == wave.id) {
             advanceDrain(wave, vm, drain, down, now);
--- a/src/crocuscove/control/wave_runner.h
+++ b/src/crocuscove/control/wave_runner.h
@@ -76,7 +76,8 @@
     /// Empties a VM and orders its maintenance while fewer than the wave allows are `down`, which it then counts.
     void advanceDrain(
         const jobs::Wave& wave, const std::string& vm, Drain& drain, std::size_t& down, base::MonotonicTime now);
-    [[nodiscard]] std::size_t downVms(const jobs::Wave& wave) const;
+    /// Counts the VMs of a wave that are down, or may be soon by an order that was sent.
+    [[nodiscard]] std::size_t downVms(const jobs::Wave& wave, base::MonotonicTime now) const;
     /// Stops what may be stopped; returns true when nothing is left that must be kept.
     bool empty(const Drain& drain, base::MonotonicTime now);
     [[nodiscard]] bool mayInterrupt(const jobs::TaskKey& key) const;
--- a/tests/integration/platform_handover_test.cpp
+++ b/tests/integration/platform_handover_test.cpp
@@ -91,6 +91,28 @@
     std::uint16_t m_proxyControl = cluster.freePort();
 };
 
+// Guards against a new leader that takes a VM for maintenance while the order of the earlier leader for another one is
+// still on its way, so that more are down than the wave allows.
+TEST_F(PlatformHandOverTest, AWaveKeepsToItsNumberWhenTheLeaderChangesDuringAnOrder)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    startWorker("w2");
+    submit("00000000000000bb", lastingTask);
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.0") == 1; }));
+    startWorker("w1");
+    startVmsBehindProxy({ flag("maintenance-ms", 3'000) });
+    setFaults("vms", { { "delayMs", 2'500 } });
+    ASSERT_EQ(startWave(R"({"wave":1,"machines":["vm-w1","vm-w2"],"completeByS":20,"maxCount":1})"), 200);
+    ASSERT_TRUE(waitUntil([&] { return hasLogged(first, "vm_maintenance"); }));
+    // Work that only the next leader can place makes the VM of the first order the busier one.
+    submit("00000000000000aa", R"({"spec":"60000","steps":[{"count":8,"cpu":1000,"memMb":64,"estRuntimeMs":100}]})");
+    setFaults("vms", nlohmann::json::object());
+    cluster.process(controlName(first)).kill();
+    EXPECT_TRUE(waitUntil([&] { return isWaveDoneAtSomeNode(); }));
+    expectMostDown(1);
+}
+
 /// A listener whose queue of connections is full, so that callers wait until it is opened.
 class BusyListener {
 public:
