Repeat the stop that settles a refused start until it is confirmed

Seen: a task whose start was refused by an unhealthy worker, and whose settling stop got no answer, was never started again.

Cause: the order stayed in the phase Sending. A stop without an answer was only repeated for ended jobs, for draining workers and by waves.

The stand-in worker can refuse its first starts and leave its first stops unanswered.

--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -46,6 +46,10 @@
     if (order.sendAgainAt > now) {
         return;
     }
+    if (order.wasToldToStop && order.phase != OrderPhase::Settled) {
+        stopOrder(key, order, "stop-unconfirmed");
+        return;
+    }
     if (order.phase == OrderPhase::Unsent && job.isActive() && current->report.isDraining) {
         // An order that was sent before, also by an earlier leader, may be carried out late; a confirmed stop prevents
         // that, and the task starts elsewhere.
@@ -164,12 +168,12 @@
     if (order.isStopping) {
         return;
     }
+    order.wasToldToStop = true;
     if (!m_hooks.mayOrder()) {
         order.sendAgainAt = base::monotonicNow() + retryPause;
         return;
     }
     order.isStopping = true;
-    order.wasToldToStop = true;
     m_log.info("task_stop",
         { { "task", platform::taskName(key) }, { "run", order.run }, { "worker", m_id }, { "reason", reason } });
     call(platform::stopRequest(target(), key, order.run), answerTimeout,
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -98,7 +98,7 @@
         base::MonotonicTime since;
         base::MonotonicTime sendAgainAt;
         bool isStopping = false;
-        /// A stop was sent, and may have been carried out also without an answer.
+        /// It is stopped until that is confirmed; a stop may have been carried out also without an answer.
         bool wasToldToStop = false;
         /// A start was sent, and may have been carried out also without an answer.
         bool wasSent = false;
--- a/tests/commands/standin_executor.cpp
+++ b/tests/commands/standin_executor.cpp
@@ -18,13 +18,14 @@
         integerSetting("cpu", "capacity in thousandths of a core", 1, 1'000'000, options.cpu),
         integerSetting("report-interval-ms", "time between reports", 10, 60'000, options.reportIntervalMs),
         integerSetting("unanswered-starts", "first starts without an answer", 0, 1'000, options.unansweredStarts),
+        integerSetting("refused-starts", "first starts that are refused", 0, 1'000, options.refusedStarts),
+        integerSetting("unanswered-stops", "first stops without an answer", 0, 1'000, options.unansweredStops),
         switchSetting("drains-on-start", "drain instead of carrying out the first start", options.drainsOnStart),
         integerSetting("late-orders-for-ms", "time from the first start in which orders are carried out late", 0,
             60'000, options.lateOrdersForMs),
         integerSetting("late-order-delay-ms", "delay of such orders", 0, 60'000, options.lateOrderDelayMs),
         integerSetting("crash-ms", "time away after a crash", 1, 60'000, options.crashMs),
         switchSetting("renames-after-crash", "come back under another id after a crash", options.renamesAfterCrash),
-        switchSetting("refuses-starts", "refuse every start as unhealthy", options.refusesStarts),
         textSetting("records", "file that gets a JSON line for each start and end", options.recordsFile),
     };
 }
--- a/tests/integration/platform_handover_test.cpp
+++ b/tests/integration/platform_handover_test.cpp
@@ -277,5 +277,15 @@
     expectNoTaskTwice();
 }
 
+// Guards against a task that is never started again, because the stop that settles its refused start got no answer.
+TEST_F(PlatformHandOverTest, ARefusedStartIsSettledAlthoughItsStopGetsNoAnswer)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { flag("refused-starts", 2), flag("unanswered-stops", 3) });
+    submit("00000000000000aa", R"({"spec":"100","steps":[{"count":2,"cpu":1000,"memMb":64,"estRuntimeMs":100}]})");
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; }));
+    expectNoTaskTwice();
+}
+
 } // namespace
 } // namespace crocuscove::testing
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -340,7 +340,7 @@
 TEST_F(PlatformTest, AJobWaitsAfterItsStartWasRefused)
 {
     ASSERT_EQ(putConfiguration(waitForLeader()), 200);
-    startWorker("w1", { "--refuses-starts" });
+    startWorker("w1", { flag("refused-starts", 1'000) });
     submit("00000000000000aa", twoSteps);
     ASSERT_TRUE(waitUntil([&] {
         return std::ranges::any_of(
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -153,7 +153,8 @@
         leaveOpen(responder);
         return;
     }
-    if (m_options.refusesStarts) {
+    if (m_options.refusedStarts > 0) {
+        --m_options.refusedStarts;
         record("refused", task, run, "unhealthy");
         respond(responder, 503, nlohmann::json::object());
         return;
@@ -200,6 +201,11 @@
     if (running != m_running.end() && running->second.number == run) {
         end(task, "stopped");
     }
+    if (m_options.unansweredStops > 0) {
+        --m_options.unansweredStops;
+        leaveOpen(responder);
+        return;
+    }
     respond(responder, 200, nlohmann::json::object());
 }
 
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -30,6 +30,10 @@
     std::int64_t reportIntervalMs = 300;
     /// The first starts that are carried out but not answered.
     std::int64_t unansweredStarts = 0;
+    /// The first starts that are refused as by an unhealthy worker, which does nothing.
+    std::int64_t refusedStarts = 0;
+    /// The first stops that are carried out but not answered.
+    std::int64_t unansweredStops = 0;
     /// The first start is neither carried out nor answered, and from then on the worker reports that it drains.
     bool drainsOnStart = false;
     /// Starts and stops that arrive within this time of the first start are not answered, and are carried out
@@ -40,8 +44,6 @@
     std::int64_t crashMs = 500;
     /// It comes back from a crash under another id.
     bool renamesAfterCrash = false;
-    /// It refuses every start as unhealthy.
-    bool refusesStarts = false;
     /// File that gets a JSON line for each start, end, refusal and crash.
     std::string recordsFile;
 };
