Answer as unknown what one leader was given and another refuses

Seen: an entry node passed on 503, 429 or 404 for a POST that it had also sent to an earlier leader, whose answer it never got. Clients take these as "was not accepted and never runs". LeaderLinkTest.ARefusalAfterAnotherLeaderWasGivenTheRequestEndsAsUnknown failed on the old code for all three.

Cause: the link remembered only that some leader had been given the request, and used that only for requests that ran out of time.

Change: when a connection is lost, the outcome of what it carried stays open, unless the leader has said that it didn't execute it. A later refusal of a request that changes something then ends as unknown (504).

After: the test passes, and a refusal by the only leader is still passed on (LeaderLinkTest.ARefusalByTheOnlyLeaderIsPassedOn).

--- a/src/crocuscove/entry/leader_link.cpp
+++ b/src/crocuscove/entry/leader_link.cpp
@@ -18,6 +18,16 @@
 constexpr base::Milliseconds firstAnswerTimeout { 500 };
 /// A leader that answered within this time counts as reachable.
 constexpr base::Milliseconds readyWindow { 1'500 };
+constexpr std::uint32_t statusNotFound = 404;
+constexpr std::uint32_t statusTooManyRequests = 429;
+constexpr std::uint32_t statusUnavailable = 503;
+
+/// Tells whether an answer says that a request that changes something has not been carried out.
+bool isRefusal(const control::ForwardedRequest& request, std::uint32_t status)
+{
+    return request.method != "GET"
+        && (status == statusNotFound || status == statusTooManyRequests || status == statusUnavailable);
+}
 
 } // namespace
 
@@ -44,7 +54,7 @@
 {
     request.id = m_nextId++;
     const std::uint64_t id = request.id;
-    m_pending.emplace(id, Pending { std::move(request), refuseAt, deadline, std::move(callback), false, true });
+    m_pending.emplace(id, Pending { std::move(request), refuseAt, deadline, std::move(callback) });
     sendWaiting();
 }
 
@@ -109,7 +119,10 @@
     }
     m_isLeader = false;
     m_connection.reset();
-    std::ranges::for_each(m_pending, [](auto& pending) { pending.second.isWaiting = true; });
+    for (auto& [id, pending] : m_pending) {
+        pending.isOutcomeOpen = pending.isOutcomeOpen || !pending.isWaiting;
+        pending.isWaiting = true;
+    }
 }
 
 void LeaderLink::onFrame(std::uint64_t connectionNumber, std::string_view frame)
@@ -180,10 +193,17 @@
     if (found == m_pending.end()) {
         return;
     }
+    Pending& pending = found->second;
     if (answer.outcome == control::ForwardOutcome::Answered) {
-        finish(answer.id, { std::nullopt, answer.status, answer.body });
+        // The earlier leader may have carried it out, or still do so.
+        const bool isUnknown = pending.isOutcomeOpen && isRefusal(pending.request, answer.status);
+        finish(answer.id,
+            isUnknown ? RequestResult { RequestFailure::Unknown, 0, {} }
+                      : RequestResult { std::nullopt, answer.status, answer.body });
         return;
     }
+    // It has not been carried out there.
+    pending.isWaiting = pending.isWaiting || answer.outcome == control::ForwardOutcome::NotLeader;
     if (m_isLeader) {
         disconnect("does not lead");
     }
--- a/src/crocuscove/entry/leader_link.h
+++ b/src/crocuscove/entry/leader_link.h
@@ -57,6 +57,8 @@
         Callback callback;
         /// A leader may have carried it out.
         bool wasSent = false;
+        /// A connection was lost that had carried it, so that its outcome there stays open.
+        bool isOutcomeOpen = false;
         /// Waits to be sent to the leader.
         bool isWaiting = true;
     };
--- a/src/crocuscove/entry/leader_link_test.cpp
+++ b/src/crocuscove/entry/leader_link_test.cpp
@@ -29,7 +29,11 @@
     }
 
     void setLeader(std::string leader) { m_leader = std::move(leader); }
+    /// Names another leader once it was given a request.
+    void setLeaderAfterRequest(std::string leader) { m_leaderAfterRequest = std::move(leader); }
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
+    /// Status of its answers as the leader.
+    void setStatus(std::uint32_t status) { m_status = status; }
     /// Answers the next frames with bytes that are no message.
     void setMalformedAnswers(std::size_t count) { m_malformedAnswers = count; }
     /// Sends views with texts that are no address.
@@ -64,10 +68,11 @@
                 send(connection, nextView());
                 return;
             }
+            m_leader = m_leaderAfterRequest.value_or(m_leader);
             if (!m_isSilent) {
                 const auto outcome
                     = m_leader == m_address ? control::ForwardOutcome::Answered : control::ForwardOutcome::NotLeader;
-                send(connection, control::ForwardedAnswer { request->id, outcome, 200, m_address });
+                send(connection, control::ForwardedAnswer { request->id, outcome, m_status, m_address });
             }
             return;
         }
@@ -90,8 +95,10 @@
 
     std::string m_address;
     std::string m_leader;
+    std::optional<std::string> m_leaderAfterRequest;
     bool m_isSilent = false;
     bool m_contradictsItself = false;
+    std::uint32_t m_status = 200;
     std::size_t m_requests = 0;
     std::size_t m_malformedAnswers = 0;
     std::size_t m_unusableAddresses = 0;
@@ -111,13 +118,13 @@
     }
 
     /// Sends one request and runs the loop until it is answered or `limit` has passed.
-    std::optional<RequestResult> ask(
-        LeaderLink& leaderLink, base::Milliseconds refuseAfter, base::Milliseconds answerAfter)
+    std::optional<RequestResult> ask(LeaderLink& leaderLink, base::Milliseconds refuseAfter,
+        base::Milliseconds answerAfter, const std::string& method = "GET")
     {
         std::optional<RequestResult> answer;
         const auto now = base::monotonicNow();
         control::ForwardedRequest request;
-        request.method = "GET";
+        request.method = method;
         leaderLink.request(std::move(request), now + refuseAfter, now + answerAfter, [&](RequestResult result) {
             answer = std::move(result);
             m_loop.stop();
@@ -160,6 +167,38 @@
     EXPECT_EQ(answer->failure, RequestFailure::Unknown);
 }
 
+// Guards against a refusal by the second leader that hides that the first one may have carried the request out.
+TEST_F(LeaderLinkTest, ARefusalAfterAnotherLeaderWasGivenTheRequestEndsAsUnknown)
+{
+    for (const std::uint32_t status : { 404U, 429U, 503U }) {
+        m_nodes.clear();
+        m_options.seeds.clear();
+        FakeControlNode& first = addNode("127.0.0.1", "127.0.0.1");
+        FakeControlNode& second = addNode("127.0.0.2", "127.0.0.2");
+        first.setSilent(true);
+        first.setLeaderAfterRequest("");
+        second.setStatus(status);
+        LeaderLink leaderLink(m_loop, m_options, m_log);
+        const auto answer = ask(leaderLink, 15s, 15s, "POST");
+        ASSERT_TRUE(answer);
+        EXPECT_GT(first.requests(), 0U);
+        EXPECT_GT(second.requests(), 0U);
+        EXPECT_EQ(answer->failure, RequestFailure::Unknown) << status;
+    }
+}
+
+// Guards against a refusal that is told as unknown although only one leader was ever given the request.
+TEST_F(LeaderLinkTest, ARefusalByTheOnlyLeaderIsPassedOn)
+{
+    FakeControlNode& leader = addNode("127.0.0.1", "127.0.0.1");
+    leader.setStatus(503);
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    const auto answer = ask(leaderLink, 15s, 15s, "POST");
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(answer->failure);
+    EXPECT_EQ(answer->status, 503U);
+}
+
 TEST_F(LeaderLinkTest, ARequestIsRefusedEarlyWhileThereIsNoLeader)
 {
     addNode("127.0.0.1", "");
