Answer a proposal whose place in the log is given to another one

Seen: the callback of a proposal never ran. ReplicatedLogOfThreeTest.AProposalWhosePlaceIsTakenEndsAsUnknown failed on the old code: no outcome, instead of Unknown.

Cause: a node that led, was deposed and led again within the deadline of a proposal may give its index to a new one, which replaced the earlier entry in the map.

Change: the earlier proposal ends as Unknown, since another node may still hold its entry and lead later.

After: the test passes.

--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -118,8 +118,13 @@
         callback(ProposalOutcome::NotExecuted);
         return;
     }
-    m_proposals.insert_or_assign(*index, PendingProposal { m_raft.term(), deadline, std::move(callback) });
+    auto replaced = m_proposals.extract(*index);
+    m_proposals.emplace(*index, PendingProposal { m_raft.term(), deadline, std::move(callback) });
     scheduleFlush();
+    if (!replaced.empty()) {
+        // A leader in between removed the earlier entry here. Another node may still hold it, and lead later.
+        replaced.mapped().callback(ProposalOutcome::Unknown);
+    }
 }
 
 bool ReplicatedLog::proposeMembership(const consensus::MembershipChange& change)
--- a/src/crocuscove/replication/replicated_log_test.cpp
+++ b/src/crocuscove/replication/replicated_log_test.cpp
@@ -8,6 +8,8 @@
 #include <filesystem>
 #include <optional>
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace crocuscove::replication {
 namespace {
@@ -108,5 +110,59 @@
     EXPECT_LE(m_mostAppliedAtOnce, 512);
 }
 
+/// One of three voters, whose peers grant every vote and acknowledge nothing.
+class ReplicatedLogOfThreeTest : public ReplicatedLogTest {
+protected:
+    ReplicatedLogOfThreeTest()
+    {
+        m_log.reset();
+        std::filesystem::remove_all(m_folder);
+        ReplicatedLogOptions three = options();
+        three.firstMembership = [](const base::NodeId& self) {
+            return consensus::Membership { { self, base::NodeId("n2"), base::NodeId("n3") }, {} };
+        };
+        ReplicatedLogHooks voting = hooks();
+        voting.send = [this](const consensus::Message& message) {
+            if (const auto* request = std::get_if<consensus::VoteRequest>(&message.body)) {
+                m_loop.post([this, message, request = *request] {
+                    m_log->step({ message.to, message.from, message.term,
+                        consensus::VoteAnswer { request.preVote, request.electionTerm, true } });
+                });
+            }
+        };
+        m_log.emplace(m_loop, three, m_logLines, m_random, voting);
+    }
+
+    std::vector<ProposalOutcome>& proposeLater(std::vector<ProposalOutcome>& outcomes)
+    {
+        m_log->propose("x", base::monotonicNow() + std::chrono::seconds(60),
+            [&outcomes](ProposalOutcome outcome) { outcomes.push_back(outcome); });
+        return outcomes;
+    }
+};
+
+// Guards against a caller that is never answered, because its node led again and gave another proposal the same place
+// in the log.
+TEST_F(ReplicatedLogOfThreeTest, AProposalWhosePlaceIsTakenEndsAsUnknown)
+{
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); }));
+    const consensus::Term term = m_log->raft().term();
+    const consensus::Index last = m_log->raft().lastIndex();
+    std::vector<ProposalOutcome> first;
+    std::vector<ProposalOutcome> second;
+    proposeLater(first);
+    proposeLater(second);
+    // A leader of a later term that has none of these entries.
+    m_log->step({ base::NodeId("n2"), base::NodeId("n1"), term + 1,
+        consensus::AppendRequest { 1, 1, 0, 1, { { last, term + 1, consensus::EntryKind::NoOp, {} } } } });
+    ASSERT_FALSE(m_log->isLeader());
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); }));
+    std::vector<ProposalOutcome> third;
+    proposeLater(third);
+    EXPECT_EQ(second, std::vector { ProposalOutcome::Unknown });
+    EXPECT_TRUE(first.empty()) << "its place holds the entry that a new leader begins with, not yet committed";
+    EXPECT_TRUE(third.empty());
+}
+
 } // namespace
 } // namespace crocuscove::replication
