--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -525,5 +525,34 @@
     EXPECT_EQ(m_state.findWorker("w1")->assignedTasks, 1U);
 }
 
+// Guards against a failure that counts twice, or a done task that runs again, because the end of its run is listed
+// again after its worker was removed and has come back.
+TEST_F(FleetStateTest, EndsListedAgainByAWorkerThatCameBackCountOnce)
+{
+    const TaskKey failing { 1, 0, 0, 0 };
+    const TaskKey done { 1, 0, 0, 1 };
+    m_state.apply(accept(1, { step(2) }));
+    m_state.apply(assign(failing, 1, m_worker));
+    m_state.apply(assign(done, 1, m_worker));
+    m_state.apply(ended(m_worker, 1, failing, 1, TaskEndReason::Failed));
+    m_state.apply(ended(m_worker, 2, done, 1, TaskEndReason::Done));
+    m_state.apply(RemoveWorker { m_worker });
+    m_state.apply(RecordWorker { report("w1") });
+    const WorkerNumber again = m_state.findWorker("w1")->number;
+    m_state.apply(ended(again, 1, failing, 1, TaskEndReason::Failed));
+    m_state.apply(ended(again, 2, done, 1, TaskEndReason::Done));
+    EXPECT_EQ(task(failing).failures, 1U) << "while it waits";
+    EXPECT_EQ(task(done).phase, TaskPhase::Done);
+    m_state.apply(assign(failing, 2, again));
+    m_state.apply(RemoveWorker { again });
+    m_state.apply(RecordWorker { report("w1") });
+    const WorkerNumber third = m_state.findWorker("w1")->number;
+    m_state.apply(assign(failing, 3, third));
+    m_state.apply(ended(third, 1, failing, 1, TaskEndReason::Failed));
+    EXPECT_EQ(task(failing).failures, 1U) << "while a later run goes on";
+    EXPECT_EQ(task(failing).phase, TaskPhase::Assigned);
+    EXPECT_TRUE(m_state.findJob(1)->isActive());
+}
+
 } // namespace
 } // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/lease_clock_test.cpp
+++ b/src/crocuscove/jobs/lease_clock_test.cpp
@@ -3,6 +3,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
 namespace crocuscove::jobs {
 namespace {
 
@@ -61,5 +66,30 @@
     }
 }
 
+// Guards against a lease that is counted as ended too early because readings of the clock arrive late or out of order.
+RC_GTEST_PROP(LeaseClockProperty, LateReadingsShortenNoLease, ())
+{
+    const double rate = *rc::gen::map(rc::gen::inRange(980, 1021), [](int permille) { return permille / 1000.0; });
+    const auto workerClock = [&](base::MonotonicTime now) {
+        const std::chrono::duration<double, std::milli> elapsed = now - start;
+        return 100'000.0 + elapsed.count() * rate;
+    };
+    // When each reading arrives, and when it was taken.
+    std::multimap<base::MonotonicTime, base::MonotonicTime> readings;
+    auto takenAt = start;
+    for (const auto& [pause, delay] : *rc::gen::container<std::vector<std::pair<int, int>>>(
+             30, rc::gen::pair(rc::gen::inRange(0, 1'000), rc::gen::inRange(0, 3'000)))) {
+        takenAt += base::Milliseconds(pause);
+        readings.emplace(takenAt + base::Milliseconds(delay), takenAt);
+    }
+    LeaseClock clock;
+    double granted = 0;
+    for (const auto& [arrivedAt, readAt] : readings) {
+        clock.observe(static_cast<std::int64_t>(workerClock(readAt)), arrivedAt);
+        granted = std::max(granted, static_cast<double>(clock.grant(4000ms, arrivedAt).value()));
+        RC_ASSERT(workerClock(clock.latestLeaseExpiry() + 1ms) >= granted - 1);
+    }
+}
+
 } // namespace
 } // namespace crocuscove::jobs
--- a/tests/commands/standin_executor.cpp
+++ b/tests/commands/standin_executor.cpp
@@ -17,6 +17,7 @@
         endpointListSetting("controls", "control nodes to report to", options.controls),
         integerSetting("cpu", "capacity in thousandths of a core", 1, 1'000'000, options.cpu),
         integerSetting("report-interval-ms", "time between reports", 10, 60'000, options.reportIntervalMs),
+        integerSetting("clock-permille", "rate of its clock in thousandths", 1, 2'000, options.clockPermille),
         integerSetting("unanswered-starts", "first starts without an answer", 0, 1'000, options.unansweredStarts),
         integerSetting("refused-starts", "first starts that are refused", 0, 1'000, options.refusedStarts),
         integerSetting("unanswered-stops", "first stops without an answer", 0, 1'000, options.unansweredStops),
--- a/tests/integration/platform_handover_test.cpp
+++ b/tests/integration/platform_handover_test.cpp
@@ -287,5 +287,65 @@
     expectNoTaskTwice();
 }
 
+// Guards against a worker that is given up although it was silent for less than its lease.
+TEST_F(PlatformHandOverTest, AShortSilenceInterruptsNoTask)
+{
+    constexpr int lastingTasks = 8;
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    startWorker("w1");
+    startWorker("w2");
+    submit("00000000000000bb",
+        R"({"spec":"0","steps":[{"count":8,"cpu":1000,"memMb":64,"estRuntimeMs":100,"longRunning":true}]})");
+    ASSERT_TRUE(waitUntil([&] { return records().size() == std::size_t { lastingTasks }; }));
+    // The shortest rest of a lease: 4 s less a renewal that waits for 1 s.
+    constexpr base::Milliseconds silence { 2'000 };
+    cluster.process("w1").signal(SIGSTOP);
+    cluster.process("w2").signal(SIGSTOP);
+    const auto until = base::monotonicNow() + silence;
+    EXPECT_TRUE(waitUntil([&] { return base::monotonicNow() >= until; }));
+    cluster.process("w1").signal(SIGCONT);
+    cluster.process("w2").signal(SIGCONT);
+    submit("00000000000000aa", R"({"spec":"100","steps":[{"count":8,"cpu":1000,"memMb":64,"estRuntimeMs":100}]})");
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; })) << "both workers answer again";
+    for (int task = 0; task < lastingTasks; ++task) {
+        EXPECT_EQ(starts(fmt::format("00000000000000bb.0.0.{}", task)), 1U);
+    }
+    EXPECT_FALSE(hasLogged(first, "worker_removed"));
+    EXPECT_EQ(state("00000000000000bb"), "running");
+}
+
+// Guards against a task that starts elsewhere while it runs on at a worker with a slow clock whose answers are lost,
+// and against renewals that such a worker carries out after its lease was counted as ended.
+TEST_F(PlatformHandOverTest, TasksOfACutOffWorkerWithASlowClockRunOnceAtATime)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    const std::uint16_t listen = cluster.freePort();
+    const std::uint16_t visible = cluster.freePort();
+    startProxy("w1", visible, listen);
+    startWorker("w1",
+        { flag("listen", loopback(listen).text()), flag("advertise", loopback(visible).text()),
+            flag("clock-permille", 980) });
+    submit("00000000000000bb", lastingTask);
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.0") == 1; }));
+    startWorker("w2");
+    std::size_t runs = 1;
+    for (const std::string cut : { "to-client", "both" }) {
+        setFaults("w1", { { "cut", cut } });
+        ++runs;
+        EXPECT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.0") == runs; })) << cut;
+        setFaults("w1", nlohmann::json::object());
+        // The task comes back for the next cut.
+        cluster.process("w2").signal(SIGSTOP);
+        ++runs;
+        EXPECT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.0") == runs; })) << cut;
+        cluster.process("w2").signal(SIGCONT);
+    }
+    EXPECT_EQ(call("DELETE", "/q/00000000000000bb"), 200);
+    submit("00000000000000aa", R"({"spec":"100","steps":[{"count":2,"cpu":8000,"memMb":64,"estRuntimeMs":100}]})");
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; }));
+    expectNoTaskTwice();
+}
+
 } // namespace
 } // namespace crocuscove::testing
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -63,7 +63,8 @@
 
 std::int64_t StandinExecutor::clockMs() const
 {
-    return std::chrono::duration_cast<base::Milliseconds>(base::monotonicNow() - m_startedAt).count();
+    const auto elapsed = std::chrono::duration_cast<base::Milliseconds>(base::monotonicNow() - m_startedAt);
+    return elapsed.count() * m_options.clockPermille / 1'000;
 }
 
 void StandinExecutor::respond(const http::Responder& responder, int status, nlohmann::json body) const
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -28,6 +28,8 @@
     std::int64_t cpu = 8000;
     std::int64_t memMb = 8192;
     std::int64_t reportIntervalMs = 300;
+    /// Rate of its clock, in thousandths.
+    std::int64_t clockPermille = 1000;
     /// The first starts that are carried out but not answered.
     std::int64_t unansweredStarts = 0;
     /// The first starts that are refused as by an unhealthy worker, which does nothing.
