Suspect of a crash only runs that can have caused it, and attribute only what this leader saw accepted

Callers would see: a healthy job shown as failed, and a task that crashes workers kept on because its neighbours are suspected too. Cause, found by a review of the crash counting: the age of a run at a crash was measured to the last answer to a renewal, about once a second, while the planner measures to now, so that a neighbour taken as proven was suspected again; a start that was answered 421, was refused or was never written counted as one that may have run; and a new leader attributed crashes among runs of an earlier leader, which may be of any age. Change: answers to starts prove the worker alive too; a start counts only once it may have run; a crash is attributed only if all suspects are of one job and this leader saw each of them accepted. Tests: the four PlatformTests of crashes pass; WorkerSession has no unit test, so that the cases above rest on reading.

--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -6,6 +6,7 @@
 #include "worker_timing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocuscove::control {
 
@@ -83,14 +84,14 @@
     // Renewals extend the lease of what has started.
     message.leaseDeadlineMs = m_clock.grant(std::min(startValidity, m_options.taskLease), now).value_or(0);
     order.phase = OrderPhase::Sending;
-    order.wasSent = true;
+    const bool wasSentBefore = std::exchange(order.wasSent, true);
     ++m_startsInFlight;
     call(
         platform::startRequest(target(), message), answerTimeout,
-        [this, key, run = order.run, now](const http::ExchangeResult& result) {
+        [this, key, run = order.run, now, wasSentBefore](const http::ExchangeResult& result) {
             m_hooks.onOrder(http::exchangeFailureName(result.failure), now);
             --m_startsInFlight;
-            onStartAnswer(key, run, result, now);
+            onStartAnswer(key, run, result, now, wasSentBefore);
             update();
         },
         [this, key, run = order.run] { return isStartWanted(key, run); });
@@ -106,8 +107,8 @@
         && !order->second.isStopping;
 }
 
-void WorkerSession::onStartAnswer(
-    const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result, base::MonotonicTime sentAt)
+void WorkerSession::onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result,
+    base::MonotonicTime sentAt, bool wasSentBefore)
 {
     const auto now = base::monotonicNow();
     const std::int64_t waitedMs = std::chrono::duration_cast<base::Milliseconds>(now - sentAt).count();
@@ -116,6 +117,7 @@
         return;
     }
     Order& order = found->second;
+    order.wasSent = wasSentBefore || result.mayHaveStarted;
     if (result.failure == http::ExchangeFailure::Withdrawn) {
         order.phase = OrderPhase::Unsent;
         order.sendAgainAt = now + retryPause;
@@ -138,10 +140,17 @@
     m_log.info("task_start",
         { { "task", platform::taskName(key) }, { "run", run }, { "worker", m_id },
             { "outcome", platform::orderOutcomeName(answer.outcome) }, { "waited_ms", waitedMs } });
+    const bool hasRun
+        = answer.outcome == platform::OrderOutcome::Accepted || answer.outcome == platform::OrderOutcome::StaleRun;
+    order.wasSent = wasSentBefore || hasRun;
+    if (answer.outcome != platform::OrderOutcome::OtherIncarnation) {
+        m_aliveAt = now;
+    }
     switch (answer.outcome) {
     case platform::OrderOutcome::Accepted:
         order.phase = OrderPhase::Started;
         order.since = now;
+        order.wasAccepted = true;
         break;
     case platform::OrderOutcome::StaleRun:
         order.phase = OrderPhase::Settled;
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -163,6 +163,7 @@
     const bool isFirst = !m_clock.isKnown();
     m_clock.observe(status.clockMs, now);
     m_answeredAt = now;
+    m_aliveAt = now;
     m_health.unanswered = 0;
     m_running = status.running;
     reconcile(status, sentAt);
@@ -258,7 +259,7 @@
         return false;
     }
     if (order->second.phase == OrderPhase::Started) {
-        return *m_answeredAt - order->second.since < jobs::crashProbation;
+        return *m_aliveAt - order->second.since < jobs::crashProbation;
     }
     return order->second.wasSent;
 }
@@ -279,9 +280,12 @@
     if (record.runs.empty()) {
         return std::nullopt;
     }
-    const bool isOneJob = std::ranges::all_of(
-        record.runs, [&](const jobs::CrashedRun& run) { return run.task.job == record.runs.front().task.job; });
-    std::ranges::for_each(record.runs, [&](jobs::CrashedRun& run) { run.isAttributed = isOneJob; });
+    const bool isAttributed = std::ranges::all_of(record.runs, [&](const jobs::CrashedRun& run) {
+        const auto order = m_orders.find(run.task);
+        // Whether a start that got no answer has run isn't known, nor how long a run of an earlier leader has.
+        return run.task.job == record.runs.front().task.job && order != m_orders.end() && order->second.wasAccepted;
+    });
+    std::ranges::for_each(record.runs, [&](jobs::CrashedRun& run) { run.isAttributed = isAttributed; });
     return record;
 }
 
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -102,6 +102,8 @@
         bool wasToldToStop = false;
         /// A start was sent, and may have been carried out also without an answer.
         bool wasSent = false;
+        /// This leader's start was accepted; an earlier leader's run may be of any age.
+        bool wasAccepted = false;
     };
 
     [[nodiscard]] const jobs::Worker* worker() const { return m_state.findWorker(m_number); }
@@ -124,8 +126,9 @@
     void updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order);
     void start(const jobs::TaskKey& key, Order& order);
     [[nodiscard]] bool isStartWanted(const jobs::TaskKey& key, std::uint32_t run) const;
-    void onStartAnswer(
-        const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result, base::MonotonicTime sentAt);
+    /// `wasSentBefore` tells whether the start had been sent already when it was sent at `sentAt`.
+    void onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result,
+        base::MonotonicTime sentAt, bool wasSentBefore);
     void stopOrder(const jobs::TaskKey& key, Order& order, std::string_view reason);
     /// Returns whether the worker has confirmed a stop, and writes a line if it hasn't.
     [[nodiscard]] bool isConfirmed(
@@ -144,7 +147,10 @@
     base::Endpoint m_endpoint;
     std::uint64_t m_fencingToken;
     jobs::LeaseClock m_clock;
+    /// The last answer to a renewal.
     std::optional<base::MonotonicTime> m_answeredAt;
+    /// The last answer to a renewal or a start.
+    std::optional<base::MonotonicTime> m_aliveAt;
     bool m_isRenewing = false;
     bool m_isRecording = false;
     bool m_isRemoving = false;
