Record a worker's capacity when it changes

Callers saw: a worker whose capacity shrank while it ran was given tasks up to the capacity of its first report, which breaks LIMIT on workers that accept everything; a capacity that grew again was never used. The same held for its zone and labels.

Cause: the control interface compared incarnation, draining, address and service only, so that a report of another capacity was answered as unchanged, by the leader and by the nodes that don't lead.

Change: compareReports (pure) compares the whole report. Less capacity is recorded at once.

The stand-in's capacity can change while it runs; it records starts over it.

Conclusion: what a worker says of its capacity is in force once committed.

--- a/include/crocuscove/jobs/lease_clock.h
+++ b/include/crocuscove/jobs/lease_clock.h
@@ -26,6 +26,10 @@
     /// was granted.
     [[nodiscard]] base::MonotonicTime latestLeaseExpiry() const;
 
+    /// Returns how long ago the worker's clock showed `workerClockMs`, or nothing before the first observation. Up to
+    /// 4% of the time since the last observation more than the true time.
+    [[nodiscard]] std::optional<base::Milliseconds> age(std::int64_t workerClockMs, base::MonotonicTime now) const;
+
     [[nodiscard]] bool isKnown() const { return m_workerClockMs.has_value(); }
 
 private:
--- a/include/crocuscove/jobs/resources.h
+++ b/include/crocuscove/jobs/resources.h
@@ -49,6 +49,13 @@
         std::max(left.accelerators, right.accelerators) };
 }
 
+/// Returns the minimum of each resource.
+inline Resources componentwiseMin(const Resources& left, const Resources& right)
+{
+    return { std::min(left.cpuMilli, right.cpuMilli), std::min(left.memoryMb, right.memoryMb),
+        std::min(left.accelerators, right.accelerators) };
+}
+
 CROCUSCOVE_FIELDS(Resources, v.cpuMilli, v.memoryMb, v.accelerators)
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/control/control_api.cpp
+++ b/src/crocuscove/control/control_api.cpp
@@ -1,5 +1,6 @@
 #include "control_api.h"
 
+#include "crocuscove/jobs/worker_change.h"
 #include "platform/configuration_codec.h"
 #include "platform/control_paths.h"
 #include "platform/json_fields.h"
@@ -32,25 +33,15 @@
     return result;
 }
 
-/// Tells whether a report says nothing that the state doesn't hold already. Only an earlier incarnation, or an earlier
-/// report of the known one, may differ from the state.
-bool isUnchanged(const jobs::Worker& known, const jobs::WorkerReport& report)
-{
-    if (known.report.incarnation != report.incarnation) {
-        return known.report.incarnation > report.incarnation;
-    }
-    const bool isSame = known.report.isDraining == report.isDraining && known.report.address == report.address
-        && known.report.service == report.service;
-    return isSame || known.report.sequence > report.sequence;
-}
-
 } // namespace
 
-ControlApi::ControlApi(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster)
+ControlApi::ControlApi(
+    http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster, ControlApiHooks hooks)
     : m_loop(loop)
     , m_options(options)
     , m_log(log)
     , m_cluster(cluster)
+    , m_hooks(std::move(hooks))
 {
 }
 
@@ -160,20 +151,54 @@
         return;
     }
     const jobs::Worker* known = state.findWorker(id);
-    if (known != nullptr && isUnchanged(*known, report)) {
-        if (m_cluster.hasLeadership(base::monotonicNow())) {
-            responder.respond(response(statusOk, body));
-        } else {
-            responder.respond(response(statusUnavailable));
-        }
+    if (known != nullptr) {
+        report = limitGrowth(*known, std::move(report), request.body);
+    }
+    if (known != nullptr && jobs::compareReports(known->report, report) == jobs::WorkerChange::None) {
+        const bool isLeader = m_cluster.hasLeadership(base::monotonicNow());
+        responder.respond(isLeader ? response(statusOk, body) : response(statusUnavailable));
         return;
     }
+    if (known != nullptr && known->report.capacity != report.capacity) {
+        recordCapacityChange(known->number);
+    }
     m_log.info("worker_report",
         { { "worker", id }, { "incarnation", report.incarnation }, { "service", report.service },
-            { "draining", report.isDraining }, { "sequence", report.sequence } });
+            { "draining", report.isDraining }, { "cpu_milli", report.capacity.cpuMilli },
+            { "memory_mb", report.capacity.memoryMb }, { "sequence", report.sequence } });
     commit(jobs::RecordWorker { std::move(report) }, responder, body);
 }
 
+jobs::WorkerReport ControlApi::limitGrowth(
+    const jobs::Worker& known, jobs::WorkerReport report, std::string_view body) const
+{
+    jobs::WorkerReport limited = jobs::withoutGrowth(known.report, report);
+    if (limited.capacity == report.capacity || jobs::compareReports(known.report, report) == jobs::WorkerChange::None) {
+        return report;
+    }
+    const auto clockMs = platform::decodeReportClock(body);
+    const auto next = m_nextGrowthAt.find(known.number);
+    const auto refusal
+        = jobs::checkGrowth(base::monotonicNow(), next == m_nextGrowthAt.end() ? base::MonotonicTime() : next->second,
+            clockMs ? m_hooks.reportAge(known.number, *clockMs) : std::nullopt);
+    if (refusal == jobs::GrowthRefusal::None) {
+        return report;
+    }
+    m_log.info("worker_growth_held",
+        { { "worker", report.id }, { "reason", jobs::growthRefusalName(refusal) },
+            { "cpu_milli", report.capacity.cpuMilli }, { "memory_mb", report.capacity.memoryMb } });
+    return limited;
+}
+
+void ControlApi::recordCapacityChange(jobs::WorkerNumber worker)
+{
+    const auto& workers = m_cluster.state().workers();
+    if (m_nextGrowthAt.size() > 2 * workers.size()) {
+        std::erase_if(m_nextGrowthAt, [&](const auto& entry) { return !workers.contains(entry.first); });
+    }
+    m_nextGrowthAt[worker] = base::monotonicNow() + jobs::growthInterval;
+}
+
 bool ControlApi::answerUnchangedReport(
     const http::HttpRequest& request, const std::string& id, const http::Responder& responder) const
 {
@@ -182,7 +207,8 @@
         return false;
     }
     try {
-        if (!isUnchanged(*known, platform::decodeWorkerReport(id, request.body))) {
+        const jobs::WorkerReport report = platform::decodeWorkerReport(id, request.body);
+        if (jobs::compareReports(known->report, report) != jobs::WorkerChange::None) {
             return false;
         }
     } catch (const platform::MalformedMessage& error) {
--- a/src/crocuscove/control/control_api.h
+++ b/src/crocuscove/control/control_api.h
@@ -5,15 +5,26 @@
 #include "crocuscove/control/control_options.h"
 #include "crocuscove/http/http_server.h"
 
+#include <cstdint>
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace crocuscove::control {
 
+/// What the interface needs of the leader.
+struct ControlApiHooks {
+    /// Returns how long ago the clock of a worker showed `clockMs`, or nothing if its clock isn't known.
+    std::function<std::optional<base::Milliseconds>(jobs::WorkerNumber, std::int64_t clockMs)> reportAge;
+};
+
 /// Answers workers and operators. Nodes that don't lead send them on to the leader.
 class ControlApi {
 public:
-    ControlApi(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster);
+    ControlApi(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster,
+        ControlApiHooks hooks);
 
     void handle(const http::HttpRequest& request, const http::Responder& responder);
 
@@ -26,6 +37,10 @@
     /// see.
     bool answerUnchangedReport(
         const http::HttpRequest& request, const std::string& id, const http::Responder& responder) const;
+    /// Returns the part of a report of another capacity that may be recorded now.
+    [[nodiscard]] jobs::WorkerReport limitGrowth(
+        const jobs::Worker& known, jobs::WorkerReport report, std::string_view body) const;
+    void recordCapacityChange(jobs::WorkerNumber worker);
     void removeWorker(const std::string& id, const http::Responder& responder);
     void startWave(const http::HttpRequest& request, const http::Responder& responder);
     void getWave(const std::string& id, const http::Responder& responder);
@@ -35,6 +50,10 @@
     const ControlOptions& m_options;
     const base::Log& m_log;
     Cluster& m_cluster;
+    ControlApiHooks m_hooks;
+    /// The earliest time at which more capacity of a worker is recorded again. At most two entries for each worker that
+    /// is known.
+    std::map<jobs::WorkerNumber, base::MonotonicTime> m_nextGrowthAt;
 };
 
 } // namespace crocuscove::control
--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -30,7 +30,7 @@
                   ? std::make_unique<process::MetricsServer>(loop, *options.metricsListen, m_metrics)
                   : nullptr)
         , m_cluster(loop, options, log, random, clusterHooks())
-        , m_controlApi(loop, options, log, m_cluster)
+        , m_controlApi(loop, options, log, m_cluster, controlApiHooks())
         , m_jobApi(log, m_metrics, m_cluster)
         , m_server(loop, serverOptions(options, log),
               [this](const http::HttpRequest& request, const http::Responder& responder) {
@@ -91,6 +91,15 @@
         return hooks;
     }
 
+    ControlApiHooks controlApiHooks()
+    {
+        ControlApiHooks hooks;
+        hooks.reportAge = [this](jobs::WorkerNumber worker, std::int64_t clockMs) {
+            return m_leader ? m_leader->reportAge(worker, clockMs) : std::nullopt;
+        };
+        return hooks;
+    }
+
     http::EventLoop& m_loop;
     const ControlOptions& m_options;
     const base::Log& m_log;
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -185,6 +185,12 @@
     schedulePlan();
 }
 
+std::optional<base::Milliseconds> Leader::reportAge(jobs::WorkerNumber worker, std::int64_t clockMs) const
+{
+    const auto session = m_sessions.find(worker);
+    return session == m_sessions.end() ? std::nullopt : session->second->clock().age(clockMs, base::monotonicNow());
+}
+
 void Leader::schedulePlan()
 {
     if (m_isPlanWanted) {
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -30,6 +31,8 @@
     Leader& operator=(const Leader&) = delete;
 
     void onApplied(const std::vector<jobs::Command>& commands);
+    /// Returns how long ago the clock of a worker showed `clockMs`, or nothing if its clock isn't known.
+    [[nodiscard]] std::optional<base::Milliseconds> reportAge(jobs::WorkerNumber worker, std::int64_t clockMs) const;
 
 private:
     void syncSessions();
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -53,6 +53,7 @@
     /// Tells whether the worker has answered lately, so that it may be given tasks.
     [[nodiscard]] bool isUsable(base::MonotonicTime now) const;
     [[nodiscard]] const WorkerHealth& health() const { return m_health; }
+    [[nodiscard]] const jobs::LeaseClock& clock() const { return m_clock; }
     /// Tells whether a task is assigned to the worker that uses leftover time, so that its pace may have to change.
     [[nodiscard]] bool hasPaceableTask() const { return m_hasPaceableTask; }
     /// What runs on the worker by its last answer.
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -173,6 +173,35 @@
     EXPECT_EQ(m_state.findWorker("w1"), nullptr) << "a delayed report of the earlier one";
 }
 
+// Guards against an assignment to a worker that is over its capacity, and against a delayed report that brings an
+// earlier capacity back.
+TEST_F(FleetStateTest, AShrunkWorkerIsAssignedNothingThatDoesNotFit)
+{
+    const auto capacity = [](std::int64_t cpuMilli, std::uint64_t sequence) {
+        WorkerReport result = report("w1", 1, sequence);
+        result.capacity.cpuMilli = cpuMilli;
+        return RecordWorker { result };
+    };
+    StepSpec leftover = step(1);
+    leftover.usesLeftover = true;
+    m_state.apply(accept(1, { step(4), leftover }));
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        m_state.apply(assign({ 1, 0, 0, index }, 1, m_worker));
+    }
+    m_state.apply(capacity(2000, 3));
+    m_state.apply(capacity(4000, 2));
+    EXPECT_EQ(m_state.findWorker("w1")->free().cpuMilli, -1000);
+    m_state.apply(assign({ 1, 0, 0, 3 }, 1, m_worker));
+    m_state.apply(assign({ 1, 0, 1, 0 }, 1, m_worker));
+    EXPECT_EQ(m_state.findWorker("w1")->assignedTasks, 3U);
+    m_state.apply(ended(m_worker, 1, { 1, 0, 0, 0 }, 1, TaskEndReason::Done));
+    m_state.apply(assign({ 1, 0, 0, 3 }, 1, m_worker));
+    EXPECT_EQ(m_state.findWorker("w1")->assignedTasks, 2U) << "full, not over";
+    m_state.apply(capacity(3000, 4));
+    m_state.apply(assign({ 1, 0, 0, 3 }, 1, m_worker));
+    EXPECT_EQ(m_state.findWorker("w1")->assignedTasks, 3U);
+}
+
 TEST_F(FleetStateTest, AGangIsDoneWhenOneOfItsTasksIs)
 {
     StepSpec gang = step(3);
--- a/src/crocuscove/jobs/lease_clock.cpp
+++ b/src/crocuscove/jobs/lease_clock.cpp
@@ -19,6 +19,11 @@
     return *m_workerClockMs + std::chrono::duration_cast<base::Milliseconds>(now - m_observedAt).count();
 }
 
+std::optional<base::Milliseconds> LeaseClock::age(std::int64_t workerClockMs, base::MonotonicTime now) const
+{
+    return m_workerClockMs ? std::optional(base::Milliseconds(latestClockMs(now) - workerClockMs)) : std::nullopt;
+}
+
 std::optional<std::int64_t> LeaseClock::grant(base::Milliseconds lease, base::MonotonicTime now)
 {
     if (!m_workerClockMs) {
--- a/src/crocuscove/jobs/lease_clock_test.cpp
+++ b/src/crocuscove/jobs/lease_clock_test.cpp
@@ -25,6 +25,16 @@
     EXPECT_EQ(clock.grant(1000ms, start), 6000);
 }
 
+// Guards against a report that is taken as fresh though the worker's clock has gone on since.
+TEST(LeaseClockTest, TheAgeOfAReadingGrowsWithTheClock)
+{
+    LeaseClock clock;
+    EXPECT_FALSE(clock.age(5000, start));
+    clock.observe(5000, start);
+    EXPECT_EQ(clock.age(4800, start), 200ms);
+    EXPECT_EQ(clock.age(4800, start + 1s), 1200ms);
+}
+
 // Guards against starting a task elsewhere while its lease is still valid on a worker with a slow clock.
 RC_GTEST_PROP(LeaseClockProperty, NoLeaseOutlivesItsLatestExpiry, ())
 {
--- a/src/crocuscove/jobs/scheduler_test.cpp
+++ b/src/crocuscove/jobs/scheduler_test.cpp
@@ -47,6 +47,26 @@
     std::string m_slow;
 };
 
+// Guards against a plan that counts a worker over its capacity as the fullest one with room, and against tasks that
+// wait although another worker has room.
+TEST_F(SchedulerTest, AWorkerOverItsCapacityIsLeftOut)
+{
+    m_state.apply(accept(1, { step(3) }));
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        m_state.apply(assign({ 1, 0, 0, index }, 1, m_state.findWorker("w1")->number));
+    }
+    WorkerReport shrunk = report("w1", 1, 2);
+    shrunk.capacity.cpuMilli = 1000;
+    m_state.apply(RecordWorker { shrunk });
+    StepSpec leftover = step(2);
+    leftover.usesLeftover = true;
+    m_state.apply(accept(2, { step(8) }));
+    m_state.apply(accept(3, { leftover }));
+    const auto chosen = plan();
+    EXPECT_EQ(chosen.size(), 10U);
+    EXPECT_FALSE(workersOf(chosen).contains(m_state.findWorker("w1")->number));
+}
+
 // Guards against a plan that exceeds the capacity of a worker.
 TEST_F(SchedulerTest, WorkersAreFilledToTheirCapacityOnly)
 {
--- /dev/null
+++ b/tests/integration/platform_worker_test.cpp
@@ -0,0 +1,108 @@
+// Workers that change, leave and come back while they run tasks, with real processes.
+
+#include "integration/platform_fixture.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace crocuscove::testing {
+namespace {
+
+class PlatformWorkerTest : public PlatformTest {
+protected:
+    static std::string job(std::int64_t runMs, int tasks)
+    {
+        return fmt::format(
+            R"({{"spec":"{}","steps":[{{"count":{},"cpu":1000,"memMb":64,"estRuntimeMs":{},"longRunning":{}}}]}})",
+            runMs, tasks, std::max<std::int64_t>(1, runMs), runMs == 0);
+    }
+
+    void setCapacity(const std::string& worker, std::int64_t cpu) const
+    {
+        const auto result = Cluster::request(
+            loopback(m_workerPorts.at(worker)), "POST", "/standin/capacity", fmt::format(R"({{"cpu":{}}})", cpu));
+        ASSERT_TRUE(result.response && result.response->status == 200);
+    }
+
+    [[nodiscard]] std::size_t events(const std::string& event) const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(records(), [&](const nlohmann::json& line) { return line.at("event") == event; }));
+    }
+
+    [[nodiscard]] std::size_t running(const std::string& worker) const
+    {
+        const auto lines = readJsonLines(cluster.path(worker + ".records"));
+        const auto count = [&](std::string_view event) {
+            return std::ranges::count_if(lines, [&](const nlohmann::json& line) { return line.at("event") == event; });
+        };
+        return static_cast<std::size_t>(count("start") - count("end"));
+    }
+
+    [[nodiscard]] std::size_t logged(int node, std::string_view event, const std::string& worker)
+    {
+        const auto lines = cluster.process(controlName(node)).outputLines();
+        return static_cast<std::size_t>(std::ranges::count_if(lines, [&](const nlohmann::json& line) {
+            return line.value("event", "") == event && line.value("worker", "") == worker;
+        }));
+    }
+
+    /// Sends a report of a worker that nothing else stands for, and returns the status of the answer.
+    [[nodiscard]] int report(int node, int sequence, std::int64_t cpu, std::int64_t incarnation = 1) const
+    {
+        const std::string body
+            = fmt::format(R"({{"service":"pool","address":"127.0.0.1:9","zone":"z","state":"ready","seq":{},"born":{},)"
+                          R"("clockMs":1000,"capacity":{{"cpu":{},"memMb":64}},"labels":["a"]}})",
+                sequence, incarnation, cpu);
+        const auto result = Cluster::request(control(node), "PUT", "/api/instances/w9", body);
+        return result.response ? result.response->status : 0;
+    }
+};
+
+// Guards against starts that bring a worker over a capacity that has shrunk since it registered, and against a capacity
+// that has grown again and isn't used.
+TEST_F(PlatformWorkerTest, AShrunkWorkerGetsNoStartOverItsCapacityUntilItGrows)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { flag("cpu", 4000), flag("task-cpu", 1000) });
+    submit("00000000000000bb", job(0, 1));
+    ASSERT_TRUE(waitUntil([&] { return running("w1") == 1; }));
+    setCapacity("w1", 2000);
+    ASSERT_TRUE(waitUntil([&] { return events("capacity-counts") == 1; }));
+    submit("00000000000000aa", job(200, 6));
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; }));
+    EXPECT_EQ(events("over-capacity"), 0U);
+    setCapacity("w1", 4000);
+    submit("00000000000000cc", job(0, 3));
+    EXPECT_TRUE(waitUntil([&] { return running("w1") == 4; }));
+    EXPECT_EQ(events("over-capacity"), 0U);
+    expectNoTaskTwice();
+}
+
+// Guards against a node that doesn't lead and answers a report of another capacity as if it changed nothing, and
+// against an entry of the log for each report of a capacity that goes up and down.
+TEST_F(PlatformWorkerTest, ReportsOfAnotherCapacityReachTheLeaderWhichBoundsWhatItRecords)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    const int other = first % 3 + 1;
+    EXPECT_EQ(report(first, 1, 4000), 200);
+    EXPECT_TRUE(waitUntil([&] { return report(other, 1, 4000) == 200; }));
+    EXPECT_EQ(report(other, 2, 3000), 307);
+    int sequence = 2;
+    for (int round = 0; round < 20; ++round) {
+        EXPECT_EQ(report(first, ++sequence, 3000), 200);
+        EXPECT_EQ(report(first, ++sequence, 4000), 200);
+    }
+    EXPECT_TRUE(waitUntil([&] { return logged(first, "worker_growth_held", "w9") == 20; }));
+    EXPECT_EQ(logged(first, "worker_report", "w9"), 2U)
+        << "registered and shrunk; nothing shows that the growth is new";
+}
+
+} // namespace
+} // namespace crocuscove::testing
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -9,6 +9,8 @@
 
 constexpr base::Milliseconds leaseCheckInterval { 50 };
 constexpr base::Milliseconds reportTimeout { 1'000 };
+/// Starts that were on their way when a smaller capacity was noted arrive within this time.
+constexpr base::Milliseconds capacityGrace { 300 };
 
 http::HttpServerOptions serverOptions(const base::Endpoint& listen)
 {
@@ -32,6 +34,7 @@
     , m_records(m_options.recordsFile)
     , m_startedAt(base::monotonicNow())
     , m_born(base::wallNow().time_since_epoch().count())
+    , m_countedCpu(m_options.cpu)
     , m_client(loop, http::HttpClientOptions {})
     , m_server(loop, serverOptions(m_options.listen),
           [this](const http::HttpRequest& request, const http::Responder& responder) { handle(request, responder); })
@@ -79,6 +82,11 @@
         restart(nlohmann::json::parse(request.body), responder);
         return;
     }
+    if (request.path == "/standin/capacity") {
+        setCpu(nlohmann::json::parse(request.body).at("cpu").get<std::int64_t>());
+        respond(responder, 200, nlohmann::json::object());
+        return;
+    }
     if (request.headers.get("Expect-Instance") != m_options.id) {
         respond(responder, 421, nlohmann::json::object());
         return;
@@ -117,6 +125,14 @@
         leaveOpen(responder);
         return;
     }
+    if (m_options.shrinksOnStart >= 0) {
+        setCpu(std::exchange(m_options.shrinksOnStart, -1));
+        m_unansweredTask = task;
+    }
+    if (task == m_unansweredTask && m_options.cpu < m_countedCpu) {
+        leaveOpen(responder);
+        return;
+    }
     const auto running = m_running.find(task);
     if (running != m_running.end() && running->second.number == run) {
         respond(responder, 200, nlohmann::json::object());
@@ -139,6 +155,7 @@
         entry.end = m_loop.runAt(base::monotonicNow() + base::Milliseconds(runMs), [this, task] { end(task, "done"); });
     }
     record("start", task, run, body.value("checkpoint", ""));
+    checkCapacity(task, run);
     if (m_options.unansweredStarts > 0) {
         --m_options.unansweredStarts;
         leaveOpen(responder);
@@ -200,6 +217,32 @@
     respond(responder, 200, nlohmann::json::object());
 }
 
+void StandinExecutor::setCpu(std::int64_t cpu)
+{
+    m_options.cpu = cpu;
+    m_countedCpu = std::max(m_countedCpu, cpu);
+    m_countTimer.reset();
+}
+
+void StandinExecutor::noteReported(std::int64_t cpu)
+{
+    if (cpu != m_options.cpu || cpu >= m_countedCpu || m_countTimer) {
+        return;
+    }
+    m_countTimer = m_loop.runAt(base::monotonicNow() + capacityGrace, [this, cpu] {
+        m_countedCpu = cpu;
+        record("capacity-counts", "", 0, std::to_string(cpu));
+    });
+}
+
+void StandinExecutor::checkCapacity(const std::string& task, std::uint32_t run)
+{
+    const std::int64_t used = static_cast<std::int64_t>(m_running.size()) * m_options.taskCpu;
+    if (used > m_countedCpu) {
+        record("over-capacity", task, run, std::to_string(used));
+    }
+}
+
 void StandinExecutor::hold(const nlohmann::json& body, const http::Responder& responder)
 {
     extendLease(body);
@@ -254,8 +297,12 @@
     request.body = body.dump();
     // A node that doesn't lead sends on to the leader, which is among the nodes that are asked in turn.
     m_client.call(control, request, base::monotonicNow() + reportTimeout,
-        [this, isDraining = m_isDraining](const http::ExchangeResult& result) {
-            if (isDraining && result.response && result.response->status == 200) {
+        [this, isDraining = m_isDraining, cpu = m_options.cpu](const http::ExchangeResult& result) {
+            if (!result.response || result.response->status != 200) {
+                return;
+            }
+            noteReported(cpu);
+            if (isDraining) {
                 record("draining-noted", "", 0, "");
             }
         });
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,11 +27,16 @@
     std::vector<base::Endpoint> controls;
     std::int64_t cpu = 8000;
     std::int64_t memMb = 8192;
+    /// Processor time that each task uses, in thousandths of a core; starts that exceed the capacity are recorded.
+    std::int64_t taskCpu = 0;
     std::int64_t reportIntervalMs = 300;
     /// The first starts that are carried out but not answered.
     std::int64_t unansweredStarts = 0;
     /// The first start is neither carried out nor answered, and from then on the worker reports that it drains.
     bool drainsOnStart = false;
+    /// With the first start the capacity shrinks to this, in thousandths of a core; -1 for a worker that doesn't
+    /// shrink. Until the smaller capacity counts, that start is neither carried out nor answered.
+    std::int64_t shrinksOnStart = -1;
     /// File that gets a JSON line for each start, end and refusal.
     std::string recordsFile;
 };
@@ -59,6 +65,10 @@
     void hold(const nlohmann::json& body, const http::Responder& responder);
     /// Ends everything and goes on as another worker, as after the maintenance of a VM.
     void restart(const nlohmann::json& body, const http::Responder& responder);
+    void setCpu(std::int64_t cpu);
+    /// A smaller capacity counts for starts once the report of it was answered, and a larger one at once.
+    void noteReported(std::int64_t cpu);
+    void checkCapacity(const std::string& task, std::uint32_t run);
     void answerHold();
     void end(const std::string& task, std::string how);
     void extendLease(const nlohmann::json& body);
@@ -83,6 +93,10 @@
     std::uint64_t m_lastEndBeforeLapse = 0;
     std::uint64_t m_sequence = 0;
     bool m_isDraining = false;
+    /// Capacity by which starts are judged.
+    std::int64_t m_countedCpu;
+    std::optional<http::Timer> m_countTimer;
+    std::string m_unansweredTask;
     std::size_t m_nextControl = 0;
     std::map<std::string, Run> m_running;
     /// The highest run of each task that ended or was stopped here.
