Settle starts that no longer fit a worker that has shrunk

Callers saw: a start that got no answer was sent again after the worker had reported less capacity than the task needs, which brings the worker over its capacity. The same held for tasks that were assigned and not yet sent.

Cause: the session sent whatever the state assigns; only new assignments are checked against the capacity.

Change: while more is assigned than fits, planStarts (pure) tells which starts still fit. What runs goes on and counts first, then members of gangs, then tasks of older jobs. What is being stopped counts until its end is listed, so that a start that fits only afterwards waits. The others are settled by a confirmed stop and placed elsewhere, as on a draining worker; a stop without an answer is repeated, also when the capacity has grown meanwhile. Nothing is computed for workers whose assigned tasks fit.

Conclusion: no start is sent over a recorded capacity.

--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -6,6 +6,7 @@
 #include "worker_timing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocuscove::control {
 
@@ -28,31 +29,66 @@
         return;
     }
     m_hasPaceableTask = false;
+    const auto plan = planOverCapacity();
     for (const jobs::TaskKey& key : assigned) {
         const jobs::Job& job = *m_state.findJob(key.job);
         const auto [order, isNew]
             = m_orders.try_emplace(key, Order { job.find(key)->run, OrderPhase::Unsent, {}, {}, false, false });
         m_hasPaceableTask = m_hasPaceableTask || job.spec.steps[key.step].usesLeftover;
-        updateOrder(key, job, order->second);
+        updateOrder(key, job, order->second, plan);
     }
     armRetry();
 }
 
-void WorkerSession::updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order)
+jobs::ClaimPhase WorkerSession::claimPhase(const jobs::TaskKey& key, std::uint32_t run) const
+{
+    const auto order = m_orders.find(key);
+    if (order != m_orders.end() && (order->second.wasToldToStop || order->second.phase == OrderPhase::Settled)) {
+        return jobs::ClaimPhase::Stopping;
+    }
+    const bool isUnsent = order == m_orders.end() || order->second.phase == OrderPhase::Unsent;
+    const bool isListed = std::ranges::any_of(
+        m_running, [&](const platform::RunningTask& task) { return task.task == key && task.run == run; });
+    return isUnsent && !isListed ? jobs::ClaimPhase::Unsent : jobs::ClaimPhase::Running;
+}
+
+std::optional<jobs::StartPlan> WorkerSession::planOverCapacity() const
+{
+    const jobs::Worker* current = worker();
+    if (current == nullptr || current->reserved.fitsInto(current->report.capacity)) {
+        return std::nullopt;
+    }
+    std::vector<jobs::CapacityClaim> claims;
+    for (const jobs::TaskKey& key : m_state.tasksOf(m_number)) {
+        const jobs::Job& job = *m_state.findJob(key.job);
+        const jobs::StepSpec& step = job.spec.steps[key.step];
+        claims.push_back({ key, step.reservation(), claimPhase(key, job.find(key)->run), step.isGang, job.acceptedMs });
+    }
+    return jobs::planStarts(current->report.capacity, std::move(claims));
+}
+
+void WorkerSession::updateOrder(
+    const jobs::TaskKey& key, const jobs::Job& job, Order& order, const std::optional<jobs::StartPlan>& plan)
 {
     const jobs::Worker* current = worker();
     const auto now = base::monotonicNow();
     if (order.sendAgainAt > now) {
         return;
     }
-    if (order.phase == OrderPhase::Unsent && job.isActive() && current->report.isDraining) {
+    const bool isUnsent = order.phase == OrderPhase::Unsent && job.isActive();
+    if (isUnsent && current->report.isDraining) {
         // An order that was sent before, also by an earlier leader, may be carried out late; a confirmed stop prevents
         // that, and the task starts elsewhere.
         stopOrder(key, order, "worker-draining");
         return;
     }
-    if (order.phase == OrderPhase::Unsent && job.isActive()) {
-        if (m_startsInFlight < maxStartsInFlight && m_health.unanswered == 0 && m_hooks.mayOrder()) {
+    if (isUnsent && (order.wasToldToStop || (plan && plan->stop.contains(key)))) {
+        stopOrder(key, order, "capacity-shrunk");
+        return;
+    }
+    if (isUnsent) {
+        const bool fits = !plan || plan->send.contains(key);
+        if (fits && m_startsInFlight < maxStartsInFlight && m_health.unanswered == 0 && m_hooks.mayOrder()) {
             start(key, order);
         }
         return;
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -7,6 +7,7 @@
 #include "crocuscove/http/http_client.h"
 #include "crocuscove/jobs/fleet_state.h"
 #include "crocuscove/jobs/lease_clock.h"
+#include "crocuscove/jobs/start_plan.h"
 #include "platform/worker_codec.h"
 
 #include <cstdint>
@@ -103,7 +104,11 @@
     void onSilence();
     void remove(std::string_view reason);
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
-    void updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order);
+    [[nodiscard]] jobs::ClaimPhase claimPhase(const jobs::TaskKey& key, std::uint32_t run) const;
+    /// Returns the starts that still fit, if what is assigned exceeds the worker's capacity.
+    [[nodiscard]] std::optional<jobs::StartPlan> planOverCapacity() const;
+    void updateOrder(
+        const jobs::TaskKey& key, const jobs::Job& job, Order& order, const std::optional<jobs::StartPlan>& plan);
     void start(const jobs::TaskKey& key, Order& order);
     void onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result);
     void stopOrder(const jobs::TaskKey& key, Order& order, std::string_view reason);
--- a/tests/integration/platform_worker_test.cpp
+++ b/tests/integration/platform_worker_test.cpp
@@ -84,6 +84,19 @@
     expectNoTaskTwice();
 }
 
+// Guards against a start that is sent again to a worker whose capacity has shrunk since the first one got no answer.
+TEST_F(PlatformWorkerTest, AnUnansweredStartOverAShrunkCapacityRunsElsewhere)
+{
+    ASSERT_EQ(putConfiguration(waitForLeader()), 200);
+    startWorker("w1", { flag("cpu", 4000), flag("task-cpu", 1000), flag("shrinks-on-start", 500) });
+    submit("00000000000000aa", job(100, 3));
+    ASSERT_TRUE(waitUntil([&] { return events("capacity-counts") == 1; }));
+    startWorker("w2");
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; }));
+    EXPECT_EQ(events("over-capacity"), 0U);
+    expectNoTaskTwice();
+}
+
 // Guards against a node that doesn't lead and answers a report of another capacity as if it changed nothing, and
 // against an entry of the log for each report of a capacity that goes up and down.
 TEST_F(PlatformWorkerTest, ReportsOfAnotherCapacityReachTheLeaderWhichBoundsWhatItRecords)
