Remove a worker that says it leaves only once it no longer answers

Callers saw: a DELETE that an earlier incarnation had sent, delayed or repeated, removed the later incarnation under the same id 500 ms after; its running tasks were started elsewhere while they ran on (TWICE), and until then it counted as draining.

Cause: the message names no incarnation, and the removal waited for no evidence.

Change: the leader asks the worker 200 ms after the message, and again whenever it falls silent within 5 s. It is removed when its host refuses the connection, or when it has reported that it drains and doesn't answer within 300 ms. One that answers stays and is used again. A silent worker that neither drains nor is refused may only be cut off; its lease decides as before. The message is acknowledged by a confirmed leader only; nothing is committed for it, so that a stray one leaves no worker draining. ExchangeResult::wasRefused tells a refusal from an unanswered connection.

Conclusion: a DELETE alone removes no worker that answers.

--- a/include/crocuscove/http/http_client.h
+++ b/include/crocuscove/http/http_client.h
@@ -50,6 +50,8 @@
     ExchangeFailure failure = ExchangeFailure::None;
     /// False only when no byte of the request was handed to the peer.
     bool mayHaveStarted = false;
+    /// The peer's host refused the connection: no process listens at the address.
+    bool wasRefused = false;
 };
 
 /// Handle of a running call. Destroying it doesn't end the call.
--- a/src/crocuscove/control/control_api.cpp
+++ b/src/crocuscove/control/control_api.cpp
@@ -19,8 +19,6 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-/// A worker that leaves ends within this time.
-constexpr base::Milliseconds leaveDelay { 500 };
 
 http::HttpResponse response(int status, std::string body = {})
 {
@@ -35,10 +33,8 @@
 
 } // namespace
 
-ControlApi::ControlApi(
-    http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster, ControlApiHooks hooks)
-    : m_loop(loop)
-    , m_options(options)
+ControlApi::ControlApi(const ControlOptions& options, const base::Log& log, Cluster& cluster, ControlApiHooks hooks)
+    : m_options(options)
     , m_log(log)
     , m_cluster(cluster)
     , m_hooks(std::move(hooks))
@@ -220,30 +216,19 @@
     return true;
 }
 
-// The worker ends right after this call; what runs there is counted until then.
 void ControlApi::removeWorker(const std::string& id, const http::Responder& responder)
 {
     const jobs::Worker* worker = m_cluster.state().findWorker(id);
-    if (worker == nullptr) {
-        responder.respond(response(statusOk));
+    if (!m_cluster.hasLeadership(base::monotonicNow())) {
+        responder.respond(response(statusUnavailable));
         return;
     }
-    m_log.info("worker_leaves", { { "worker", id }, { "tasks", worker->assignedTasks } });
-    jobs::WorkerReport report = worker->report;
-    report.isDraining = true;
-    ++report.sequence;
-    const jobs::WorkerNumber number = worker->number;
-    m_cluster.propose(jobs::RecordWorker { std::move(report) }, [this, responder, number](ProposalOutcome outcome) {
-        const bool isApplied = outcome == ProposalOutcome::Applied;
-        responder.respond(response(isApplied ? statusOk : statusUnavailable));
-        if (isApplied) {
-            auto timer = std::make_shared<http::Timer>();
-            *timer = m_loop.runAt(base::monotonicNow() + leaveDelay, [this, number, timer] {
-                m_cluster.propose(jobs::RemoveWorker { number }, nullptr);
-                m_loop.post([timer] { timer->cancel(); });
-            });
-        }
-    });
+    if (worker != nullptr) {
+        m_log.info("worker_leaves",
+            { { "worker", id }, { "tasks", worker->assignedTasks }, { "draining", worker->report.isDraining } });
+        m_hooks.onLeave(worker->number);
+    }
+    responder.respond(response(statusOk));
 }
 
 void ControlApi::startWave(const http::HttpRequest& request, const http::Responder& responder)
--- a/src/crocuscove/control/control_api.h
+++ b/src/crocuscove/control/control_api.h
@@ -18,13 +18,14 @@
 struct ControlApiHooks {
     /// Returns how long ago the clock of a worker showed `clockMs`, or nothing if its clock isn't known.
     std::function<std::optional<base::Milliseconds>(jobs::WorkerNumber, std::int64_t clockMs)> reportAge;
+    /// Tells that a worker, or an earlier incarnation of it, says that it leaves.
+    std::function<void(jobs::WorkerNumber)> onLeave;
 };
 
 /// Answers workers and operators. Nodes that don't lead send them on to the leader.
 class ControlApi {
 public:
-    ControlApi(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster,
-        ControlApiHooks hooks);
+    ControlApi(const ControlOptions& options, const base::Log& log, Cluster& cluster, ControlApiHooks hooks);
 
     void handle(const http::HttpRequest& request, const http::Responder& responder);
 
@@ -46,7 +47,6 @@
     void getWave(const std::string& id, const http::Responder& responder);
     void commit(jobs::Command command, const http::Responder& responder, std::string body);
 
-    http::EventLoop& m_loop;
     const ControlOptions& m_options;
     const base::Log& m_log;
     Cluster& m_cluster;
--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -30,7 +30,7 @@
                   ? std::make_unique<process::MetricsServer>(loop, *options.metricsListen, m_metrics)
                   : nullptr)
         , m_cluster(loop, options, log, random, clusterHooks())
-        , m_controlApi(loop, options, log, m_cluster, controlApiHooks())
+        , m_controlApi(options, log, m_cluster, controlApiHooks())
         , m_jobApi(log, m_metrics, m_cluster)
         , m_server(loop, serverOptions(options, log),
               [this](const http::HttpRequest& request, const http::Responder& responder) {
@@ -97,6 +97,11 @@
         hooks.reportAge = [this](jobs::WorkerNumber worker, std::int64_t clockMs) {
             return m_leader ? m_leader->reportAge(worker, clockMs) : std::nullopt;
         };
+        hooks.onLeave = [this](jobs::WorkerNumber worker) {
+            if (m_leader) {
+                m_leader->checkLeave(worker);
+            }
+        };
         return hooks;
     }
 
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -185,6 +185,14 @@
     schedulePlan();
 }
 
+void Leader::checkLeave(jobs::WorkerNumber worker)
+{
+    const auto session = m_sessions.find(worker);
+    if (session != m_sessions.end()) {
+        session->second->checkLeave();
+    }
+}
+
 std::optional<base::Milliseconds> Leader::reportAge(jobs::WorkerNumber worker, std::int64_t clockMs) const
 {
     const auto session = m_sessions.find(worker);
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -31,6 +31,8 @@
     Leader& operator=(const Leader&) = delete;
 
     void onApplied(const std::vector<jobs::Command>& commands);
+    /// Handles the message that a worker, or an earlier incarnation of it, leaves.
+    void checkLeave(jobs::WorkerNumber worker);
     /// Returns how long ago the clock of a worker showed `clockMs`, or nothing if its clock isn't known.
     [[nodiscard]] std::optional<base::Milliseconds> reportAge(jobs::WorkerNumber worker, std::int64_t clockMs) const;
 
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -88,7 +88,8 @@
     }
     if (isUnsent) {
         const bool fits = !plan || plan->send.contains(key);
-        if (fits && m_startsInFlight < maxStartsInFlight && m_health.unanswered == 0 && m_hooks.mayOrder()) {
+        if (fits && !m_mayHaveLeft && m_startsInFlight < maxStartsInFlight && m_health.unanswered == 0
+            && m_hooks.mayOrder()) {
             start(key, order);
         }
         return;
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -56,7 +56,7 @@
 
 bool WorkerSession::isUsable(base::MonotonicTime now) const
 {
-    return !m_isRemoving && m_clock.isKnown() && m_answeredAt && now - *m_answeredAt < usableWindow;
+    return !m_isRemoving && !m_mayHaveLeft && m_clock.isKnown() && m_answeredAt && now - *m_answeredAt < usableWindow;
 }
 
 void WorkerSession::scheduleRenew(base::Milliseconds pause)
@@ -116,6 +116,58 @@
     }
 }
 
+void WorkerSession::checkLeave()
+{
+    const auto now = base::monotonicNow();
+    const bool isRepeated = now < m_leaveWindowEnd;
+    m_leaveWindowEnd = now + leaveWindow;
+    if (!isRepeated) {
+        m_mayHaveLeft = true;
+        m_leaveProbeAt = now + leaveProbeDelay;
+        m_leaveTimer = m_loop.runAt(m_leaveProbeAt, [this] { probeLeave(); });
+    }
+}
+
+void WorkerSession::probeLeave()
+{
+    const jobs::Worker* current = worker();
+    if (m_isProbing || m_isRemoving || current == nullptr) {
+        return;
+    }
+    m_isProbing = true;
+    // Without a deadline, so that the question extends no lease.
+    platform::RenewOrder order;
+    order.lastRecordedEnd = current->lastRecordedEnd;
+    call(platform::renewRequest(target(), order), leaveProbeTimeout,
+        [this](const http::ExchangeResult& result) { onLeaveProbed(result); });
+}
+
+// A message that a worker leaves names no incarnation. That the worker drains, or that no process listens at its
+// address, shows that the message is its own; otherwise a silent worker may only be cut off, and its lease decides.
+void WorkerSession::onLeaveProbed(const http::ExchangeResult& result)
+{
+    m_isProbing = false;
+    const jobs::Worker* current = worker();
+    if (current == nullptr || m_isRemoving) {
+        return;
+    }
+    if (!result.response) {
+        if (result.wasRefused || current->report.isDraining) {
+            remove("left");
+        }
+        return;
+    }
+    const auto answer = platform::decodeOrderAnswer(*result.response);
+    const bool isOther = answer.incarnation && m_incarnation != 0 && *answer.incarnation != m_incarnation;
+    if (isOther || answer.outcome == platform::OrderOutcome::OtherIncarnation) {
+        remove("other-incarnation");
+        return;
+    }
+    m_log.info("leave_refuted", { { "worker", m_id }, { "incarnation", m_incarnation } });
+    m_mayHaveLeft = false;
+    update();
+}
+
 // The worker's tasks may run until their lease has certainly ended; only then may they start elsewhere.
 void WorkerSession::onSilence()
 {
@@ -125,6 +177,9 @@
         remove("lease-ended");
         return;
     }
+    if (now < m_leaveWindowEnd) {
+        probeLeave();
+    }
     scheduleRenew(retryPause);
 }
 
@@ -153,6 +208,7 @@
     m_clock.observe(status.clockMs, now);
     m_answeredAt = now;
     m_health.unanswered = 0;
+    m_mayHaveLeft = m_mayHaveLeft && sentAt < m_leaveProbeAt;
     m_running = status.running;
     reconcile(status, sentAt);
     recordEnds(status);
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -51,6 +51,10 @@
     /// Gives the orders that follow from the replicated state. To be called when the worker's tasks changed.
     void update();
 
+    /// Handles the message that the worker leaves, which may be a delayed one of an earlier incarnation. The worker is
+    /// removed once it no longer answers.
+    void checkLeave();
+
     /// Tells whether the worker has answered lately, so that it may be given tasks.
     [[nodiscard]] bool isUsable(base::MonotonicTime now) const;
     [[nodiscard]] const WorkerHealth& health() const { return m_health; }
@@ -102,6 +106,8 @@
     void recordEnds(const platform::WorkerStatus& status);
     void reconcile(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
     void onSilence();
+    void probeLeave();
+    void onLeaveProbed(const http::ExchangeResult& result);
     void remove(std::string_view reason);
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
     [[nodiscard]] jobs::ClaimPhase claimPhase(const jobs::TaskKey& key, std::uint32_t run) const;
@@ -132,6 +138,13 @@
     bool m_isRenewing = false;
     bool m_isRecording = false;
     bool m_isRemoving = false;
+    /// The worker may have left; it gets no starts until it has answered what was sent after `m_leaveProbeAt`.
+    bool m_mayHaveLeft = false;
+    base::MonotonicTime m_leaveProbeAt;
+    bool m_isProbing = false;
+    /// A worker that doesn't answer until then has left.
+    base::MonotonicTime m_leaveWindowEnd;
+    http::Timer m_leaveTimer;
     std::map<jobs::TaskKey, Order> m_orders;
     bool m_hasPaceableTask = false;
     std::uint32_t m_startsInFlight = 0;
--- a/src/crocuscove/control/worker_timing.h
+++ b/src/crocuscove/control/worker_timing.h
@@ -9,6 +9,13 @@
 /// How long an answer may take beyond the wait: several round trips between data centres.
 inline constexpr base::Milliseconds answerTimeout { 700 };
 inline constexpr base::Milliseconds retryPause { 150 };
+/// Pause between a worker's message that it leaves and the question whether it still answers, in which its process
+/// ends.
+inline constexpr base::Milliseconds leaveProbeDelay { 200 };
+/// How long the answer to that question may take: several round trips between data centres.
+inline constexpr base::Milliseconds leaveProbeTimeout { 300 };
+/// For this long after the message, a worker that no longer answers has left.
+inline constexpr base::Milliseconds leaveWindow { 5'000 };
 /// Weight of one more run in the share of failed runs.
 inline constexpr double failureWeight = 0.15;
 
--- a/src/crocuscove/http/client_connection.cpp
+++ b/src/crocuscove/http/client_connection.cpp
@@ -74,14 +74,14 @@
 {
     auto* connection = static_cast<ClientConnection*>(self);
     EventLoop& loop = connection->m_loop;
-    loop.guard([connection, what] {
+    loop.guard([connection, what, error = EVUTIL_SOCKET_ERROR()] {
         if (connection->m_isStarting) {
             return; // connect() sees the failure in the result.
         }
         if ((what & BEV_EVENT_CONNECTED) != 0) {
             connection->handleConnected();
         } else {
-            connection->handleEnd();
+            connection->handleEnd((what & BEV_EVENT_ERROR) != 0 && error == ECONNREFUSED);
         }
     });
 }
@@ -150,11 +150,11 @@
     }
 }
 
-void ClientConnection::handleEnd()
+void ClientConnection::handleEnd(bool wasRefused)
 {
     switch (m_phase) {
     case Phase::Connecting:
-        return fail(ExchangeFailure::ConnectFailed);
+        return finish({ std::nullopt, ExchangeFailure::ConnectFailed, false, wasRefused });
     case Phase::Exchanging:
         return fail(m_parser->hasStarted() ? ExchangeFailure::Truncated : ExchangeFailure::Reset);
     case Phase::Idle:
--- a/src/crocuscove/http/client_connection.h
+++ b/src/crocuscove/http/client_connection.h
@@ -54,7 +54,7 @@
     void connect();
     void handleConnected();
     void handleInput();
-    void handleEnd();
+    void handleEnd(bool wasRefused);
     void sendRequest();
     void finish(ExchangeResult result);
     void lose();
--- a/src/crocuscove/http/http_client_test.cpp
+++ b/src/crocuscove/http/http_client_test.cpp
@@ -130,6 +130,7 @@
     ASSERT_TRUE(waitForResults(1));
     EXPECT_EQ(results[0].failure, ExchangeFailure::ConnectFailed);
     EXPECT_FALSE(results[0].mayHaveStarted);
+    EXPECT_TRUE(results[0].wasRefused);
 
     Call cancelled = call(after(30'000));
     cancelled.cancel();
@@ -160,6 +161,7 @@
     EXPECT_EQ(results[1].failure, ExchangeFailure::Deadline);
     EXPECT_FALSE(results[0].mayHaveStarted);
     EXPECT_FALSE(results[1].mayHaveStarted);
+    EXPECT_FALSE(results[0].wasRefused) << "a host that may be cut off";
 }
 
 // Guards against a cancelled call that keeps its connection, and a callback that runs twice.
--- a/tests/integration/platform_worker_test.cpp
+++ b/tests/integration/platform_worker_test.cpp
@@ -117,5 +117,52 @@
         << "registered and shrunk; nothing shows that the growth is new";
 }
 
+// Guards against a delayed or repeated message that an earlier incarnation leaves, which removes the later one under
+// the same id while its tasks run.
+TEST_F(PlatformWorkerTest, AWorkerThatStillAnswersIsNotRemovedByAMessageThatItLeaves)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    startWorker("w1");
+    ASSERT_TRUE(waitUntil([&] { return logged(first, "worker_reached", "w1") == 1; }));
+    cluster.process("w1").kill();
+    startWorker("w1");
+    submit("00000000000000bb", job(0, 1));
+    ASSERT_TRUE(waitUntil([&] { return running("w1") == 1; }));
+    startWorker("w2");
+    ASSERT_TRUE(waitUntil([&] { return logged(first, "worker_reached", "w2") == 1; }));
+    for (int repeat = 0; repeat < 2; ++repeat) {
+        const auto result = Cluster::request(control(first), "DELETE", "/api/instances/w1");
+        EXPECT_EQ(result.response ? result.response->status : 0, 200);
+    }
+    EXPECT_TRUE(
+        waitUntil([&] { return logged(first, "leave_refuted", "w1") >= 1 || starts("00000000000000bb.0.0.0") > 1; }));
+    setCapacity("w2", 0);
+    submit("00000000000000aa", job(50, 2));
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; })) << "the worker is used again";
+    EXPECT_EQ(starts("00000000000000bb.0.0.0"), 1U);
+    expectNoTaskTwice();
+}
+
+// Guards against tasks of a worker that has left which wait for the end of its lease.
+TEST_F(PlatformWorkerTest, TasksOfAWorkerThatHasLeftRunElsewhereBeforeItsLeaseEnds)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    startWorker("w1");
+    submit("00000000000000bb", job(0, 1));
+    ASSERT_TRUE(waitUntil([&] { return running("w1") == 1; }));
+    startWorker("w2");
+    const auto result = Cluster::request(control(first), "DELETE", "/api/instances/w1");
+    EXPECT_EQ(result.response ? result.response->status : 0, 200);
+    cluster.process("w1").kill();
+    EXPECT_TRUE(waitUntil([&] { return running("w2") == 1; }));
+    EXPECT_TRUE(waitUntil([&] { return logged(first, "worker_removed", "w1") == 1; }));
+    const auto lines = cluster.process(controlName(first)).outputLines();
+    EXPECT_TRUE(std::ranges::any_of(lines, [](const nlohmann::json& line) {
+        return line.value("event", "") == "worker_removed" && line.value("reason", "") == "left";
+    }));
+}
+
 } // namespace
 } // namespace crocuscove::testing
