Remember removed workers, so that a delayed report brings none back

Callers saw: a report that a partition had delayed until its worker was removed registered the worker again: as ready, though it had reported that it drains (DRAIN, if it was only silent and answers again), or though it had left.

Cause: the removal of a worker forgot its incarnation, its sequence and that it drained.

Change: the replicated state remembers the last 4,096 removed workers. A report of an earlier incarnation, an older one of the same, or any of a worker that has left changes nothing; a worker that was only silent comes back with its next report, still draining if it was. RemoveWorker tells whether the worker had left.

Conclusion: a removed worker comes back by a later report only, one that has left by a later incarnation only.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -36,6 +36,8 @@
 /// Removes a worker that left or whose lease has certainly expired, and makes its tasks wait for a new assignment.
 struct RemoveWorker {
     WorkerNumber worker = 0;
+    /// Its process has ended after it said that it leaves.
+    bool hasLeft = false;
 };
 
 /// Reserves capacity on a worker for one run of a task. It is committed before the worker is told to start the run.
@@ -121,7 +123,7 @@
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
 CROCUSCOVE_FIELDS(CancelAcceptedJob, v.job, v.nowMs)
 CROCUSCOVE_FIELDS(RecordWorker, v.report)
-CROCUSCOVE_FIELDS(RemoveWorker, v.worker)
+CROCUSCOVE_FIELDS(RemoveWorker, v.worker, v.hasLeft)
 CROCUSCOVE_FIELDS(Assignment, v.task, v.run, v.worker)
 CROCUSCOVE_FIELDS(AssignTasks, v.assignments)
 CROCUSCOVE_FIELDS(ReleaseTask, v.task, v.run)
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -13,6 +13,8 @@
 /// Limits that bound the size of the replicated state.
 inline constexpr std::size_t maxJobs = 200'000;
 inline constexpr std::size_t maxTasksPerJob = 20'000;
+/// Removed workers that are remembered; the one removed first is forgotten first.
+inline constexpr std::size_t maxRemovedWorkers = 4'096;
 
 /// Replicated state machine of jobs, workers, configuration and maintenance waves. It changes only by applying
 /// committed commands, and deterministically, so that all nodes reach the same state.
@@ -42,6 +44,8 @@
     [[nodiscard]] const Worker* findWorker(WorkerNumber number) const;
     /// Returns the current incarnation of a worker id, or a null pointer.
     [[nodiscard]] const Worker* findWorker(const std::string& id) const;
+    /// Tells whether a report is a delayed one of a removed worker, which changes nothing.
+    [[nodiscard]] bool isOfRemovedWorker(const WorkerReport& report) const;
     /// Counts the accepted jobs of a queue that have no due time and no started task.
     [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const;
 
@@ -64,6 +68,7 @@
     void applyCommand(const RecordNode& command);
     void applyCommand(const RecordVmOrder& command);
 
+    void rememberRemoved(const Worker& worker, bool hasLeft);
     void forgetAddress(const Worker& worker);
     [[nodiscard]] bool canAssign(const Assignment& assignment) const;
     void assign(const Assignment& assignment);
@@ -88,11 +93,16 @@
     std::map<std::string, Queue> m_queues;
     std::map<std::string, std::string> m_vmOrderHolders;
     WorkerNumber m_lastWorker = 0;
+    /// By worker id.
+    std::map<std::string, RemovedWorker> m_removedWorkers;
+    std::uint64_t m_lastRemoval = 0;
     // Indexes derived from the members above; not part of a snapshot.
     std::map<std::string, WorkerNumber> m_workerById;
     std::map<std::string, std::set<JobId>> m_activeJobs;
     std::map<std::string, std::set<JobId>> m_readyJobs;
     std::map<WorkerNumber, std::set<TaskKey>> m_tasksByWorker;
+    /// Ids by RemovedWorker::order.
+    std::map<std::uint64_t, std::string> m_removalOrder;
     std::map<std::string, WorkerNumber> m_workerByAddress;
 };
 
--- a/include/crocuscove/jobs/worker.h
+++ b/include/crocuscove/jobs/worker.h
@@ -46,6 +46,20 @@
     [[nodiscard]] bool hasLabel(const std::string& label) const;
 };
 
+/// What is remembered of a worker that was removed, so that a delayed report doesn't bring it back.
+struct RemovedWorker {
+    std::int64_t incarnation = 0;
+    /// Sequence of its last recorded report.
+    std::uint64_t sequence = 0;
+    bool wasDraining = false;
+    /// It had left, so that it can't come back; otherwise it may only have been silent.
+    bool hasLeft = false;
+    /// Increases with each removal.
+    std::uint64_t order = 0;
+};
+
+CROCUSCOVE_FIELDS(RemovedWorker, v.incarnation, v.sequence, v.wasDraining, v.hasLeft, v.order)
+
 CROCUSCOVE_FIELDS(Worker, v.number, v.report, v.reserved, v.assignedTasks, v.lastRecordedEnd)
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/control/control_api.cpp
+++ b/src/crocuscove/control/control_api.cpp
@@ -146,6 +146,13 @@
         responder.respond(response(state.configuration().version == 0 ? statusUnavailable : statusOk));
         return;
     }
+    if (state.isOfRemovedWorker(report)) {
+        m_log.info("worker_report_outdated",
+            { { "worker", id }, { "incarnation", report.incarnation }, { "sequence", report.sequence } });
+        const bool isLeader = m_cluster.hasLeadership(base::monotonicNow());
+        responder.respond(isLeader ? response(statusOk, body) : response(statusUnavailable));
+        return;
+    }
     const jobs::Worker* known = state.findWorker(id);
     if (known != nullptr) {
         report = limitGrowth(*known, std::move(report), request.body);
--- a/src/crocuscove/control/pool_mover.cpp
+++ b/src/crocuscove/control/pool_mover.cpp
@@ -167,7 +167,7 @@
         // The platform ends all that runs on the VM before it confirms.
         const jobs::Worker* worker = m_cluster.state().findWorker(move.workerId);
         if (worker != nullptr) {
-            m_cluster.propose(jobs::RemoveWorker { worker->number }, nullptr);
+            m_cluster.propose(jobs::RemoveWorker { worker->number, false }, nullptr);
         }
         return;
     }
--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -60,7 +60,7 @@
             = vm != m_directory.vms().end() && vm->second.isUp && vm->second.workerId == drain.workerId;
         const jobs::Worker* worker = m_cluster.state().findWorker(drain.workerId);
         if (worker != nullptr && !isSameWorker) {
-            m_cluster.propose(jobs::RemoveWorker { worker->number }, nullptr);
+            m_cluster.propose(jobs::RemoveWorker { worker->number, false }, nullptr);
         }
         return isBack;
     });
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -153,7 +153,7 @@
     }
     if (!result.response) {
         if (result.wasRefused || current->report.isDraining) {
-            remove("left");
+            remove("left", true);
         }
         return;
     }
@@ -183,13 +183,13 @@
     scheduleRenew(retryPause);
 }
 
-void WorkerSession::remove(std::string_view reason)
+void WorkerSession::remove(std::string_view reason, bool hasLeft)
 {
     m_isRemoving = true;
     m_log.warning("worker_removed",
         { { "worker", m_id }, { "incarnation", m_incarnation }, { "reason", reason },
             { "tasks", m_state.tasksOf(m_number).size() } });
-    m_hooks.propose(jobs::RemoveWorker { m_number }, [this, alive = m_isAlive](bool isApplied) {
+    m_hooks.propose(jobs::RemoveWorker { m_number, hasLeft }, [this, alive = m_isAlive](bool isApplied) {
         if (*alive && !isApplied) {
             m_isRemoving = false;
             scheduleRenew(retryPause);
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -108,7 +108,7 @@
     void onSilence();
     void probeLeave();
     void onLeaveProbed(const http::ExchangeResult& result);
-    void remove(std::string_view reason);
+    void remove(std::string_view reason, bool hasLeft = false);
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
     [[nodiscard]] jobs::ClaimPhase claimPhase(const jobs::TaskKey& key, std::uint32_t run) const;
     /// Returns the starts that still fit, if what is assigned exceeds the worker's capacity.
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -11,7 +11,7 @@
 
 using SnapshotFields = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerNumber, Worker>,
     std::map<std::uint64_t, Wave>, std::map<std::string, std::string>, std::map<std::string, Queue>,
-    std::map<std::string, std::string>, WorkerNumber>;
+    std::map<std::string, std::string>, WorkerNumber, std::map<std::string, RemovedWorker>, std::uint64_t>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -114,6 +114,9 @@
 void FleetState::applyCommand(const RecordWorker& command)
 {
     const WorkerReport& report = command.report;
+    if (isOfRemovedWorker(report)) {
+        return;
+    }
     const auto sameAddress = m_workerByAddress.find(report.address);
     const Worker* other = sameAddress == m_workerByAddress.end() ? nullptr : findWorker(sameAddress->second);
     if (other != nullptr && other->report.id != report.id) {
@@ -143,6 +146,13 @@
     Worker worker;
     worker.number = ++m_lastWorker;
     worker.report = report;
+    const auto removed = m_removedWorkers.find(report.id);
+    if (removed != m_removedWorkers.end()) {
+        const bool isSame = removed->second.incarnation == report.incarnation;
+        worker.report.isDraining = report.isDraining || (isSame && removed->second.wasDraining);
+        m_removalOrder.erase(removed->second.order);
+        m_removedWorkers.erase(removed);
+    }
     m_workerById[report.id] = worker.number;
     m_workerByAddress[report.address] = worker.number;
     m_workers.emplace(worker.number, std::move(worker));
@@ -166,10 +176,39 @@
     std::ranges::for_each(tasks, [this](const TaskKey& key) { unassign(key); });
     m_tasksByWorker.erase(command.worker);
     forgetAddress(worker->second);
+    rememberRemoved(worker->second, command.hasLeft);
     m_workerById.erase(worker->second.report.id);
     m_workers.erase(worker);
 }
 
+// A worker that doesn't tell its incarnation can't be told from a later one.
+void FleetState::rememberRemoved(const Worker& worker, bool hasLeft)
+{
+    const WorkerReport& report = worker.report;
+    if (report.incarnation == 0) {
+        return;
+    }
+    const RemovedWorker entry { report.incarnation, report.sequence, report.isDraining, hasLeft, ++m_lastRemoval };
+    m_removedWorkers[report.id] = entry;
+    m_removalOrder[entry.order] = report.id;
+    if (m_removedWorkers.size() > maxRemovedWorkers) {
+        m_removedWorkers.erase(m_removalOrder.begin()->second);
+        m_removalOrder.erase(m_removalOrder.begin());
+    }
+}
+
+bool FleetState::isOfRemovedWorker(const WorkerReport& report) const
+{
+    const auto removed = m_removedWorkers.find(report.id);
+    if (removed == m_removedWorkers.end() || m_workerById.contains(report.id)) {
+        return false;
+    }
+    const RemovedWorker& known = removed->second;
+    // The report that was recorded last may have been sent again.
+    const bool isOlder = known.hasLeft || report.sequence < known.sequence;
+    return report.incarnation < known.incarnation || (report.incarnation == known.incarnation && isOlder);
+}
+
 bool FleetState::canAssign(const Assignment& assignment) const
 {
     const Job* job = findJob(assignment.task.job);
@@ -395,6 +434,7 @@
 {
     m_workerById.clear();
     m_workerByAddress.clear();
+    m_removalOrder.clear();
     m_activeJobs.clear();
     m_readyJobs.clear();
     m_tasksByWorker.clear();
@@ -402,6 +442,9 @@
         m_workerById[worker.report.id] = number;
         m_workerByAddress[worker.report.address] = number;
     }
+    for (const auto& [id, removed] : m_removedWorkers) {
+        m_removalOrder[removed.order] = id;
+    }
     for (auto& [id, job] : m_jobs) {
         job.hasReadyTask = false;
         updateReady(job);
@@ -423,13 +466,14 @@
 
 std::string FleetState::encodeSnapshot() const
 {
-    return base::encode(
-        std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker));
+    return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
+        m_lastWorker, m_removedWorkers, m_lastRemoval));
 }
 
 void FleetState::restoreSnapshot(std::string_view bytes)
 {
-    std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker)
+    std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
+        m_removedWorkers, m_lastRemoval)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
 }
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -162,6 +162,52 @@
     EXPECT_EQ(task({ 1, 0, 0, 0 }).phase, TaskPhase::Waiting);
 }
 
+// Guards against a delayed report that brings a worker back which was removed, or makes it ready after it has drained.
+TEST_F(FleetStateTest, ADelayedReportBringsNoRemovedWorkerBack)
+{
+    WorkerReport draining = report("w1", 2, 5);
+    draining.isDraining = true;
+    m_state.apply(RecordWorker { draining });
+    m_state.apply(RemoveWorker { m_state.findWorker("w1")->number });
+    m_state.apply(RecordWorker { report("w1", 2, 4) });
+    EXPECT_EQ(m_state.findWorker("w1"), nullptr) << "an older report";
+    m_state.apply(RecordWorker { report("w1", 1, 9) });
+    EXPECT_EQ(m_state.findWorker("w1"), nullptr) << "an earlier incarnation";
+    m_state.apply(RecordWorker { report("w1", 2, 6) });
+    ASSERT_NE(m_state.findWorker("w1"), nullptr) << "it was only silent";
+    EXPECT_TRUE(m_state.findWorker("w1")->report.isDraining);
+}
+
+// Guards against a worker that has left and comes back with a report that was sent before, also after a restart, and
+// against a later incarnation that is refused.
+TEST_F(FleetStateTest, AWorkerThatHasLeftStaysAwayUntilItStartsAgain)
+{
+    m_state.apply(RecordWorker { report("w1", 2) });
+    m_state.apply(RemoveWorker { m_state.findWorker("w1")->number, true });
+    FleetState restarted;
+    restarted.restoreSnapshot(m_state.encodeSnapshot());
+    for (FleetState* state : { &m_state, &restarted }) {
+        state->apply(RecordWorker { report("w1", 2, 9) });
+        EXPECT_EQ(state->findWorker("w1"), nullptr);
+        state->apply(RecordWorker { report("w1", 3) });
+        EXPECT_NE(state->findWorker("w1"), nullptr);
+    }
+}
+
+// Guards against a memory of removed workers that grows without a bound, and forgets the latest.
+TEST_F(FleetStateTest, TheWorkersThatWereRemovedFirstAreForgottenFirst)
+{
+    for (std::size_t index = 0; index <= maxRemovedWorkers; ++index) {
+        WorkerReport gone = report("x" + std::to_string(index));
+        gone.address = "10.0.0.1:" + std::to_string(index + 1);
+        m_state.apply(RecordWorker { gone });
+        m_state.apply(RemoveWorker { m_state.findWorker(gone.id)->number, true });
+    }
+    EXPECT_FALSE(m_state.isOfRemovedWorker(report("x0")));
+    EXPECT_TRUE(m_state.isOfRemovedWorker(report("x1")));
+    EXPECT_TRUE(m_state.isOfRemovedWorker(report("x" + std::to_string(maxRemovedWorkers))));
+}
+
 // Guards against two workers with the same address; the earlier one cannot be running any more.
 TEST_F(FleetStateTest, ALaterWorkerAtAnAddressReplacesTheEarlierOne)
 {
--- a/tests/integration/platform_worker_test.cpp
+++ b/tests/integration/platform_worker_test.cpp
@@ -164,5 +164,29 @@
     }));
 }
 
+// Guards against a report that was delayed until its worker had left, and against a leader that doesn't know that it
+// left.
+TEST_F(PlatformWorkerTest, ADelayedReportOfAWorkerThatHasLeftChangesNothing)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    ASSERT_EQ(report(first, 1, 4000), 200);
+    ASSERT_TRUE(waitUntil([&] { return report(first % 3 + 1, 1, 4000) == 200; })) << "known everywhere";
+    const auto result = Cluster::request(control(first), "DELETE", "/api/instances/w9");
+    ASSERT_EQ(result.response ? result.response->status : 0, 200);
+    ASSERT_TRUE(waitUntil([&] { return logged(first, "worker_removed", "w9") == 1; }));
+    ASSERT_TRUE(waitUntil([&] { return report(first % 3 + 1, 1, 4000) == 307; })) << "unknown everywhere";
+    EXPECT_EQ(report(first, 7, 4000), 200);
+    EXPECT_EQ(logged(first, "worker_report", "w9"), 1U);
+    cluster.process(controlName(first)).kill();
+    const int second = waitForLeader(first);
+    ASSERT_NE(second, 0);
+    EXPECT_TRUE(waitUntil([&] { return report(second, 8, 4000) == 200; }));
+    EXPECT_TRUE(waitUntil([&] { return logged(second, "worker_report_outdated", "w9") == 1; }));
+    EXPECT_EQ(logged(second, "worker_report", "w9"), 0U);
+    EXPECT_EQ(report(second, 1, 4000, 2), 200);
+    EXPECT_TRUE(waitUntil([&] { return logged(second, "worker_report", "w9") == 1; })) << "a later incarnation";
+}
+
 } // namespace
 } // namespace crocuscove::testing
