--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -136,9 +136,14 @@
     std::int64_t nowMs = 0;
 };
 
-using Command
-    = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks, ReleaseTask,
-        RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash, CancelJob>;
+/// Removes a worker whose process has ended after it said that it leaves, so that it can't come back.
+struct RemoveLeftWorker {
+    WorkerNumber worker = 0;
+};
+
+using Command = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks,
+    ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash,
+    CancelJob, RemoveLeftWorker>;
 
 CROCUSCOVE_FIELDS(PutConfiguration, v.configuration)
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
@@ -155,6 +160,7 @@
 CROCUSCOVE_FIELDS(RecordWaveStep, v.wave, v.vm, v.phase)
 CROCUSCOVE_FIELDS(RecordNode, v.node, v.address)
 CROCUSCOVE_FIELDS(RecordVmOrder, v.vm, v.holder)
+CROCUSCOVE_FIELDS(RemoveLeftWorker, v.worker)
 CROCUSCOVE_FIELDS(CancelJob, v.job, v.nowMs)
 CROCUSCOVE_FIELDS(RecordCrash, v.worker, v.incarnation, v.runs, v.isConfirmed, v.nowMs)
 
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -15,6 +15,8 @@
 inline constexpr std::size_t maxTasksPerJob = 20'000;
 /// Cancelled jobs that have not been accepted yet; beyond that the oldest is forgotten.
 inline constexpr std::size_t maxEarlyCancels = 10'000;
+/// Removed workers that are remembered; the one removed first is forgotten first.
+inline constexpr std::size_t maxRemovedWorkers = 4'096;
 
 /// Replicated state machine of jobs, workers, configuration and maintenance waves. It changes only by applying
 /// committed commands, and deterministically, so that all nodes reach the same state.
@@ -58,6 +60,8 @@
     [[nodiscard]] const Worker* findWorker(const std::string& id) const;
     /// Returns the worker at an address, or a null pointer.
     [[nodiscard]] const Worker* findWorkerAt(const std::string& address) const;
+    /// Tells whether a report is a delayed one of a removed worker, which changes nothing.
+    [[nodiscard]] bool isOfRemovedWorker(const WorkerReport& report) const;
     /// Counts the accepted jobs of a queue that have no due time and no started task.
     [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const;
 
@@ -81,7 +85,11 @@
     void applyCommand(const RecordVmOrder& command);
     void applyCommand(const RecordCrash& command);
     void applyCommand(const CancelJob& command);
+    void applyCommand(const RemoveLeftWorker& command);
 
+    void removeWorker(WorkerNumber number, bool hasLeft);
+
+    void rememberRemoved(const Worker& worker, bool hasLeft);
     void forgetAddress(const Worker& worker);
     [[nodiscard]] bool canAssign(const Assignment& assignment) const;
     void assign(const Assignment& assignment);
@@ -115,11 +123,16 @@
     std::map<JobId, std::int64_t> m_earlyCancels;
     std::map<TaskKey, TaskCrashes> m_crashes;
     std::map<std::string, UnconfirmedCrash> m_unconfirmedCrashes;
+    /// By worker id.
+    std::map<std::string, RemovedWorker> m_removedWorkers;
+    std::uint64_t m_lastRemoval = 0;
     // Indexes derived from the members above; not part of a snapshot.
     std::map<std::string, WorkerNumber> m_workerById;
     std::map<std::string, std::set<JobId>> m_activeJobs;
     std::map<std::string, std::set<JobId>> m_readyJobs;
     std::map<WorkerNumber, std::set<TaskKey>> m_tasksByWorker;
+    /// Ids by RemovedWorker::order.
+    std::map<std::uint64_t, std::string> m_removalOrder;
     std::map<std::string, WorkerNumber> m_workerByAddress;
 };
 
--- a/src/crocuscove/control/control_api.cpp
+++ b/src/crocuscove/control/control_api.cpp
@@ -1,5 +1,6 @@
 #include "control_api.h"
 
+#include "crocuscove/jobs/worker_change.h"
 #include "platform/configuration_codec.h"
 #include "platform/control_paths.h"
 #include "platform/json_fields.h"
@@ -18,8 +19,6 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-/// A worker that leaves ends within this time.
-constexpr base::Milliseconds leaveDelay { 500 };
 
 http::HttpResponse response(int status, std::string body = {})
 {
@@ -32,27 +31,13 @@
     return result;
 }
 
-/// Tells whether a report says nothing that the state doesn't hold already. Only an earlier incarnation, or an earlier
-/// report of the known one, may differ from the state.
-bool isUnchanged(const jobs::Worker& known, const jobs::WorkerReport& report)
-{
-    if (known.report.incarnation != report.incarnation) {
-        return known.report.incarnation > report.incarnation;
-    }
-    const bool isSame = known.report.isDraining == report.isDraining && known.report.address == report.address
-        && known.report.service == report.service;
-    return isSame || known.report.sequence > report.sequence;
-}
-
 } // namespace
 
-ControlApi::ControlApi(
-    http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster, ReportHook onReport)
-    : m_loop(loop)
-    , m_options(options)
+ControlApi::ControlApi(const ControlOptions& options, const base::Log& log, Cluster& cluster, ControlApiHooks hooks)
+    : m_options(options)
     , m_log(log)
     , m_cluster(cluster)
-    , m_onReport(std::move(onReport))
+    , m_hooks(std::move(hooks))
 {
 }
 
@@ -161,22 +146,63 @@
         responder.respond(response(state.configuration().version == 0 ? statusUnavailable : statusOk));
         return;
     }
+    if (state.isOfRemovedWorker(report)) {
+        m_log.info("worker_report_outdated",
+            { { "worker", id }, { "incarnation", report.incarnation }, { "sequence", report.sequence } });
+        const bool isLeader = m_cluster.hasLeadership(base::monotonicNow());
+        responder.respond(isLeader ? response(statusOk, body) : response(statusUnavailable));
+        return;
+    }
     const jobs::Worker* known = state.findWorker(id);
-    if (known != nullptr && isUnchanged(*known, report)) {
-        if (m_cluster.hasLeadership(base::monotonicNow())) {
-            responder.respond(response(statusOk, body));
-        } else {
-            responder.respond(response(statusUnavailable));
-        }
+    if (known != nullptr) {
+        report = limitGrowth(*known, std::move(report), request.body);
+    }
+    if (known != nullptr && jobs::compareReports(known->report, report) == jobs::WorkerChange::None) {
+        const bool isLeader = m_cluster.hasLeadership(base::monotonicNow());
+        responder.respond(isLeader ? response(statusOk, body) : response(statusUnavailable));
         return;
     }
+    if (known != nullptr && known->report.capacity != report.capacity) {
+        recordCapacityChange(known->number);
+    }
     m_log.info("worker_report",
         { { "worker", id }, { "incarnation", report.incarnation }, { "service", report.service },
-            { "draining", report.isDraining }, { "sequence", report.sequence } });
-    m_onReport(report);
+            { "draining", report.isDraining }, { "cpu_milli", report.capacity.cpuMilli },
+            { "memory_mb", report.capacity.memoryMb }, { "sequence", report.sequence } });
+    m_hooks.onReport(report);
     commit(jobs::RecordWorker { std::move(report) }, responder, body);
 }
 
+jobs::WorkerReport ControlApi::limitGrowth(
+    const jobs::Worker& known, jobs::WorkerReport report, std::string_view body) const
+{
+    jobs::WorkerReport limited = jobs::withoutGrowth(known.report, report);
+    if (limited.capacity == report.capacity || jobs::compareReports(known.report, report) == jobs::WorkerChange::None) {
+        return report;
+    }
+    const auto clockMs = platform::decodeReportClock(body);
+    const auto next = m_nextGrowthAt.find(known.number);
+    const auto refusal
+        = jobs::checkGrowth(base::monotonicNow(), next == m_nextGrowthAt.end() ? base::MonotonicTime() : next->second,
+            clockMs ? m_hooks.reportAge(known.number, *clockMs) : std::nullopt);
+    if (refusal == jobs::GrowthRefusal::None) {
+        return report;
+    }
+    m_log.info("worker_growth_held",
+        { { "worker", report.id }, { "reason", jobs::growthRefusalName(refusal) },
+            { "cpu_milli", report.capacity.cpuMilli }, { "memory_mb", report.capacity.memoryMb } });
+    return limited;
+}
+
+void ControlApi::recordCapacityChange(jobs::WorkerNumber worker)
+{
+    const auto& workers = m_cluster.state().workers();
+    if (m_nextGrowthAt.size() > 2 * workers.size()) {
+        std::erase_if(m_nextGrowthAt, [&](const auto& entry) { return !workers.contains(entry.first); });
+    }
+    m_nextGrowthAt[worker] = base::monotonicNow() + jobs::growthInterval;
+}
+
 bool ControlApi::answerUnchangedReport(
     const http::HttpRequest& request, const std::string& id, const http::Responder& responder) const
 {
@@ -185,7 +211,8 @@
         return false;
     }
     try {
-        if (!isUnchanged(*known, platform::decodeWorkerReport(id, request.body))) {
+        const jobs::WorkerReport report = platform::decodeWorkerReport(id, request.body);
+        if (jobs::compareReports(known->report, report) != jobs::WorkerChange::None) {
             return false;
         }
     } catch (const platform::MalformedMessage& error) {
@@ -197,30 +224,19 @@
     return true;
 }
 
-// The worker ends right after this call; what runs there is counted until then.
 void ControlApi::removeWorker(const std::string& id, const http::Responder& responder)
 {
     const jobs::Worker* worker = m_cluster.state().findWorker(id);
-    if (worker == nullptr) {
-        responder.respond(response(statusOk));
+    if (!m_cluster.hasLeadership(base::monotonicNow())) {
+        responder.respond(response(statusUnavailable));
         return;
     }
-    m_log.info("worker_leaves", { { "worker", id }, { "tasks", worker->assignedTasks } });
-    jobs::WorkerReport report = worker->report;
-    report.isDraining = true;
-    ++report.sequence;
-    const jobs::WorkerNumber number = worker->number;
-    m_cluster.propose(jobs::RecordWorker { std::move(report) }, [this, responder, number](ProposalOutcome outcome) {
-        const bool isApplied = outcome == ProposalOutcome::Applied;
-        responder.respond(response(isApplied ? statusOk : statusUnavailable));
-        if (isApplied) {
-            auto timer = std::make_shared<http::Timer>();
-            *timer = m_loop.runAt(base::monotonicNow() + leaveDelay, [this, number, timer] {
-                m_cluster.propose(jobs::RemoveWorker { number }, nullptr);
-                m_loop.post([timer] { timer->cancel(); });
-            });
-        }
-    });
+    if (worker != nullptr) {
+        m_log.info("worker_leaves",
+            { { "worker", id }, { "tasks", worker->assignedTasks }, { "draining", worker->report.isDraining } });
+        m_hooks.onLeave(worker->number);
+    }
+    responder.respond(response(statusOk));
 }
 
 void ControlApi::startWave(const http::HttpRequest& request, const http::Responder& responder)
--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -32,12 +32,7 @@
                   ? std::make_unique<process::MetricsServer>(loop, *options.metricsListen, m_metrics)
                   : nullptr)
         , m_cluster(loop, options, log, random, clusterHooks())
-        , m_controlApi(loop, options, log, m_cluster,
-              [this](const jobs::WorkerReport& report) {
-                  if (m_leader) {
-                      m_leader->recordCrashBefore(report);
-                  }
-              })
+        , m_controlApi(options, log, m_cluster, controlApiHooks())
         , m_jobApi(log, m_metrics, m_cluster, [this](const std::string& queue) { return countWaitingJobs(queue); })
         , m_server(loop, serverOptions(options, log),
               [this](const http::HttpRequest& request, const http::Responder& responder) {
@@ -103,6 +98,25 @@
         return hooks;
     }
 
+    ControlApiHooks controlApiHooks()
+    {
+        ControlApiHooks hooks;
+        hooks.reportAge = [this](jobs::WorkerNumber worker, std::int64_t clockMs) {
+            return m_leader ? m_leader->reportAge(worker, clockMs) : std::nullopt;
+        };
+        hooks.onLeave = [this](jobs::WorkerNumber worker) {
+            if (m_leader) {
+                m_leader->checkLeave(worker);
+            }
+        };
+        hooks.onReport = [this](const jobs::WorkerReport& report) {
+            if (m_leader) {
+                m_leader->recordCrashBefore(report);
+            }
+        };
+        return hooks;
+    }
+
     http::EventLoop& m_loop;
     const ControlOptions& m_options;
     const base::Log& m_log;
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -55,7 +55,8 @@
 
 bool changesWorkers(const jobs::Command& command)
 {
-    return std::holds_alternative<jobs::RecordWorker>(command) || std::holds_alternative<jobs::RemoveWorker>(command);
+    return std::holds_alternative<jobs::RecordWorker>(command) || std::holds_alternative<jobs::RemoveWorker>(command)
+        || std::holds_alternative<jobs::RemoveLeftWorker>(command);
 }
 
 std::int64_t unixNow() { return base::wallNow().time_since_epoch().count(); }
@@ -296,6 +297,20 @@
     return false;
 }
 
+void Leader::checkLeave(jobs::WorkerNumber worker)
+{
+    const auto session = m_sessions.find(worker);
+    if (session != m_sessions.end()) {
+        session->second->checkLeave();
+    }
+}
+
+std::optional<base::Milliseconds> Leader::reportAge(jobs::WorkerNumber worker, std::int64_t clockMs) const
+{
+    const auto session = m_sessions.find(worker);
+    return session == m_sessions.end() ? std::nullopt : session->second->clock().age(clockMs, base::monotonicNow());
+}
+
 void Leader::schedulePlan()
 {
     if (m_isPlanWanted) {
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -33,6 +34,10 @@
     Leader& operator=(const Leader&) = delete;
 
     void onApplied(const std::vector<jobs::Command>& commands);
+    /// Handles the message that a worker, or an earlier incarnation of it, leaves.
+    void checkLeave(jobs::WorkerNumber worker);
+    /// Returns how long ago the clock of a worker showed `clockMs`, or nothing if its clock isn't known.
+    [[nodiscard]] std::optional<base::Milliseconds> reportAge(jobs::WorkerNumber worker, std::int64_t clockMs) const;
 
     /// Counts the jobs of a queue that have no due time, and no task that runs or has achieved anything: an assigned
     /// task counts as waiting until its worker has confirmed the start.
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -60,7 +60,7 @@
 
 bool WorkerSession::isUsable(base::MonotonicTime now) const
 {
-    return !m_isRemoving && m_clock.isKnown() && m_answeredAt && now - *m_answeredAt < usableWindow;
+    return !m_isRemoving && !m_mayHaveLeft && m_clock.isKnown() && m_answeredAt && now - *m_answeredAt < usableWindow;
 }
 
 void WorkerSession::scheduleRenew(base::Milliseconds pause)
@@ -108,7 +108,7 @@
     if (result.response->status != 200) {
         const auto answer = platform::decodeOrderAnswer(*result.response);
         if (answer.outcome == platform::OrderOutcome::OtherIncarnation) {
-            remove("other-incarnation", true);
+            remove("other-incarnation", RemovalCause::Restarted);
             return;
         }
         m_log.warning("renew_refused",
@@ -125,27 +125,87 @@
     }
 }
 
+void WorkerSession::checkLeave()
+{
+    const auto now = base::monotonicNow();
+    const bool isRepeated = now < m_leaveWindowEnd;
+    m_leaveWindowEnd = now + leaveWindow;
+    if (!isRepeated) {
+        m_mayHaveLeft = true;
+        m_leaveProbeAt = now + leaveProbeDelay;
+        m_leaveTimer = m_loop.runAt(m_leaveProbeAt, [this] { probeLeave(); });
+    }
+}
+
+void WorkerSession::probeLeave()
+{
+    const jobs::Worker* current = worker();
+    if (m_isProbing || m_isRemoving || current == nullptr) {
+        return;
+    }
+    m_isProbing = true;
+    // Without a deadline, so that the question extends no lease.
+    platform::RenewOrder order;
+    order.lastRecordedEnd = current->lastRecordedEnd;
+    call(platform::renewRequest(target(), order), leaveProbeTimeout,
+        [this](const http::ExchangeResult& result) { onLeaveProbed(result); });
+}
+
+// A message that a worker leaves names no incarnation. That the worker drains, or that no process listens at its
+// address, shows that the message is its own; otherwise a silent worker may only be cut off, and its lease decides.
+void WorkerSession::onLeaveProbed(const http::ExchangeResult& result)
+{
+    m_isProbing = false;
+    const jobs::Worker* current = worker();
+    if (current == nullptr || m_isRemoving) {
+        return;
+    }
+    if (result.failure == http::ExchangeFailure::Withdrawn) {
+        return; // Nothing was sent, so that this is no silence.
+    }
+    if (!result.response) {
+        if (result.wasRefused || current->report.isDraining) {
+            remove("left", RemovalCause::Left);
+        }
+        return;
+    }
+    const auto answer = platform::decodeOrderAnswer(*result.response);
+    const bool isOther = answer.incarnation && m_incarnation != 0 && *answer.incarnation != m_incarnation;
+    if (isOther || answer.outcome == platform::OrderOutcome::OtherIncarnation) {
+        remove("other-incarnation", RemovalCause::Restarted);
+        return;
+    }
+    m_log.info("leave_refuted", { { "worker", m_id }, { "incarnation", m_incarnation } });
+    m_mayHaveLeft = false;
+    update();
+}
+
 // The worker's tasks may run until their lease has certainly ended; only then may they start elsewhere.
 void WorkerSession::onSilence()
 {
     const auto now = base::monotonicNow();
     if (now > m_clock.latestLeaseExpiry()) {
-        remove("lease-ended", false);
+        remove("lease-ended", RemovalCause::Silent);
         return;
     }
+    if (now < m_leaveWindowEnd) {
+        probeLeave();
+    }
     scheduleRenew(retryPause);
 }
 
-void WorkerSession::remove(std::string_view reason, bool hasCrashed)
+void WorkerSession::remove(std::string_view reason, RemovalCause cause)
 {
     m_isRemoving = true;
-    if (auto record = crash(hasCrashed)) {
+    if (auto record = crash(cause == RemovalCause::Restarted); record && cause != RemovalCause::Left) {
         m_hooks.onCrash(std::move(*record));
     }
     m_log.warning("worker_removed",
         { { "worker", m_id }, { "incarnation", m_incarnation }, { "reason", reason },
             { "tasks", m_state.tasksOf(m_number).size() } });
-    m_hooks.propose(jobs::RemoveWorker { m_number }, [this, alive = m_isAlive](bool isApplied) {
+    const jobs::Command command = cause == RemovalCause::Left ? jobs::Command(jobs::RemoveLeftWorker { m_number })
+                                                              : jobs::Command(jobs::RemoveWorker { m_number });
+    m_hooks.propose(command, [this, alive = m_isAlive](bool isApplied) {
         if (*alive && !isApplied) {
             m_isRemoving = false;
             scheduleRenew(retryPause);
@@ -156,7 +216,7 @@
 void WorkerSession::onStatus(const platform::WorkerStatus& status, base::MonotonicTime sentAt)
 {
     if (status.incarnation && m_incarnation != 0 && *status.incarnation != m_incarnation) {
-        remove("restarted", *status.incarnation > m_incarnation);
+        remove("restarted", *status.incarnation > m_incarnation ? RemovalCause::Restarted : RemovalCause::Silent);
         return;
     }
     const auto now = base::monotonicNow();
@@ -165,6 +225,7 @@
     m_answeredAt = now;
     m_aliveAt = now;
     m_health.unanswered = 0;
+    m_mayHaveLeft = m_mayHaveLeft && sentAt < m_leaveProbeAt;
     m_running = status.running;
     reconcile(status, sentAt);
     recordEnds(status);
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -7,6 +7,7 @@
 #include "crocuscove/http/http_client.h"
 #include "crocuscove/jobs/fleet_state.h"
 #include "crocuscove/jobs/lease_clock.h"
+#include "crocuscove/jobs/start_plan.h"
 #include "platform/worker_codec.h"
 
 #include <cstdint>
@@ -54,9 +55,14 @@
     /// Gives the orders that follow from the replicated state. To be called when the worker's tasks changed.
     void update();
 
+    /// Handles the message that the worker leaves, which may be a delayed one of an earlier incarnation. The worker is
+    /// removed once it no longer answers.
+    void checkLeave();
+
     /// Tells whether the worker has answered lately, so that it may be given tasks.
     [[nodiscard]] bool isUsable(base::MonotonicTime now) const;
     [[nodiscard]] const WorkerHealth& health() const { return m_health; }
+    [[nodiscard]] const jobs::LeaseClock& clock() const { return m_clock; }
     /// Tells whether a task is assigned to the worker that uses leftover time, so that its pace may have to change.
     [[nodiscard]] bool hasPaceableTask() const { return m_hasPaceableTask; }
     /// What runs on the worker by its last answer.
@@ -82,6 +88,14 @@
     void stop(const jobs::TaskKey& task, std::uint32_t run, std::string_view reason);
 
 private:
+    enum class RemovalCause {
+        /// Its lease has ended; it may be cut off and come back.
+        Silent,
+        /// Another incarnation has answered.
+        Restarted,
+        /// It said that it leaves, and no longer answers.
+        Left,
+    };
     enum class OrderPhase {
         /// Not sent, or to be sent again.
         Unsent,
@@ -118,12 +132,17 @@
     void recordEnds(const platform::WorkerStatus& status);
     void reconcile(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
     void onSilence();
-    /// `hasCrashed` tells that another incarnation has answered; otherwise the worker may only be silent.
-    void remove(std::string_view reason, bool hasCrashed);
+    void probeLeave();
+    void onLeaveProbed(const http::ExchangeResult& result);
+    void remove(std::string_view reason, RemovalCause cause);
     /// Tells whether a run may have been executing, for less than the probation time, when the worker crashed.
     [[nodiscard]] bool isSuspect(const jobs::TaskKey& key) const;
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
-    void updateOrder(const jobs::TaskKey& key, const jobs::Job& job, Order& order);
+    [[nodiscard]] jobs::ClaimPhase claimPhase(const jobs::TaskKey& key, std::uint32_t run) const;
+    /// Returns the starts that still fit, if what is assigned exceeds the worker's capacity.
+    [[nodiscard]] std::optional<jobs::StartPlan> planOverCapacity() const;
+    void updateOrder(
+        const jobs::TaskKey& key, const jobs::Job& job, Order& order, const std::optional<jobs::StartPlan>& plan);
     void start(const jobs::TaskKey& key, Order& order);
     [[nodiscard]] bool isStartWanted(const jobs::TaskKey& key, std::uint32_t run) const;
     /// `wasSentBefore` tells whether the start had been sent already when it was sent at `sentAt`.
@@ -154,6 +173,13 @@
     bool m_isRenewing = false;
     bool m_isRecording = false;
     bool m_isRemoving = false;
+    /// The worker may have left; it gets no starts until it has answered what was sent after `m_leaveProbeAt`.
+    bool m_mayHaveLeft = false;
+    base::MonotonicTime m_leaveProbeAt;
+    bool m_isProbing = false;
+    /// A worker that doesn't answer until then has left.
+    base::MonotonicTime m_leaveWindowEnd;
+    http::Timer m_leaveTimer;
     std::map<jobs::TaskKey, Order> m_orders;
     bool m_hasPaceableTask = false;
     std::uint32_t m_startsInFlight = 0;
--- a/src/crocuscove/control/worker_timing.h
+++ b/src/crocuscove/control/worker_timing.h
@@ -13,6 +13,13 @@
 /// stop that settles it. Below the 2 s after which a draining worker must start nothing, and the 3 s for a cancelled
 /// job (RULES, DRAIN and UNASKED).
 inline constexpr base::Milliseconds startValidity { 1'800 };
+/// Pause between a worker's message that it leaves and the question whether it still answers, in which its process
+/// ends.
+inline constexpr base::Milliseconds leaveProbeDelay { 200 };
+/// How long the answer to that question may take: several round trips between data centres.
+inline constexpr base::Milliseconds leaveProbeTimeout { 300 };
+/// For this long after the message, a worker that no longer answers has left.
+inline constexpr base::Milliseconds leaveWindow { 5'000 };
 /// Weight of one more run in the share of failed runs.
 inline constexpr double failureWeight = 0.15;
 
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -13,7 +13,7 @@
 using SnapshotFields = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerNumber, Worker>,
     std::map<std::uint64_t, Wave>, std::map<std::string, std::string>, std::map<std::string, Queue>,
     std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>, std::map<TaskKey, TaskCrashes>,
-    std::map<std::string, UnconfirmedCrash>>;
+    std::map<std::string, UnconfirmedCrash>, std::map<std::string, RemovedWorker>, std::uint64_t>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -153,6 +153,9 @@
 void FleetState::applyCommand(const RecordWorker& command)
 {
     const WorkerReport& report = command.report;
+    if (isOfRemovedWorker(report)) {
+        return;
+    }
     // The same incarnation was only silent; the crash before a later one was counted before this report.
     std::erase_if(m_unconfirmedCrashes, [&](const auto& entry) {
         return (entry.first == report.id || entry.second.address == report.address)
@@ -186,6 +189,13 @@
     Worker worker;
     worker.number = ++m_lastWorker;
     worker.report = report;
+    const auto removed = m_removedWorkers.find(report.id);
+    if (removed != m_removedWorkers.end()) {
+        const bool isSame = removed->second.incarnation == report.incarnation;
+        worker.report.isDraining = report.isDraining || (isSame && removed->second.wasDraining);
+        m_removalOrder.erase(removed->second.order);
+        m_removedWorkers.erase(removed);
+    }
     m_workerById[report.id] = worker.number;
     m_workerByAddress[report.address] = worker.number;
     m_workers.emplace(worker.number, std::move(worker));
@@ -199,20 +209,53 @@
     }
 }
 
-void FleetState::applyCommand(const RemoveWorker& command)
+void FleetState::applyCommand(const RemoveWorker& command) { removeWorker(command.worker, false); }
+
+void FleetState::applyCommand(const RemoveLeftWorker& command) { removeWorker(command.worker, true); }
+
+void FleetState::removeWorker(WorkerNumber number, bool hasLeft)
 {
-    const auto worker = m_workers.find(command.worker);
+    const auto worker = m_workers.find(number);
     if (worker == m_workers.end()) {
         return;
     }
-    const std::set<TaskKey> tasks = tasksOf(command.worker);
+    const std::set<TaskKey> tasks = tasksOf(number);
     std::ranges::for_each(tasks, [this](const TaskKey& key) { unassign(key); });
-    m_tasksByWorker.erase(command.worker);
+    m_tasksByWorker.erase(number);
     forgetAddress(worker->second);
+    rememberRemoved(worker->second, hasLeft);
     m_workerById.erase(worker->second.report.id);
     m_workers.erase(worker);
 }
 
+// A worker that doesn't tell its incarnation can't be told from a later one.
+void FleetState::rememberRemoved(const Worker& worker, bool hasLeft)
+{
+    const WorkerReport& report = worker.report;
+    if (report.incarnation == 0) {
+        return;
+    }
+    const RemovedWorker entry { report.incarnation, report.sequence, report.isDraining, hasLeft, ++m_lastRemoval };
+    m_removedWorkers[report.id] = entry;
+    m_removalOrder[entry.order] = report.id;
+    if (m_removedWorkers.size() > maxRemovedWorkers) {
+        m_removedWorkers.erase(m_removalOrder.begin()->second);
+        m_removalOrder.erase(m_removalOrder.begin());
+    }
+}
+
+bool FleetState::isOfRemovedWorker(const WorkerReport& report) const
+{
+    const auto removed = m_removedWorkers.find(report.id);
+    if (removed == m_removedWorkers.end() || m_workerById.contains(report.id)) {
+        return false;
+    }
+    const RemovedWorker& known = removed->second;
+    // The report that was recorded last may have been sent again.
+    const bool isOlder = known.hasLeft || report.sequence < known.sequence;
+    return report.incarnation < known.incarnation || (report.incarnation == known.incarnation && isOlder);
+}
+
 bool FleetState::canAssign(const Assignment& assignment) const
 {
     const Job* job = findJob(assignment.task.job);
@@ -519,6 +562,7 @@
 {
     m_workerById.clear();
     m_workerByAddress.clear();
+    m_removalOrder.clear();
     m_activeJobs.clear();
     m_readyJobs.clear();
     m_tasksByWorker.clear();
@@ -526,6 +570,9 @@
         m_workerById[worker.report.id] = number;
         m_workerByAddress[worker.report.address] = number;
     }
+    for (const auto& [id, removed] : m_removedWorkers) {
+        m_removalOrder[removed.order] = id;
+    }
     for (auto& [id, job] : m_jobs) {
         job.hasReadyTask = false;
         updateReady(job);
@@ -548,14 +595,14 @@
 std::string FleetState::encodeSnapshot() const
 {
     return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
-        m_lastWorker, m_earlyCancels, m_crashes, m_unconfirmedCrashes));
+        m_lastWorker, m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval));
 }
 
 // A snapshot of an earlier version ends before the crashes, which are then empty.
 void FleetState::restoreSnapshot(std::string_view bytes)
 {
     std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
-        m_earlyCancels, m_crashes, m_unconfirmedCrashes)
+        m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
 }
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -27,6 +27,8 @@
     std::vector<base::Endpoint> controls;
     std::int64_t cpu = 8000;
     std::int64_t memMb = 8192;
+    /// Processor time that each task uses, in thousandths of a core; starts that exceed the capacity are recorded.
+    std::int64_t taskCpu = 0;
     std::int64_t reportIntervalMs = 300;
     /// Rate of its clock, in thousandths.
     std::int64_t clockPermille = 1000;
@@ -38,6 +40,9 @@
     std::int64_t unansweredStops = 0;
     /// The first start is neither carried out nor answered, and from then on the worker reports that it drains.
     bool drainsOnStart = false;
+    /// With the first start the capacity shrinks to this, in thousandths of a core; -1 for a worker that doesn't
+    /// shrink. Until the smaller capacity counts, that start is neither carried out nor answered.
+    std::int64_t shrinksOnStart = -1;
     /// Starts and stops that arrive within this time of the first start are not answered, and are carried out
     /// `lateOrderDelayMs` after they arrived.
     std::int64_t lateOrdersForMs = 0;
@@ -81,6 +86,10 @@
     void crash(const std::string& task, std::uint32_t run);
     /// Ends everything and starts a new incarnation, which reports from the given time on.
     void beginLife(base::MonotonicTime reportsFrom);
+    void setCpu(std::int64_t cpu);
+    /// A smaller capacity counts for starts once the report of it was answered, and a larger one at once.
+    void noteReported(std::int64_t cpu);
+    void checkCapacity(const std::string& task, std::uint32_t run);
     void answerHold();
     void end(const std::string& task, std::string how);
     void extendLease(const nlohmann::json& body);
@@ -110,6 +119,10 @@
     bool m_isDraining = false;
     std::optional<base::MonotonicTime> m_lateOrdersUntil;
     std::vector<http::Timer> m_lateOrders;
+    /// Capacity by which starts are judged.
+    std::int64_t m_countedCpu;
+    std::optional<http::Timer> m_countTimer;
+    std::string m_unansweredTask;
     std::size_t m_nextControl = 0;
     std::map<std::string, Run> m_running;
     /// The highest run of each task that ended or was stopped here.
