Give a job up only after two attributed crashes, or four; bound what isolation costs

Callers would see: a healthy job shown as failed after one crash of a neighbour and the loss of one more worker; other work held up while many tasks must start alone, and a leader held up by their plan after a rack was lost. Cause, found by a review of the crash counting: two crashes, one of them attributed, were enough; five crashes in any case left no slack for one that stays uncounted; a crash confirmed minutes after a silence counted; only workers that were kept free were limited to a quarter of a pool, not those on which such a task runs; each such task looked at every worker, without a bound for a plan. Change: two attributed crashes or four give a job up; a confirmation counts within 30 s; running probations and immediate starts count for the quarter; 32 tasks at most are placed alone by one plan.

--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -10,12 +10,14 @@
 
 namespace crocuscove::jobs {
 
-/// A task under which this many workers have crashed may be given up (issue 27, BUDGET). It is, if one of the crashes
-/// had no other possible cause.
+/// A task is given up after this many crashes that had no other possible cause; after two crashes it may be (issue 27,
+/// BUDGET).
 inline constexpr std::uint32_t maxAttributedCrashes = 2;
 /// A task under which this many workers have crashed is given up in any case: after three crashes it must not be
-/// started three times more (issue 27, BUDGET).
-inline constexpr std::uint32_t maxCrashes = 5;
+/// started three times more (issue 27, BUDGET), and one crash may stay uncounted.
+inline constexpr std::uint32_t maxCrashes = 4;
+/// A silent worker whose crash is confirmed later than this, in milliseconds, may have run on meanwhile.
+inline constexpr std::int64_t maxConfirmationDelayMs = 30'000;
 /// A task with this many crashes starts where no run of another job is in its probation, and nothing else starts there
 /// during its own.
 inline constexpr std::uint32_t isolationCrashes = 2;
@@ -44,10 +46,7 @@
     /// The run that was counted last.
     std::uint32_t lastRun = 0;
 
-    [[nodiscard]] bool isDeadly() const
-    {
-        return crashes >= maxCrashes || (crashes >= maxAttributedCrashes && attributed > 0);
-    }
+    [[nodiscard]] bool isDeadly() const { return crashes >= maxCrashes || attributed >= maxAttributedCrashes; }
 };
 
 /// A worker that fell silent, and has crashed if a later incarnation, or a later worker at its address, reports.
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -450,7 +450,8 @@
     }
     const auto unconfirmed = m_unconfirmedCrashes.find(command.worker);
     if (unconfirmed != m_unconfirmedCrashes.end() && unconfirmed->second.incarnation == command.incarnation) {
-        const std::vector<CrashedRun> runs = std::move(unconfirmed->second.runs);
+        const bool isTimely = command.nowMs <= unconfirmed->second.recordedMs + maxConfirmationDelayMs;
+        const auto runs = isTimely ? std::move(unconfirmed->second.runs) : std::vector<CrashedRun>();
         m_unconfirmedCrashes.erase(unconfirmed);
         std::ranges::for_each(runs, [&](const CrashedRun& run) { countCrash(run, command.nowMs); });
         return;
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -24,6 +24,8 @@
 constexpr double suspectPenalty = 2.0;
 /// Share of a service's workers, at least one worker, that may be kept free for tasks that must start alone.
 constexpr double maxKeptShare = 0.25;
+/// Tasks of one service that one plan places alone, since each looks at all workers.
+constexpr std::size_t maxIsolatedPerPlan = 32;
 
 /// Runs in their probation that are suspected of crashes, on one worker.
 struct Suspects {
@@ -116,21 +118,27 @@
     [[nodiscard]] const Resources& largestFree() const { return m_largestFree; }
 
     /// Places the tasks of this service that must start alone, or keeps workers free for them: their runs end their
-    /// probation before another task's turn could be missed. Tasks for which no worker may be kept free are placed like
-    /// all others.
+    /// probation before another task's turn could be missed. Tasks for which no further worker may be kept are placed
+    /// like all others.
     void planIsolated(const std::vector<TaskKey>& tasks, std::vector<AssignTasks>& plan)
     {
-        auto mayKeep = std::max<std::size_t>(
+        const auto wanted = std::max<std::size_t>(
             1, static_cast<std::size_t>(maxKeptShare * static_cast<double>(m_candidates.size())));
+        const auto kept = static_cast<std::size_t>(std::ranges::count_if(
+            m_candidates, [](const Candidate& candidate) { return candidate.suspects.isolatedJob.has_value(); }));
+        std::size_t mayKeep = std::min({ wanted - std::min(wanted, kept), maxIsolatedPerPlan });
         for (const TaskKey& key : tasks) {
+            if (mayKeep == 0 || m_budget == 0) {
+                return;
+            }
             const auto [candidate, unprovenMs] = selectIsolated(key);
-            if (candidate == nullptr || m_budget == 0 || (unprovenMs > 0 && mayKeep == 0)) {
+            if (candidate == nullptr) {
                 continue;
             }
+            --mayKeep;
             candidate->suspects.isolatedJob = key.job;
             m_isolated[key] = unprovenMs > 0 ? 0 : candidate->worker->number;
             if (unprovenMs > 0) {
-                --mayKeep;
                 continue;
             }
             const Job& job = *m_view.state.findJob(key.job);
