Parse the job of a removed queue without an optional that the release build warns of

Cause: the release build, which the tests don't use, took the optional id for maybe uninitialized, and warnings are errors. Change: the name is compared with the id's. No change of behaviour.

--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -75,14 +75,14 @@
 void JobApi::answerUnknownQueue(const ForwardedRequest& request, const Reply& reply)
 {
     const jobs::Queue* queue = m_cluster.state().matchKnownQueue(request.host, request.path);
-    const auto id
-        = queue == nullptr ? std::nullopt : platform::parseJobName(request.path.substr(queue->pathPrefix.size()));
-    const jobs::Job* job = id ? m_cluster.state().findJob(*id) : nullptr;
+    const std::string name = queue == nullptr ? std::string() : request.path.substr(queue->pathPrefix.size());
+    const jobs::JobId id = platform::parseJobName(name).value_or(0);
+    const jobs::Job* job = platform::jobName(id) == name ? m_cluster.state().findJob(id) : nullptr;
     if (request.method != "DELETE" || job == nullptr || job->queue != queue->name) {
         reply(answer(request, statusNotFound));
         return;
     }
-    cancel(request, *id, [reply](ForwardedAnswer cancelled) {
+    cancel(request, id, [reply](ForwardedAnswer cancelled) {
         if (cancelled.outcome == ForwardOutcome::Answered) {
             cancelled.status = statusGone;
         }
