Leave the repetition of an unconfirmed stop of a started task to whoever may interrupt it

One that a wave had sent, and that got no answer, was sent again after another task of the step had been stopped on a draining worker. Change: only stops of starts that are not accepted are repeated by the session. Waves, drains and ended jobs repeat theirs by their rules.

--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -76,7 +76,8 @@
     if (order.sendAgainAt > now) {
         return;
     }
-    if (order.wasToldToStop && order.phase != OrderPhase::Settled) {
+    if (order.wasToldToStop && (order.phase == OrderPhase::Unsent || order.phase == OrderPhase::Sending)) {
+        // Whoever stops a task that has started repeats it, as long as it may still be interrupted.
         stopOrder(key, order, "stop-unconfirmed");
         return;
     }
