--- /dev/null
+++ b/tests/integration/platform_disk_test.cpp
@@ -0,0 +1,83 @@
+#include "integration/platform_fixture.h"
+
+#include <sys/resource.h>
+
+namespace crocuscove::testing {
+namespace {
+
+const std::string lasting = R"({"spec":"0","steps":[{"count":2,"cpu":1000,"memMb":64,"longRunning":true}]})";
+
+constexpr int statusOk = 200;
+constexpr int statusRedirect = 307;
+constexpr int statusUnavailable = 503;
+
+class PlatformDiskTest : public PlatformTest {
+protected:
+    PlatformDiskTest()
+    {
+        // Processes inherit this, so that a write over the limit fails instead of ending them.
+        static_cast<void>(std::signal(SIGXFSZ, SIG_IGN));
+    }
+
+    /// Makes every write of a control node that extends a file fail, as on a full disk, or lets them succeed again.
+    void setDiskFull(int number, bool isFull)
+    {
+        rlimit limit {};
+        ASSERT_EQ(prlimit(cluster.process(controlName(number)).pid(), RLIMIT_FSIZE, nullptr, &limit), 0);
+        limit.rlim_cur = isFull ? 0 : limit.rlim_max;
+        ASSERT_EQ(prlimit(cluster.process(controlName(number)).pid(), RLIMIT_FSIZE, &limit, nullptr), 0);
+    }
+
+    /// Puts a configuration with the next version.
+    int putNext(int number)
+    {
+        std::string text = platformConfiguration;
+        text.replace(text.find("\"version\":3"), 11, "\"version\":" + std::to_string(++m_version));
+        return putConfiguration(number, text);
+    }
+
+    /// Tells whether the node leads or knows the leader.
+    bool takesPart(int number)
+    {
+        const int status = putNext(number);
+        return status == statusOk || status == statusRedirect;
+    }
+
+    /// Fills the disk of a node until the node has noticed.
+    void fillDisk(int number)
+    {
+        setDiskFull(number, true);
+        EXPECT_TRUE(waitUntil([&] {
+            putNext(std::max(1, leader()));
+            return putNext(number) == statusUnavailable;
+        })) << "control node "
+            << number;
+    }
+
+private:
+    int m_version = 3;
+};
+
+TEST_F(PlatformDiskTest, ChangesAreAcceptedAgainAfterDisksWereFullOneAfterAnother)
+{
+    ASSERT_TRUE(configure());
+    startWorker("w1");
+    submit("00000000000000bb", lasting);
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.1") == 1; }));
+    for (const int number : { 1, 2, 3 }) {
+        fillDisk(number);
+        setDiskFull(number, false);
+        ASSERT_TRUE(waitUntil([&] { return takesPart(1) && takesPart(2) && takesPart(3); }))
+            << "after the disk of control node " << number;
+    }
+    EXPECT_EQ(call("DELETE", "/q/00000000000000bb"), statusOk);
+    EXPECT_TRUE(waitUntil([&] {
+        return std::ranges::count_if(records(), [](const nlohmann::json& line) {
+            return line.at("event") == "end" && line.at("detail") == "stopped";
+        }) == 2;
+    }));
+    expectNoTaskTwice();
+}
+
+} // namespace
+} // namespace crocuscove::testing
