Return to consensus once the disk takes writes again

Cause: a control node left consensus on its first failed write and had no way back but a restart. The second of three voters took the quorum away for good.

Change: the node leaves consensus as before, gives its leadership up and answers its proposals as unknown. Every 200 ms it then reads its data folder again, as at a start, and joins with what it finds once 256 KB can be written and synced. What was written after the last successful sync is cut off first, by its own count and not by what the file shows: after a failed sync the page cache proves nothing. The applied state stays, since applied entries are committed. Faults that need an operator (a corrupt file, another format) end the process, as at a start. storage_failed, storage_still_failing and storage_recovered, and the gauge storage_available, show it.

--- a/include/crocuscove/replication/replicated_log.h
+++ b/include/crocuscove/replication/replicated_log.h
@@ -41,12 +41,15 @@
     /// Runs after entries were applied or a snapshot was installed.
     std::function<void()> onApplied;
     std::function<void(const consensus::RoleChange&)> onRoleChange;
+    /// Runs when the disk has failed to take a write, and when it takes writes again.
+    std::function<void(bool isAvailable)> onStorageChange = [](bool /*isAvailable*/) {};
 };
 
 struct ReplicatedLogOptions {
     base::NodeId node;
     /// Empty for a node without a disk, which joins as a learner.
     std::string dataFolder;
+    storage::FileHooks files = storage::systemFiles();
     base::Milliseconds heartbeatInterval { 100 };
     base::Milliseconds electionTimeoutMin { 500 };
     base::Milliseconds electionTimeoutMax { 1'000 };
@@ -57,7 +60,9 @@
 };
 
 /// One node's replica of the log: the Raft core, and the data folder if the node has a disk. The hooks connect the
-/// state machine and the transport.
+/// state machine and the transport. After a failed write the node leaves consensus, and returns by itself once its disk
+/// takes writes again. Errors that opening the folder would report to an operator, such as a corrupt file, end the loop
+/// with an exception then.
 class ReplicatedLog {
 public:
     /// Opens the data folder. Throws base::Error when it is locked, corrupt or of another format.
@@ -80,6 +85,9 @@
     [[nodiscard]] const consensus::Raft& raft() const { return m_raft; }
     [[nodiscard]] bool isLeader() const { return !m_hasStorageFailed && m_raft.role() == consensus::Role::Leader; }
 
+    /// Tells whether the disk failed to take a write, so that this node takes no part in consensus until it does.
+    [[nodiscard]] bool hasStorageFailed() const { return m_hasStorageFailed; }
+
     /// Index of the last entry that this node has applied.
     [[nodiscard]] consensus::Index appliedIndex() const { return m_applied; }
 
@@ -99,14 +107,20 @@
     };
 
     std::optional<storage::DataFolder> openFolder();
-    consensus::Raft makeRaft(base::Random& random);
+    void takeRecovered(storage::Recovered recovered);
+    consensus::Raft makeRaft();
+    void makeWriter();
+    void takeSnapshot();
     void scheduleFlush();
     void flush();
     void onWritten(const std::exception_ptr& error);
     /// Handles the pending output of the Raft core, runs `work`, and starts the next write.
     void advance(const std::function<void()>& work);
     void takeAll();
-    void stopVoting(const storage::StorageError& error);
+    void leaveConsensus(const storage::StorageError& error);
+    void tryToReturn();
+    void returnToConsensus();
+    [[nodiscard]] std::int64_t failedForMs() const;
     void persist(consensus::Ready& ready);
     /// Starts a write of everything queued, unless a write is in progress.
     void startWrite();
@@ -126,6 +140,7 @@
     const base::Log& m_log;
     ReplicatedLogHooks m_hooks;
     ReplicatedLogOptions m_options;
+    base::Random m_random;
     std::size_t m_compactionBytes;
     std::string m_restoredSnapshot;
     consensus::Restored m_restored;
@@ -138,11 +153,16 @@
     std::map<std::uint64_t, PendingRead> m_reads;
     std::uint64_t m_nextRead = 1;
     consensus::Index m_applied = 0;
+    /// Index of the last entry that the Raft core has reported as committed. Lower than m_applied after a return to
+    /// consensus, until the core knows again what was committed.
+    consensus::Index m_reported = 0;
     /// Index of the last snapshot; a later one must be newer.
     consensus::Index m_snapshotIndex = 0;
     bool m_isFlushScheduled = false;
     /// Set after a failed write. The node then takes no part in consensus, but its state can still be read.
     bool m_hasStorageFailed = false;
+    base::MonotonicTime m_storageFailedAt;
+    base::MonotonicTime m_nextFailureLogAt;
     bool m_hasCaughtUp = false;
     http::Timer m_timer;
 };
--- a/include/crocuscove/storage/data_folder.h
+++ b/include/crocuscove/storage/data_folder.h
@@ -18,6 +18,9 @@
     std::string path;
     /// A new segment is started once the current one has this many bytes.
     std::uint64_t segmentBytes = std::uint64_t { 16 } * 1024 * 1024;
+    /// Room that the disk must have before a folder is used again after a failure, in bytes. With less, the next batch
+    /// of entries would fail.
+    std::size_t requiredRoomBytes = std::size_t { 256 } * 1024;
     /// Gives a new folder its id. By default the operating system's random device.
     std::function<std::uint64_t()> chooseFolderId = nullptr;
     FileHooks files = systemFiles();
@@ -41,7 +44,7 @@
 };
 
 /// The data folder of one voter: log, hard state and snapshots. After a failed write or sync every call throws
-/// until the folder is opened again.
+/// until reopen() has succeeded.
 class DataFolder {
 public:
     /// Locks the folder, creating it when it is missing, and recovers its content. Throws StorageError.
@@ -53,7 +56,12 @@
     DataFolder(const DataFolder&) = delete;
     DataFolder& operator=(const DataFolder&) = delete;
 
-    /// Returns what open() recovered. To be called once.
+    /// Recovers the content again after a failed change, as open() does, but trusts nothing that was written after the
+    /// last successful sync: after a failed sync the page cache may show bytes that aren't on the disk. Throws
+    /// StorageError, also while the disk has no room for some more writes; then it may be called again.
+    void reopen();
+
+    /// Returns what open() or reopen() recovered. To be called once after each.
     Recovered takeRecovered();
 
     /// A random number that was chosen when the folder was created, from which a node id can be derived that is not
--- a/include/crocuscove/storage/storage_error.h
+++ b/include/crocuscove/storage/storage_error.h
@@ -20,6 +20,9 @@
 
 std::string_view storageFaultName(StorageFault fault);
 
+/// Tells whether the fault may end by itself. The others need an operator.
+bool isTemporary(StorageFault fault);
+
 /// Failure of the data folder. The message names the fault, the file, the offset and the cause.
 class StorageError : public base::Error {
 public:
--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -93,6 +93,7 @@
     };
     hooks.onApplied = [this] { m_hooks.onApplied(std::exchange(m_applied, {})); };
     hooks.onRoleChange = [this](const consensus::RoleChange& change) { onRoleChange(change); };
+    hooks.onStorageChange = [this](bool isAvailable) { m_hooks.onStorageChange(isAvailable); };
     return hooks;
 }
 
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -24,6 +24,8 @@
     std::function<void(const std::vector<jobs::Command>&)> onApplied;
     /// Runs when this node starts or stops to serve as the leader.
     std::function<void(bool isServing)> onServing;
+    /// Runs when this node's disk has failed to take a write, and when it takes writes again.
+    std::function<void(bool isAvailable)> onStorageChange = [](bool /*isAvailable*/) {};
     /// Handles a client's request on the leader and answers it exactly once.
     std::function<void(const ForwardedRequest&, std::function<void(ForwardedAnswer)>)> onRequest;
 };
--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -39,6 +39,7 @@
                   m_controlApi.handle(request, responder);
               })
     {
+        m_metrics.setGauge("storage_available", 1);
     }
 
     void beginStop()
@@ -93,6 +94,10 @@
                 }
             });
         };
+        hooks.onStorageChange = [this](bool isAvailable) {
+            m_metrics.setGauge("storage_available", isAvailable ? 1 : 0);
+            m_metrics.count("storage", isAvailable ? "recovered" : "failed");
+        };
         hooks.onRequest
             = [this](const ForwardedRequest& request, const JobApi::Reply& reply) { m_jobApi.handle(request, reply); };
         return hooks;
--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -26,6 +26,10 @@
 /// Entries applied in one turn of the loop before others get theirs; some milliseconds on a small VM.
 constexpr std::size_t maxAppliedPerTurn = 256;
 constexpr base::Milliseconds pendingCheckInterval { 50 };
+/// Pause between attempts to use a disk again that failed.
+constexpr base::Milliseconds returnInterval { 200 };
+/// Interval of log lines about a disk that goes on failing.
+constexpr base::Milliseconds failureLogInterval { 5'000 };
 constexpr std::chrono::hours longestSleep { 1 };
 
 } // namespace
@@ -36,22 +40,34 @@
     , m_log(log)
     , m_hooks(std::move(hooks))
     , m_options(std::move(options))
+    , m_random(random())
     , m_compactionBytes(compactionBytes + random() % (compactionBytes / 2))
     , m_folder(openFolder())
-    , m_raft(makeRaft(random))
+    , m_raft(makeRaft())
 {
-    if (!m_restoredSnapshot.empty()) {
+    takeSnapshot();
+    makeWriter();
+    scheduleFlush();
+}
+
+/// Loads the recovered snapshot into the state machine, unless the state is newer already.
+void ReplicatedLog::takeSnapshot()
+{
+    m_snapshotIndex = m_raft.compactedIndex();
+    m_reported = m_snapshotIndex;
+    if (m_snapshotIndex > m_applied) {
         m_hooks.restoreSnapshot(m_restoredSnapshot);
-        m_restoredSnapshot.clear();
+        m_applied = m_snapshotIndex;
     }
-    m_applied = m_raft.compactedIndex();
-    m_snapshotIndex = m_applied;
-    m_restored = {};
+    m_restoredSnapshot = {};
+}
+
+void ReplicatedLog::makeWriter()
+{
     if (m_folder) {
         m_writer = std::make_unique<DiskWriter>(
             m_loop, *m_folder, [this](const std::exception_ptr& error) { onWritten(error); });
     }
-    scheduleFlush();
 }
 
 std::optional<storage::DataFolder> ReplicatedLog::openFolder()
@@ -61,32 +77,39 @@
     }
     storage::DataFolderOptions folderOptions;
     folderOptions.path = m_options.dataFolder;
+    folderOptions.files = m_options.files;
     auto folder = storage::DataFolder::open(std::move(folderOptions));
     auto recovered = folder.takeRecovered();
-    if (recovered.tornTail) {
-        m_log.warning("torn_tail_removed",
-            { { "file", recovered.tornTail->file }, { "offset", recovered.tornTail->offset },
-                { "bytes", recovered.tornTail->removedBytes } });
-    }
-    m_restored = std::move(recovered.restored);
-    m_restoredSnapshot = std::move(recovered.snapshotData);
+    const bool isNew = recovered.isNew;
+    takeRecovered(std::move(recovered));
     if (m_options.nodeFromFolder) {
         m_options.node = m_options.nodeFromFolder(folder.folderId());
     }
-    const auto first = recovered.isNew && m_options.firstMembership ? m_options.firstMembership(m_options.node)
-                                                                    : consensus::Membership {};
+    const auto first
+        = isNew && m_options.firstMembership ? m_options.firstMembership(m_options.node) : consensus::Membership {};
     if (first.isVoter(m_options.node)) {
         m_restored = consensus::bootstrap(first);
         folder.append(m_restored.hardState, m_restored.entries);
         folder.sync();
     }
     m_log.info("data_folder_opened",
-        { { "path", m_options.dataFolder }, { "new", recovered.isNew }, { "snapshot", m_restored.snapshot.index },
+        { { "path", m_options.dataFolder }, { "new", isNew }, { "snapshot", m_restored.snapshot.index },
             { "entries", m_restored.entries.size() } });
     return folder;
 }
 
-consensus::Raft ReplicatedLog::makeRaft(base::Random& random)
+void ReplicatedLog::takeRecovered(storage::Recovered recovered)
+{
+    if (recovered.tornTail) {
+        m_log.warning("torn_tail_removed",
+            { { "file", recovered.tornTail->file }, { "offset", recovered.tornTail->offset },
+                { "bytes", recovered.tornTail->removedBytes } });
+    }
+    m_restored = std::move(recovered.restored);
+    m_restoredSnapshot = std::move(recovered.snapshotData);
+}
+
+consensus::Raft ReplicatedLog::makeRaft()
 {
     consensus::RaftOptions raftOptions;
     raftOptions.self = m_options.node;
@@ -97,7 +120,7 @@
     raftOptions.readSnapshot = [this](consensus::Index index, std::uint64_t offset, std::size_t maxBytes) {
         return m_folder ? m_folder->readSnapshot(index, offset, maxBytes) : std::string();
     };
-    return { std::move(raftOptions), std::move(m_restored), base::Random(random()), base::monotonicNow() };
+    return { std::move(raftOptions), std::exchange(m_restored, {}), base::Random(m_random()), base::monotonicNow() };
 }
 
 void ReplicatedLog::step(const consensus::Message& message)
@@ -190,7 +213,7 @@
         compactIfLarge();
         startWrite();
     } catch (const storage::StorageError& error) {
-        stopVoting(error);
+        leaveConsensus(error);
         return;
     }
     m_hasCaughtUp = m_hasCaughtUp || (m_raft.commitIndex() > 0 && m_applied >= m_raft.commitIndex());
@@ -225,18 +248,64 @@
 }
 
 // The contents of the disk are unknown after a failed write, so this node must neither vote nor acknowledge entries
-// until it has restarted and read its data folder again. Requests are still routed by the documents in memory.
-void ReplicatedLog::stopVoting(const storage::StorageError& error)
+// until it has read its data folder again. Its state stays readable.
+void ReplicatedLog::leaveConsensus(const storage::StorageError& error)
 {
     m_hasStorageFailed = true;
-    m_log.error(
-        "storage_failed", { { "cause", error.what() }, { "effect", "the node left consensus until its restart" } });
-    std::ranges::for_each(m_proposals, [](auto& proposal) { proposal.second.callback(ProposalOutcome::Unknown); });
-    std::ranges::for_each(m_reads, [](auto& read) { read.second.callback(false); });
-    m_proposals.clear();
-    m_reads.clear();
+    m_hasCaughtUp = false;
+    m_storageFailedAt = base::monotonicNow();
+    m_nextFailureLogAt = m_storageFailedAt + failureLogInterval;
+    m_log.error("storage_failed",
+        { { "cause", error.what() }, { "effect", "the node leaves consensus until its disk takes writes again" } });
+    std::ranges::for_each(std::exchange(m_proposals, {}),
+        [](const auto& proposal) { proposal.second.callback(ProposalOutcome::Unknown); });
+    std::ranges::for_each(std::exchange(m_reads, {}), [](const auto& read) { read.second.callback(false); });
     m_writes = {};
     m_hooks.onRoleChange({ consensus::Role::Follower, m_raft.term(), {} });
+    m_hooks.onStorageChange(false);
+    m_timer = m_loop.runAt(m_storageFailedAt + returnInterval, [this] { tryToReturn(); });
+}
+
+void ReplicatedLog::tryToReturn()
+{
+    try {
+        returnToConsensus();
+    } catch (const storage::StorageError& error) {
+        if (!storage::isTemporary(error.fault())) {
+            throw;
+        }
+        const auto now = base::monotonicNow();
+        if (now >= m_nextFailureLogAt) {
+            m_nextFailureLogAt = now + failureLogInterval;
+            m_log.warning("storage_still_failing", { { "cause", error.what() }, { "since_ms", failedForMs() } });
+        }
+        m_timer = m_loop.runAt(now + returnInterval, [this] { tryToReturn(); });
+    }
+}
+
+// As a restart would, but keeps the state: what was applied is committed, so that the log can't contradict it.
+void ReplicatedLog::returnToConsensus()
+{
+    m_writer.reset();
+    m_folder->reopen();
+    takeRecovered(m_folder->takeRecovered());
+    m_raft = makeRaft();
+    const auto appliedBefore = m_applied;
+    takeSnapshot();
+    makeWriter();
+    m_hasStorageFailed = false;
+    m_log.info("storage_recovered",
+        { { "failed_for_ms", failedForMs() }, { "term", m_raft.term() }, { "last_index", m_raft.lastIndex() } });
+    m_hooks.onStorageChange(true);
+    if (m_applied != appliedBefore) {
+        m_hooks.onApplied();
+    }
+    scheduleFlush();
+}
+
+std::int64_t ReplicatedLog::failedForMs() const
+{
+    return std::chrono::duration_cast<base::Milliseconds>(base::monotonicNow() - m_storageFailedAt).count();
 }
 
 void ReplicatedLog::persist(consensus::Ready& ready)
@@ -288,14 +357,21 @@
     if (m_folder) {
         m_folder->saveSnapshot(snapshot.meta, snapshot.data);
     }
-    m_hooks.restoreSnapshot(snapshot.data);
-    m_applied = snapshot.meta.index;
+    if (snapshot.meta.index > m_applied) {
+        m_hooks.restoreSnapshot(snapshot.data);
+        m_applied = snapshot.meta.index;
+    }
+    m_reported = snapshot.meta.index;
     m_snapshotIndex = snapshot.meta.index;
     m_log.info("snapshot_installed", { { "index", snapshot.meta.index }, { "bytes", snapshot.data.size() } });
 }
 
 void ReplicatedLog::applyEntry(const consensus::Entry& entry)
 {
+    m_reported = entry.index;
+    if (entry.index <= m_applied) {
+        return;
+    }
     m_applied = entry.index;
     if (entry.kind == consensus::EntryKind::Normal) {
         m_hooks.apply(entry.index, entry.data);
@@ -362,7 +438,8 @@
 
 void ReplicatedLog::compactIfLarge()
 {
-    if (m_raft.logBytes() < m_compactionBytes || m_applied <= m_snapshotIndex) {
+    // The core can't describe the state while it is behind it.
+    if (m_raft.logBytes() < m_compactionBytes || m_applied <= m_snapshotIndex || m_reported < m_applied) {
         return;
     }
     finishAllWrites();
--- a/src/crocuscove/replication/replicated_log_test.cpp
+++ b/src/crocuscove/replication/replicated_log_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
+#include <cerrno>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -35,12 +37,20 @@
         EXPECT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); }));
     }
 
-    ReplicatedLogOptions options() const
+    ReplicatedLogOptions options()
     {
         ReplicatedLogOptions result;
         result.node = base::NodeId("n1");
         result.dataFolder = m_folder;
         result.firstMembership = [](const base::NodeId& self) { return consensus::Membership { { self }, {} }; };
+        result.files.write = [this, write = result.files.write](int file, const char* data, std::size_t size) {
+            return m_isDiskFull ? -std::int64_t { ENOSPC } : write(file, data, size);
+        };
+        result.files.open = [this, open = result.files.open](const std::string& path, storage::OpenMode mode) {
+            const bool isRefused = !m_hasRoomForSnapshots && path.find("snapshot") != std::string::npos;
+            return isRefused && mode == storage::OpenMode::Create ? -ENOSPC : open(path, mode);
+        };
+        result.files.sync = [this, sync = result.files.sync](int file) { return m_isSyncFailing ? -EIO : sync(file); };
         return result;
     }
 
@@ -73,6 +83,10 @@
     std::filesystem::path m_folder;
     base::Log m_logLines { base::LogLevel::Error };
     base::Random m_random { 1 };
+    /// Read by the thread that writes.
+    std::atomic<bool> m_isDiskFull = false;
+    std::atomic<bool> m_isSyncFailing = false;
+    bool m_hasRoomForSnapshots = true;
     int m_applied = 0;
     int m_appliedBefore = 0;
     int m_mostAppliedAtOnce = 0;
@@ -110,6 +124,51 @@
     EXPECT_LE(m_mostAppliedAtOnce, 512);
 }
 
+TEST_F(ReplicatedLogTest, ANodeReturnsToConsensusWhenItsDiskHasRoomAgain)
+{
+    ASSERT_EQ(propose(100), ProposalOutcome::Applied);
+    for (int time = 0; time < 3; ++time) {
+        m_isDiskFull = true;
+        EXPECT_NE(propose(100), ProposalOutcome::Applied);
+        ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->hasStorageFailed(); }));
+        EXPECT_FALSE(m_log->isLeader());
+        m_isDiskFull = false;
+        ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); })) << "time " << time;
+        EXPECT_EQ(propose(100), ProposalOutcome::Applied);
+    }
+    EXPECT_EQ(m_applied, 4) << "no entry is applied twice";
+    restart();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return m_applied == 4; }));
+}
+
+TEST_F(ReplicatedLogTest, AProposalWhoseSyncFailedIsNotKeptAsIfItWereDurable)
+{
+    ASSERT_EQ(propose(100), ProposalOutcome::Applied);
+    m_isSyncFailing = true;
+    EXPECT_EQ(propose(100), ProposalOutcome::Unknown);
+    m_isSyncFailing = false;
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); }));
+    EXPECT_EQ(propose(100), ProposalOutcome::Applied);
+    EXPECT_EQ(m_applied, 2);
+}
+
+TEST_F(ReplicatedLogTest, ANodeReturnsAfterItsDiskWasFullDuringASnapshot)
+{
+    constexpr std::size_t entryBytes = 256UL * 1024;
+    constexpr int maxEntries = 100;
+    for (int time = 0; time < 2; ++time) {
+        m_hasRoomForSnapshots = false;
+        for (int entry = 0; entry < maxEntries && !m_log->hasStorageFailed(); ++entry) {
+            propose(entryBytes);
+        }
+        ASSERT_TRUE(m_log->hasStorageFailed()) << "time " << time;
+        m_hasRoomForSnapshots = true;
+        ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); })) << "time " << time;
+        EXPECT_EQ(propose(entryBytes), ProposalOutcome::Applied);
+    }
+    EXPECT_LE(m_log->raft().logBytes(), 12UL * 1024 * 1024 + entryBytes);
+}
+
 /// One of three voters, whose peers grant every vote and acknowledge nothing.
 class ReplicatedLogOfThreeTest : public ReplicatedLogTest {
 protected:
--- a/src/crocuscove/storage/crash_test.cpp
+++ b/src/crocuscove/storage/crash_test.cpp
@@ -96,16 +96,82 @@
         return {};
     }
 
+    /// As run(), but after an error the folder is reopened and changed again, some times over, before the VM crashes.
+    std::string runWithReopening(std::size_t rounds, Injection injection)
+    {
+        for (std::size_t round = 0; round < rounds; ++round) {
+            std::string difference = openAndReopen(injection);
+            if (!difference.empty()) {
+                return difference;
+            }
+            files.crash();
+        }
+        return {};
+    }
+
     MemoryFiles files;
     std::size_t crashes = 0;
     std::size_t errors = 0;
+    std::size_t reopenings = 0;
     std::size_t tornTails = 0;
 
 private:
+    DataFolder open()
+    {
+        return DataFolder::open({ .path = folderPath,
+            .segmentBytes = 700,
+            .requiredRoomBytes = 100,
+            .chooseFolderId = [] { return 1; },
+            .files = files.hooks() });
+    }
+
     std::string openAndChange()
     {
-        DataFolder folder = DataFolder::open(
-            { .path = folderPath, .segmentBytes = 700, .chooseFolderId = [] { return 1; }, .files = files.hooks() });
+        DataFolder folder = open();
+        std::string difference = compare(folder);
+        for (int i = 0; i < 30 && difference.empty(); ++i) {
+            change(folder);
+        }
+        return difference;
+    }
+
+    std::string openAndReopen(Injection injection)
+    {
+        DataFolder folder = open();
+        std::string difference = compare(folder);
+        for (int attempt = 0; attempt < 6 && difference.empty(); ++attempt) {
+            files.injectAfter(below(40), injection);
+            try {
+                for (int i = 0; i < 10; ++i) {
+                    change(folder);
+                }
+            } catch (const StorageError&) {
+                ++errors;
+                difference = reopen(folder, injection);
+            }
+        }
+        return difference;
+    }
+
+    std::string reopen(DataFolder& folder, Injection injection)
+    {
+        files.injectAfter(below(20), injection);
+        for (;;) {
+            try {
+                folder.reopen();
+                ++reopenings;
+                return compare(folder);
+            } catch (const StorageError& error) {
+                if (error.fault() == StorageFault::Corrupt) {
+                    return error.what();
+                }
+                ++errors;
+            }
+        }
+    }
+
+    std::string compare(DataFolder& folder)
+    {
         Recovered recovered = folder.takeRecovered();
         tornTails += recovered.tornTail ? 1 : 0;
         const Model found { recovered.restored.hardState, recovered.restored.snapshot, recovered.snapshotData,
@@ -115,9 +181,6 @@
                 + std::to_string(found.lastIndex()) + ", synced " + std::to_string(m_possible.front().lastIndex());
         }
         m_possible = { found };
-        for (int i = 0; i < 30; ++i) {
-            change(folder);
-        }
         return {};
     }
 
@@ -236,6 +299,20 @@
     }
 }
 
+// Guards against a folder that stays unusable after a failed write or sync, or that takes the page cache for the disk.
+TEST(StorageCrash, ReopensAfterErrorsAndKeepsSyncedRecords)
+{
+    for (const Injection injection : { Injection::InputOutputError, Injection::DiskFull, Injection::LostPages }) {
+        std::size_t reopenings = 0;
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            CrashRun run(seed);
+            EXPECT_EQ(run.runWithReopening(10, injection), "") << "seed " << seed;
+            reopenings += run.reopenings;
+        }
+        EXPECT_GT(reopenings, 1000U);
+    }
+}
+
 // Guards against a write that is taken as complete although the system wrote only a part.
 TEST(StorageCrash, ContinuesShortWrites)
 {
--- a/src/crocuscove/storage/data_folder.cpp
+++ b/src/crocuscove/storage/data_folder.cpp
@@ -38,6 +38,22 @@
         recover(listing);
     }
 
+    void reopen()
+    {
+        m_failed = true;
+        m_wal.discardUnsynced();
+        removeTemporary(listDataFolder(files(), path()));
+        requireRoom();
+        const FolderListing listing = listDataFolder(files(), path());
+        if (const std::uint64_t id = readFormat(files(), path()).folderId; id != m_folderId) {
+            throw StorageError(StorageFault::Corrupt, path() + "/" + std::string(formatName), 0,
+                fmt::format("the folder has the id {:016x} instead of {:016x}", id, m_folderId));
+        }
+        m_snapshot = {};
+        recover(listing);
+        m_failed = false;
+    }
+
     Recovered takeRecovered() { return std::exchange(m_recovered, {}); }
 
     [[nodiscard]] std::uint64_t folderId() const { return m_folderId; }
@@ -109,6 +125,22 @@
         std::ranges::for_each(listing.temporary, [this](const std::string& name) { removeFile(name); });
     }
 
+    /// Throws StorageError unless the disk takes some more bytes.
+    void requireRoom()
+    {
+        const std::string name = "room" + std::string(temporarySuffix);
+        try {
+            File file(files(), path() + "/" + name, OpenMode::Create);
+            file.write(std::string(m_options.requiredRoomBytes, '\0'), 0);
+            file.sync();
+        } catch (const StorageError&) {
+            // Others need the rest of the room too. What can't be removed now is removed by the next attempt.
+            static_cast<void>(files().remove(path() + "/" + name));
+            throw;
+        }
+        removeFile(name);
+    }
+
     /// FORMAT is written last, so that a folder with FORMAT and without a segment has lost its log.
     void createFiles(const FolderListing& listing)
     {
@@ -211,6 +243,8 @@
     return DataFolder(std::make_unique<Impl>(std::move(options)));
 }
 
+void DataFolder::reopen() { m_impl->reopen(); }
+
 Recovered DataFolder::takeRecovered() { return m_impl->takeRecovered(); }
 
 std::uint64_t DataFolder::folderId() const { return m_impl->folderId(); }
--- a/src/crocuscove/storage/file.cpp
+++ b/src/crocuscove/storage/file.cpp
@@ -15,6 +15,7 @@
     switch (errorNumber) {
     case ENOSPC:
     case EDQUOT:
+    case EFBIG:
         return StorageFault::DiskFull;
     case EWOULDBLOCK:
         return StorageFault::Locked;
--- a/src/crocuscove/storage/memory_files_test.cpp
+++ b/src/crocuscove/storage/memory_files_test.cpp
@@ -19,6 +19,26 @@
     }
 }
 
+void MemoryFiles::Inode::resize(std::size_t size)
+{
+    content.resize(size);
+    lostEnd = std::min(lostEnd, size);
+    lostBegin = std::min(lostBegin, lostEnd);
+}
+
+void MemoryFiles::Inode::sync()
+{
+    durable = content;
+    std::fill(durable.begin() + static_cast<std::ptrdiff_t>(lostBegin),
+        durable.begin() + static_cast<std::ptrdiff_t>(lostEnd), '\0');
+}
+
+void MemoryFiles::Inode::loseUnsynced()
+{
+    lostBegin = lostBegin < lostEnd ? lostBegin : std::min(durable.size(), content.size());
+    lostEnd = content.size();
+}
+
 FileHooks MemoryFiles::hooks()
 {
     return {
@@ -35,19 +55,12 @@
         .truncate =
             [this](int file, std::uint64_t size) {
                 const int error = enter();
-                m_open.at(file)->inode->content.resize(error == 0 ? size : m_open.at(file)->inode->content.size());
-                return error;
-            },
-        .sync =
-            [this](int file) {
-                const int error = enter();
-                ++m_syncs;
-                Inode& inode = *m_open.at(file)->inode;
-                if (error == 0 && !ignoresSync) {
-                    inode.durable = inode.content;
+                if (error == 0) {
+                    m_open.at(file)->inode->resize(size);
                 }
                 return error;
             },
+        .sync = [this](int file) { return sync(*m_open.at(file)->inode); },
         .lock = [this](int file) { return lock(file); },
         .rename = [this](const std::string& from, const std::string& to) { return rename(from, to); },
         .remove = [this](const std::string& path) { return remove(path); },
@@ -111,7 +124,7 @@
         found = m_names.emplace(path, std::make_shared<Inode>()).first;
     }
     if (mode == OpenMode::Create) {
-        found->second->content.clear();
+        found->second->resize(0);
     }
     m_open.emplace(m_nextFile, std::make_unique<OpenFile>(found->second));
     return m_nextFile++;
@@ -125,14 +138,14 @@
         const int error = enter();
         if (error != 0) {
             // A failed write may have written a part.
-            inode.content.append(data, below(written + 1));
+            inode.append({ data, below(written + 1) });
             return error;
         }
     } catch (const SimulatedCrash&) {
-        inode.content.append(data, below(written + 1));
+        inode.append({ data, below(written + 1) });
         throw;
     }
-    inode.content.append(data, written);
+    inode.append({ data, written });
     return static_cast<std::int64_t>(written);
 }
 
@@ -147,6 +160,19 @@
     return static_cast<std::int64_t>(count);
 }
 
+int MemoryFiles::sync(Inode& inode)
+{
+    const bool losesPages = m_injection == Injection::LostPages;
+    const int error = enter();
+    ++m_syncs;
+    if (error != 0 && losesPages) {
+        inode.loseUnsynced();
+    } else if (error == 0 && !ignoresSync) {
+        inode.sync();
+    }
+    return error;
+}
+
 int MemoryFiles::lock(int file)
 {
     OpenFile& opened = *m_open.at(file);
@@ -219,6 +245,7 @@
     std::ranges::for_each(m_names, [&inodes](const auto& item) { inodes.insert(item.second); });
     for (const std::shared_ptr<Inode>& inode : inodes) {
         inode->content = inode->durable = survivor(*inode);
+        inode->lostBegin = inode->lostEnd = 0;
     }
 }
 
--- a/src/crocuscove/storage/memory_files_test.h
+++ b/src/crocuscove/storage/memory_files_test.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace crocuscove::storage {
@@ -21,6 +22,9 @@
     Crash,
     InputOutputError,
     DiskFull,
+    /// As InputOutputError. If the operation is a sync, what it didn't write stays readable, but later syncs leave it
+    /// out.
+    LostPages,
 };
 
 /// Files in memory that know what is durable. After a crash, what wasn't synced is there in part or not at all.
@@ -57,7 +61,15 @@
     struct Inode {
         std::string content;
         std::string durable;
+        /// Ends of the part of the content that a failed sync has lost; empty when they are equal.
+        std::size_t lostBegin = 0;
+        std::size_t lostEnd = 0;
         bool isLocked = false;
+
+        void append(std::string_view data) { content.append(data); }
+        void resize(std::size_t size);
+        void sync();
+        void loseUnsynced();
     };
     using Names = std::map<std::string, std::shared_ptr<Inode>>;
     struct OpenFile {
@@ -81,6 +93,7 @@
     int remove(const std::string& path);
     /// Counts an operation. Returns the error to give, or 0.
     int enter();
+    int sync(Inode& inode);
     [[nodiscard]] std::string survivor(const Inode& inode);
     std::size_t below(std::size_t bound) { return m_random() % bound; }
 
--- a/src/crocuscove/storage/storage_error.cpp
+++ b/src/crocuscove/storage/storage_error.cpp
@@ -23,6 +23,11 @@
 
 std::string_view storageFaultName(StorageFault fault) { return faultNames.name(fault); }
 
+bool isTemporary(StorageFault fault)
+{
+    return fault == StorageFault::DiskFull || fault == StorageFault::InputOutput || fault == StorageFault::FailedBefore;
+}
+
 StorageError::StorageError(StorageFault fault, std::string file, std::uint64_t offset, std::string_view cause)
     : base::Error(fmt::format("storage {}: {} at offset {}: {}", storageFaultName(fault), file, offset, cause))
     , m_fault(fault)
--- a/src/crocuscove/storage/wal_writer.cpp
+++ b/src/crocuscove/storage/wal_writer.cpp
@@ -16,19 +16,31 @@
 {
 }
 
+void WalWriter::discardUnsynced()
+{
+    const Segment& segment = m_segments.back();
+    File file(*m_hooks, pathOf(segment.firstIndex), OpenMode::Append);
+    if (file.size() > segment.bytes) {
+        file.truncate(segment.bytes);
+    }
+    file.sync();
+}
+
 void WalWriter::resume(const FolderContent& content, const FolderListing& listing)
 {
-    m_segments.clear();
+    std::vector<Segment> segments;
     for (const consensus::Index firstIndex : listing.segments) {
-        m_segments.push_back({ firstIndex, File(*m_hooks, pathOf(firstIndex), OpenMode::Read).size() });
+        segments.push_back({ firstIndex, File(*m_hooks, pathOf(firstIndex), OpenMode::Read).size() });
     }
-    m_segments.back().bytes = content.lastSegmentBytes;
-    m_file.emplace(*m_hooks, pathOf(m_segments.back().firstIndex), OpenMode::Append);
+    segments.back().bytes = content.lastSegmentBytes;
+    m_file.emplace(*m_hooks, pathOf(segments.back().firstIndex), OpenMode::Append);
     if (content.tornTail) {
         m_file->truncate(content.tornTail->offset);
     }
     // A process that was killed before a sync leaves records that can be read but aren't durable.
     m_file->sync();
+    m_segments = std::move(segments);
+    m_buffer.clear();
     m_hardState = content.log.hardState;
     m_terms = TermRuns(content.log.previousIndex, content.log.previousTerm);
     std::ranges::for_each(
--- a/src/crocuscove/storage/wal_writer.h
+++ b/src/crocuscove/storage/wal_writer.h
@@ -10,7 +10,7 @@
 
 namespace crocuscove::storage {
 
-/// Appends records to the segments of a data folder. After an exception it must not be used again.
+/// Appends records to the segments of a data folder. After an exception only discardUnsynced() may be called.
 class WalWriter {
 public:
     WalWriter(const FileHooks& hooks, std::string folder, std::uint64_t segmentBytes);
@@ -29,6 +29,10 @@
     /// Removes the segments whose entries all lie within a snapshot.
     void removeCovered(consensus::Index snapshotIndex);
 
+    /// Cuts off what was written to the current segment after its last successful sync, and makes that durable. Only
+    /// resume() may follow.
+    void discardUnsynced();
+
     [[nodiscard]] std::optional<consensus::Term> termAt(consensus::Index index) const { return m_terms.termAt(index); }
     [[nodiscard]] std::uint64_t bytes() const;
 
