Wait for room at the start instead of ending

Callers: a control node or a `serve` node that is started while its disk is full ended with exit code 1, and took part again only when something started it once more. If the first start of the founder ran out of room within its first record, the node came up without a membership at the next start, and the cluster never formed.

Cause: opening the data folder threw, and nothing tried again. An interrupted bootstrap leaves the hard state without the entries, which was not taken for a new folder.

Change: StorageStart tries again every 500 ms while the fault may end by itself (start_delayed in the log); others end the process as before. A folder whose log is empty and whose term is that of the bootstrap counts as unused: a node with an empty log has granted no vote.

Evidence: ReplicatedLogTest.AFirstStartOnAFullDiskFormsTheClusterOnceThereIsRoom ends the room at every 11th byte of a first start; without the second change it never leads at 121 bytes, without the first it throws.

--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -4,11 +4,13 @@
 #include "crocuscove/http/http_server.h"
 #include "crocuscove/process/metrics.h"
 #include "crocuscove/process/run_process.h"
+#include "crocuscove/replication/storage_start.h"
 #include "job_api.h"
 #include "leader.h"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -135,6 +137,36 @@
     http::Timer m_stopTimer;
 };
 
+/// A control node that starts once its data folder can be opened.
+class DelayedNode {
+public:
+    DelayedNode(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, base::Random& random)
+        : m_loop(loop)
+        , m_options(options)
+        , m_log(log)
+        , m_random(random)
+        , m_start(loop, log, [this] { m_node.emplace(m_loop, m_options, m_log, m_random); })
+    {
+    }
+
+    void beginStop()
+    {
+        if (m_node) {
+            m_node->beginStop();
+        } else {
+            m_loop.stop();
+        }
+    }
+
+private:
+    http::EventLoop& m_loop;
+    const ControlOptions& m_options;
+    const base::Log& m_log;
+    base::Random& m_random;
+    std::optional<ControlNode> m_node;
+    replication::StorageStart m_start;
+};
+
 } // namespace
 
 void runControl(const ControlOptions& options)
@@ -146,8 +178,8 @@
             log.info("started",
                 { { "listen", options.listen.text() }, { "first_start", options.isFirstStart },
                     { "seeds", options.seeds.size() }, { "seed", seed } });
-            const auto node = std::make_shared<ControlNode>(loop, options, log, random);
-            return process::Work { node, [node] { node->beginStop(); } };
+            const auto delayed = std::make_shared<DelayedNode>(loop, options, log, random);
+            return process::Work { delayed, [delayed] { delayed->beginStop(); } };
         });
 }
 
--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -82,11 +82,14 @@
     auto recovered = folder.takeRecovered();
     const bool isNew = recovered.isNew;
     takeRecovered(std::move(recovered));
+    // An interrupted first start may leave the hard state of the bootstrap without its entries.
+    const bool isUnused = m_restored.snapshot.index == 0 && m_restored.entries.empty()
+        && m_restored.hardState.term <= consensus::bootstrap({}).hardState.term;
     if (m_options.nodeFromFolder) {
         m_options.node = m_options.nodeFromFolder(folder.folderId());
     }
     const auto first
-        = isNew && m_options.firstMembership ? m_options.firstMembership(m_options.node) : consensus::Membership {};
+        = isUnused && m_options.firstMembership ? m_options.firstMembership(m_options.node) : consensus::Membership {};
     if (first.isVoter(m_options.node)) {
         m_restored = consensus::bootstrap(first);
         folder.append(m_restored.hardState, m_restored.entries);
--- a/src/crocuscove/replication/replicated_log_test.cpp
+++ b/src/crocuscove/replication/replicated_log_test.cpp
@@ -1,6 +1,7 @@
 #include "crocuscove/replication/replicated_log.h"
 
 #include "crocuscove/http/socket_testing.h"
+#include "crocuscove/replication/storage_start.h"
 
 #include <gtest/gtest.h>
 
@@ -44,7 +45,13 @@
         result.dataFolder = m_folder;
         result.firstMembership = [](const base::NodeId& self) { return consensus::Membership { { self }, {} }; };
         result.files.write = [this, write = result.files.write](int file, const char* data, std::size_t size) {
-            return m_isDiskFull ? -std::int64_t { ENOSPC } : write(file, data, size);
+            const std::size_t part = std::min(size, m_roomBytes.load());
+            if (m_isDiskFull || (part == 0 && size > 0)) {
+                m_isDiskFull = true;
+                return -std::int64_t { ENOSPC };
+            }
+            m_roomBytes -= m_roomBytes == unlimited ? 0 : part;
+            return write(file, data, part);
         };
         result.files.open = [this, open = result.files.open](const std::string& path, storage::OpenMode mode) {
             const bool isRefused = !m_hasRoomForSnapshots && path.find("snapshot") != std::string::npos;
@@ -83,7 +90,10 @@
     std::filesystem::path m_folder;
     base::Log m_logLines { base::LogLevel::Error };
     base::Random m_random { 1 };
-    /// Read by the thread that writes.
+    static constexpr std::size_t unlimited = ~std::size_t { 0 };
+
+    /// Used by the thread that writes.
+    std::atomic<std::size_t> m_roomBytes = unlimited;
     std::atomic<bool> m_isDiskFull = false;
     std::atomic<bool> m_isSyncFailing = false;
     bool m_hasRoomForSnapshots = true;
@@ -169,6 +179,25 @@
     EXPECT_LE(m_log->raft().logBytes(), 12UL * 1024 * 1024 + entryBytes);
 }
 
+TEST_F(ReplicatedLogTest, AFirstStartOnAFullDiskFormsTheClusterOnceThereIsRoom)
+{
+    constexpr std::size_t mostBytes = 400;
+    for (std::size_t room = 0; room < mostBytes; room += 11) {
+        m_log.reset();
+        std::filesystem::remove_all(m_folder);
+        m_roomBytes = room;
+        int starts = 0;
+        const StorageStart start(m_loop, m_logLines, [&] {
+            ++starts;
+            m_log.emplace(m_loop, options(), m_logLines, m_random, hooks());
+        });
+        EXPECT_EQ(m_log.has_value(), starts == 1 && !m_isDiskFull);
+        m_roomBytes = unlimited;
+        m_isDiskFull = false;
+        ASSERT_TRUE(runUntil(m_loop, [&] { return m_log && m_log->isLeader(); })) << room << " bytes of room";
+    }
+}
+
 /// One of three voters, whose peers grant every vote and acknowledge nothing.
 class ReplicatedLogOfThreeTest : public ReplicatedLogTest {
 protected:
