Drop log lines that standard error can't take instead of ending the process

Callers: a `serve` node whose standard error went to a file on a full disk ended with its next log line (std::system_error from fmt::print, which nothing above catches), among others with the line that says that its own storage has failed.

--- a/src/crocuscove/base/log.cpp
+++ b/src/crocuscove/base/log.cpp
@@ -58,7 +58,12 @@
     }
 }
 
-void writeToStandardError(std::string_view line) { fmt::print(stderr, "{}\n", line); }
+// A line that can't be written, such as to a file on a full disk, is dropped: there is no other place to report it.
+void writeToStandardError(std::string_view line)
+{
+    const std::string text = fmt::format("{}\n", line);
+    static_cast<void>(std::fwrite(text.data(), 1, text.size(), stderr));
+}
 
 } // namespace
 
--- a/src/crocuscove/base/log_test.cpp
+++ b/src/crocuscove/base/log_test.cpp
@@ -1,7 +1,9 @@
 #include "crocuscove/base/log.h"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <algorithm>
 #include <string>
@@ -27,6 +29,18 @@
     EXPECT_EQ(line.find('\n'), std::string::npos);
 }
 
+TEST(Log, AFullDiskUnderStandardErrorEndsNoProcess)
+{
+    const int kept = ::dup(STDERR_FILENO);
+    const int full = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
+    ASSERT_GE(full, 0);
+    ::dup2(full, STDERR_FILENO);
+    EXPECT_NO_THROW(Log().info("event"));
+    ::dup2(kept, STDERR_FILENO);
+    ::close(full);
+    ::close(kept);
+}
+
 // Guards against debug lines in the output of a node that runs at the default level.
 TEST(Log, DropsLinesBelowTheMinimum)
 {
