Count a restarted node as in contact only once it has heard from a leader

Cause: the moment of the restart, which delays votes, was kept as the last contact with a leader.

Change: the restart delays votes as before, and is no contact. A node has caught up only after a contact. Reports are answered by nodes that have caught up.

Evidence: RaftLeadership.ARestartedNodeHasNoContactBeforeItHearsFromTheLeader failed before.

--- a/src/crocuscove/consensus/raft_core.cpp
+++ b/src/crocuscove/consensus/raft_core.cpp
@@ -52,7 +52,7 @@
     resetElectionDeadline(m_options.electionTimeoutMin, m_options.electionTimeoutMax);
     if (m_hardState.term > 0) {
         // This node may have acknowledged the leader right before its restart, so it delays granting votes.
-        m_leaderContact = now;
+        m_restartedAt = now;
     }
     if (isVoter() && m_log.membership().voters.size() == 1) {
         m_electionDeadline = now;
--- a/src/crocuscove/consensus/raft_core.h
+++ b/src/crocuscove/consensus/raft_core.h
@@ -154,6 +154,8 @@
     Role m_role = Role::Follower;
     base::NodeId m_leader;
     std::optional<base::MonotonicTime> m_leaderContact;
+    /// Counts as contact with a leader for votes only.
+    std::optional<base::MonotonicTime> m_restartedAt;
     base::MonotonicTime m_electionDeadline;
     base::MonotonicTime m_heartbeatDeadline;
     base::MonotonicTime m_learnerHeartbeatDeadline;
--- a/src/crocuscove/consensus/raft_election.cpp
+++ b/src/crocuscove/consensus/raft_election.cpp
@@ -137,7 +137,10 @@
     if (m_options.fault == Fault::SkipsPreVote) {
         return false;
     }
-    return m_role == Role::Leader || (m_leaderContact && m_now - *m_leaderContact < m_options.electionTimeoutMin);
+    const auto isRecent = [this](const std::optional<base::MonotonicTime>& time) {
+        return time && m_now - *time < m_options.electionTimeoutMin;
+    };
+    return m_role == Role::Leader || isRecent(m_leaderContact) || isRecent(m_restartedAt);
 }
 
 bool Raft::Core::isUpToDate(const VoteRequest& request) const
--- a/src/crocuscove/consensus/raft_leadership_test.cpp
+++ b/src/crocuscove/consensus/raft_leadership_test.cpp
@@ -61,6 +61,21 @@
     }
 }
 
+TEST(RaftLeadership, ARestartedNodeHasNoContactBeforeItHearsFromTheLeader)
+{
+    Cluster cluster({ .seed = 14 });
+    ASSERT_TRUE(cluster.waitForLeader());
+    cluster.runCalmly(Milliseconds(1000));
+    for (const auto& [id, node] : cluster.nodes()) {
+        cluster.crash(id);
+        cluster.restart(id);
+        EXPECT_FALSE(node.raft->hasQuorumContact(cluster.now()));
+        ASSERT_TRUE(cluster.waitForLeader());
+        cluster.runCalmly(Milliseconds(2000));
+        EXPECT_TRUE(node.raft->hasQuorumContact(cluster.now()));
+    }
+}
+
 TEST(RaftLeadership, OnlyTheLeaderIsConfirmed)
 {
     Cluster cluster({ .seed = 12 });
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -57,7 +57,10 @@
     [[nodiscard]] std::string leaderAddress() const;
 
     /// Tells whether this node has heard from the leader lately, so that its state is at most some heartbeats old.
-    [[nodiscard]] bool isInContact(base::MonotonicTime now) const { return m_log.raft().hasQuorumContact(now); }
+    [[nodiscard]] bool isInContact(base::MonotonicTime now) const
+    {
+        return m_log.isCurrent(now) && m_log.raft().hasQuorumContact(now);
+    }
     /// Address of the node that a worker's reports should go to. Workers are spread over the other nodes, so that their
     /// reports cost the leader nothing; without another node it is this one.
     [[nodiscard]] std::string reportAddress(const std::string& workerId) const;
--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -219,7 +219,9 @@
         leaveConsensus(error);
         return;
     }
-    m_hasCaughtUp = m_hasCaughtUp || (m_raft.commitIndex() > 0 && m_applied >= m_raft.commitIndex());
+    // Before it hears from a leader, a restarted node knows only what its snapshot holds.
+    m_hasCaughtUp = m_hasCaughtUp
+        || (m_raft.lastQuorumContact() && m_raft.commitIndex() > 0 && m_applied >= m_raft.commitIndex());
     completeReads();
     if (m_applied != appliedBefore) {
         m_hooks.onApplied();
