A write beyond the limit of file size fails instead of ending the process

Callers saw a process end without a line when a file reached RLIMIT_FSIZE: SIGXFSZ ends a process by default, so that the storage code never saw the failed write. runProcess() now ignores it, as it does SIGPIPE, and write(2) fails with EFBIG, which takes the usual way of a failed write.

Evidence: RunProcessDeathTest.AWriteBeyondTheLimitOfFileSizeFailsInsteadOfEndingTheProcess ended by signal 25 on the code before, and passes now (three runs).

--- a/src/crocuscove/process/run_process.cpp
+++ b/src/crocuscove/process/run_process.cpp
@@ -37,6 +37,8 @@
 {
     // Writing to a connection that the peer has closed must not terminate the process.
     static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+    // A write beyond the limit of file size must fail with EFBIG.
+    static_cast<void>(std::signal(SIGXFSZ, SIG_IGN));
     http::EventLoop loop;
     http::LogOutput output(loop);
     const base::Log log(options.logLevel, { { "node", options.name }, { "role", std::string(options.role) } },
