Entry nodes refuse requests at once when there has been no leader for longer than an election

Each request had its own deadline, and nothing looked at how long there had been no leader.

LeaderLink now notes when the leader was lost (or the process started). Until 1.5 s later a request waits as before, since most elections are over by then; afterwards a new request is refused at once with 503 and Retry-After, which is true since it was not sent. Retry-After stays 1 s. A read that a lost leader was given has no outcome that could be open, and a change that a node refused as not the leader was not carried out there: both are refused when no next leader is found in 500 ms. A change that a lost leader was given, or that got no answer, still ends as unknown.

Log: leader_lost, no_leader (when refusing begins, then every 5 s, with the time and the number of refused requests), leader_found with both. Metrics: leader_away_seconds, is_ready, request_without_leader.

--- a/src/crocuscove/entry/entry_node.cpp
+++ b/src/crocuscove/entry/entry_node.cpp
@@ -20,16 +20,18 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 /// How long a request waits for a leader to be found before it is refused: most elections are over by then, and the
-/// client still has time to come back.
+/// client still has time to come back. Without a leader for longer than an election, LeaderLink refuses at once.
 constexpr base::Milliseconds refuseAfter { 500 };
 /// A request that a leader was given is answered as unknown after this time; clients wait for 3 s.
 constexpr base::Milliseconds answerTimeout { 2'500 };
+/// The next leader is mostly elected by then, and a refusal costs little.
 constexpr std::string_view retryAfterSeconds = "1";
 /// The balancer sends no new connections once two readiness checks, a second apart, have failed.
 constexpr base::Milliseconds drainDelay { 2'500 };
 /// Left of the stop timeout when the process ends in any case.
 constexpr base::Milliseconds stopMargin { 500 };
 constexpr base::Milliseconds stopCheckInterval { 100 };
+constexpr base::Milliseconds stateInterval { 1'000 };
 constexpr std::size_t maxBodyBytes = 262'144;
 constexpr std::size_t maxHeaderBytes = 16'384;
 constexpr base::Milliseconds headerTimeout { 3'000 };
@@ -63,6 +65,8 @@
                   answerReadiness(request, responder);
               })
     {
+        m_stateTimer = loop.runEvery(stateInterval, [this] { showState(); });
+        showState();
     }
 
     void beginStop()
@@ -104,6 +108,15 @@
         return result;
     }
 
+    void showState()
+    {
+        const auto lostAt = m_link.leaderLostAt();
+        const std::chrono::duration<double> away
+            = lostAt ? base::monotonicNow() - *lostAt : base::MonotonicTime::duration::zero();
+        m_metrics.setGauge("leader_away_seconds", away.count());
+        m_metrics.setGauge("is_ready", !m_isStopping && m_link.isReady(base::monotonicNow()) ? 1 : 0);
+    }
+
     void answerReadiness(const http::HttpRequest& request, const http::Responder& responder) const
     {
         const bool isReady = !m_isStopping && m_link.isReady(base::monotonicNow());
@@ -138,6 +151,7 @@
                 = std::chrono::duration_cast<base::Milliseconds>(base::monotonicNow() - receivedAt).count();
             m_log.warning("request_not_answered",
                 { { "path", path }, { "outcome", isUnknown ? "unknown" : "not-executed" }, { "waited_ms", waited } });
+            m_metrics.count("request_without_leader", isUnknown ? "unknown" : "not-executed");
         }
         const std::chrono::duration<double> waitedSeconds = base::monotonicNow() - receivedAt;
         m_metrics.count("request", std::to_string(response.status));
@@ -164,6 +178,7 @@
     http::HttpServer m_readyServer;
     bool m_isStopping = false;
     base::MonotonicTime m_stopAt;
+    http::Timer m_stateTimer;
     http::Timer m_drainTimer;
     http::Timer m_checkTimer;
 };
--- a/src/crocuscove/entry/leader_link.cpp
+++ b/src/crocuscove/entry/leader_link.cpp
@@ -18,6 +18,11 @@
 constexpr base::Milliseconds firstAnswerTimeout { 500 };
 /// A leader that answered within this time counts as reachable.
 constexpr base::Milliseconds readyWindow { 1'500 };
+/// Once no leader has been known for this long, requests are refused at once: most elections take half of it.
+constexpr base::Milliseconds electionPatience { 1'500 };
+/// A request that a lost leader can't have carried out waits this long for the next one.
+constexpr base::Milliseconds nextLeaderPatience { 500 };
+constexpr base::Milliseconds absenceLogInterval { 5'000 };
 constexpr std::uint32_t statusNotFound = 404;
 constexpr std::uint32_t statusTooManyRequests = 429;
 constexpr std::uint32_t statusUnavailable = 503;
@@ -35,6 +40,7 @@
     : m_loop(loop)
     , m_options(options)
     , m_log(log)
+    , m_leaderLostAt(base::monotonicNow())
 {
     std::ranges::transform(
         options.seeds, std::inserter(m_addresses, m_addresses.end()), [](const auto& seed) { return seed.host; });
@@ -52,16 +58,39 @@
 void LeaderLink::request(
     control::ForwardedRequest request, base::MonotonicTime refuseAt, base::MonotonicTime deadline, Callback callback)
 {
+    const auto now = base::monotonicNow();
+    if (!m_isLeader && !mayFindLeader(now)) {
+        ++m_refused;
+        callback({ RequestFailure::NotExecuted, 0, {} });
+        return;
+    }
     request.id = m_nextId++;
     const std::uint64_t id = request.id;
     m_pending.emplace(id, Pending { std::move(request), refuseAt, deadline, std::move(callback) });
     sendWaiting();
 }
 
+bool LeaderLink::mayFindLeader(base::MonotonicTime now) const
+{
+    return !m_leaderLostAt || now - *m_leaderLostAt < electionPatience;
+}
+
+bool LeaderLink::mayHaveRun(const Pending& pending)
+{
+    return pending.request.method != "GET" && (pending.wasSent || pending.isOutcomeOpen);
+}
+
+void LeaderLink::awaitLeader(Pending& pending, base::MonotonicTime now)
+{
+    pending.isWaiting = true;
+    pending.refuseAt = std::max(pending.refuseAt, now + nextLeaderPatience);
+}
+
 void LeaderLink::tick()
 {
     const auto now = base::monotonicNow();
     expire(now);
+    logAbsence(now);
     if (!m_connection || now - m_heardAt > silenceTimeout) {
         disconnect("silent");
         connectNext();
@@ -114,15 +143,40 @@
 
 void LeaderLink::disconnect(std::string_view reason)
 {
-    if (m_isLeader) {
+    const auto now = base::monotonicNow();
+    if (std::exchange(m_isLeader, false)) {
         m_log.warning("leader_lost", { { "address", m_target }, { "reason", reason } });
+        m_leaderLostAt = now;
+        m_absenceLoggedAt = {};
     }
-    m_isLeader = false;
     m_connection.reset();
     for (auto& [id, pending] : m_pending) {
-        pending.isOutcomeOpen = pending.isOutcomeOpen || !pending.isWaiting;
-        pending.isWaiting = true;
+        if (!pending.isWaiting) {
+            pending.isOutcomeOpen = true;
+            awaitLeader(pending, now);
+        }
+    }
+}
+
+void LeaderLink::onLeaderFound(base::MonotonicTime now)
+{
+    const auto away = std::chrono::duration_cast<base::Milliseconds>(now - *m_leaderLostAt);
+    m_log.info("leader_found",
+        { { "address", m_target }, { "away_ms", away.count() }, { "refused", std::exchange(m_refused, 0) } });
+    m_isLeader = true;
+    m_leaderLostAt.reset();
+}
+
+void LeaderLink::logAbsence(base::MonotonicTime now)
+{
+    if (mayFindLeader(now) || now - m_absenceLoggedAt < absenceLogInterval) {
+        return;
     }
+    m_absenceLoggedAt = now;
+    const auto away = std::chrono::duration_cast<base::Milliseconds>(now - *m_leaderLostAt);
+    m_log.warning("no_leader",
+        { { "away_ms", away.count() }, { "refused", m_refused }, { "waiting", m_pending.size() },
+            { "addresses", m_addresses.size() } });
 }
 
 void LeaderLink::onFrame(std::uint64_t connectionNumber, std::string_view frame)
@@ -152,13 +206,12 @@
         // An answer that came before it in the same read has ended the connection.
         return;
     }
-    std::ranges::for_each(view.nodes, [this](const auto& node) { m_addresses.insert(node.second); });
     const auto now = base::monotonicNow();
+    std::ranges::for_each(view.nodes, [&](const auto& node) { m_addresses.insert(node.second); });
     if (view.leader == m_target) {
         if (!m_isLeader) {
-            m_log.info("leader_found", { { "address", m_target } });
+            onLeaderFound(now);
         }
-        m_isLeader = true;
         m_leaderHeardAt = now;
         sendWaiting();
         return;
@@ -202,8 +255,11 @@
                       : RequestResult { std::nullopt, answer.status, answer.body });
         return;
     }
-    // It has not been carried out there.
-    pending.isWaiting = pending.isWaiting || answer.outcome == control::ForwardOutcome::NotLeader;
+    if (answer.outcome == control::ForwardOutcome::NotLeader && !pending.isWaiting) {
+        // It has not been carried out there.
+        pending.wasSent = false;
+        awaitLeader(pending, base::monotonicNow());
+    }
     if (m_isLeader) {
         disconnect("does not lead");
     }
@@ -213,14 +269,16 @@
 {
     std::vector<std::uint64_t> expired;
     for (const auto& [id, pending] : m_pending) {
-        const bool isRefused = !pending.wasSent && pending.refuseAt <= now;
+        const bool isRefused = pending.isWaiting && !mayHaveRun(pending) && pending.refuseAt <= now;
         if (isRefused || pending.deadline <= now) {
             expired.push_back(id);
         }
     }
     std::ranges::for_each(expired, [this](std::uint64_t id) {
-        const bool wasSent = m_pending.at(id).wasSent;
-        finish(id, { wasSent ? RequestFailure::Unknown : RequestFailure::NotExecuted, 0, {} });
+        const Pending& pending = m_pending.at(id);
+        const bool isUnknown = mayHaveRun(pending) || !pending.isWaiting;
+        m_refused += isUnknown ? 0 : 1;
+        finish(id, { isUnknown ? RequestFailure::Unknown : RequestFailure::NotExecuted, 0, {} });
     });
 }
 
--- a/src/crocuscove/entry/leader_link.h
+++ b/src/crocuscove/entry/leader_link.h
@@ -42,20 +42,24 @@
     LeaderLink& operator=(const LeaderLink&) = delete;
 
     /// Forwards a request until it is answered or `deadline` has passed. A request that no leader was given by
-    /// `refuseAt` is given up. `callback` runs exactly once.
+    /// `refuseAt` is given up, and at once when the last leader was lost longer ago than an election takes. `callback`
+    /// runs exactly once, perhaps before this returns.
     void request(control::ForwardedRequest request, base::MonotonicTime refuseAt, base::MonotonicTime deadline,
         Callback callback);
 
     /// Tells whether a leader has answered lately.
     [[nodiscard]] bool isReady(base::MonotonicTime now) const;
 
+    /// Since when no leader has been known; nothing while there is one.
+    [[nodiscard]] std::optional<base::MonotonicTime> leaderLostAt() const { return m_leaderLostAt; }
+
 private:
     struct Pending {
         control::ForwardedRequest request;
         base::MonotonicTime refuseAt;
         base::MonotonicTime deadline;
         Callback callback;
-        /// A leader may have carried it out.
+        /// A leader was given it, and hasn't refused it as not the leader.
         bool wasSent = false;
         /// A connection was lost that had carried it, so that its outcome there stays open.
         bool isOutcomeOpen = false;
@@ -70,9 +74,16 @@
     void onFrame(std::uint64_t connectionNumber, std::string_view frame);
     void onView(const control::ClusterView& view);
     void onAnswer(const control::ForwardedAnswer& answer);
+    void onLeaderFound(base::MonotonicTime now);
     void sendWaiting();
     void expire(base::MonotonicTime now);
+    void logAbsence(base::MonotonicTime now);
     void finish(std::uint64_t id, RequestResult result);
+    /// Tells whether a leader to come may still serve a request in time.
+    [[nodiscard]] bool mayFindLeader(base::MonotonicTime now) const;
+    /// Lets a request wait for the next leader.
+    static void awaitLeader(Pending& pending, base::MonotonicTime now);
+    [[nodiscard]] static bool mayHaveRun(const Pending& pending);
 
     http::EventLoop& m_loop;
     const EntryOptions& m_options;
@@ -88,6 +99,10 @@
     /// The connection has carried an answer.
     bool m_hasAnswered = false;
     std::optional<base::MonotonicTime> m_leaderHeardAt;
+    std::optional<base::MonotonicTime> m_leaderLostAt;
+    /// Requests that were refused since then.
+    std::uint64_t m_refused = 0;
+    base::MonotonicTime m_absenceLoggedAt;
     base::MonotonicTime m_heardAt;
     base::MonotonicTime m_viewAskedAt;
     std::map<std::uint64_t, Pending> m_pending;
--- a/src/crocuscove/entry/leader_link_test.cpp
+++ b/src/crocuscove/entry/leader_link_test.cpp
@@ -36,6 +36,8 @@
     void setStatus(std::uint32_t status) { m_status = status; }
     /// Answers the next frames with bytes that are no message.
     void setMalformedAnswers(std::size_t count) { m_malformedAnswers = count; }
+    /// Names another node in the next view.
+    void setNamedOnce(std::string address) { m_namedOnce = std::move(address); }
     /// Sends views with texts that are no address.
     void setUnusableAddresses(std::size_t count) { m_unusableAddresses = count; }
     /// Refuses the next request as not the leader, and names itself as the leader right after.
@@ -85,7 +87,11 @@
             --m_unusableAddresses;
             return { "nowhere", { { "n1", "127.0.0.1.9" } } };
         }
-        return { m_leader, { { "n" + std::to_string(port()), m_address } } };
+        control::ClusterView view { m_leader, { { "n" + std::to_string(port()), m_address } } };
+        if (m_namedOnce) {
+            view.nodes["other"] = *std::exchange(m_namedOnce, std::nullopt);
+        }
+        return view;
     }
 
     static void send(link::FrameConnection& connection, const control::NodeMessage& message)
@@ -96,6 +102,7 @@
     std::string m_address;
     std::string m_leader;
     std::optional<std::string> m_leaderAfterRequest;
+    std::optional<std::string> m_namedOnce;
     bool m_isSilent = false;
     bool m_contradictsItself = false;
     std::uint32_t m_status = 200;
@@ -136,9 +143,45 @@
         return answer;
     }
 
+    /// Sends a request, which may wait for long, at intervals until one is answered or 20 s have passed.
+    std::optional<RequestResult> askUntilAnswered(LeaderLink& leaderLink)
+    {
+        const auto answer = std::make_shared<std::optional<RequestResult>>();
+        const auto sender = m_loop.runEvery(100ms, [&, answer] {
+            const auto now = base::monotonicNow();
+            leaderLink.request({}, now + 1min, now + 1min, [this, answer](RequestResult result) {
+                if (!*answer) {
+                    *answer = std::move(result);
+                    m_loop.stop();
+                }
+            });
+        });
+        const auto limit = m_loop.runAt(base::monotonicNow() + 20s, [this] { m_loop.stop(); });
+        m_loop.run();
+        return *answer;
+    }
+
+    /// Runs the loop until a log line holds `text` or 20 s have passed. Returns the line.
+    std::string waitForLine(const std::string& text)
+    {
+        const auto find = [&] {
+            return std::ranges::find_if(
+                m_lines, [&](const auto& line) { return line.find(text) != std::string::npos; });
+        };
+        const auto check = m_loop.runEvery(10ms, [&] {
+            if (find() != m_lines.end()) {
+                m_loop.stop();
+            }
+        });
+        const auto limit = m_loop.runAt(base::monotonicNow() + 20s, [this] { m_loop.stop(); });
+        m_loop.run();
+        return find() == m_lines.end() ? std::string() : *find();
+    }
+
     http::EventLoop m_loop;
     EntryOptions m_options;
-    base::Log m_log { base::LogLevel::Error };
+    std::vector<std::string> m_lines;
+    base::Log m_log { base::LogLevel::Info, {}, [this](std::string_view line) { m_lines.emplace_back(line); } };
     std::vector<std::unique_ptr<FakeControlNode>> m_nodes;
 };
 
@@ -208,6 +251,60 @@
     EXPECT_EQ(answer->failure, RequestFailure::NotExecuted);
 }
 
+// Guards against requests that are held to their end although no leader has answered for longer than an election.
+TEST_F(LeaderLinkTest, ARequestIsRefusedAtOnceWhileThereHasBeenNoLeaderForLong)
+{
+    FakeControlNode& node = addNode("127.0.0.1", "");
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    const auto refused = askUntilAnswered(leaderLink);
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->failure, RequestFailure::NotExecuted);
+    EXPECT_EQ(node.requests(), 0U);
+    node.setLeader("127.0.0.1");
+    EXPECT_NE(waitForLine("leader_found").find("\"refused\":1"), std::string::npos);
+    const auto answer = ask(leaderLink, 15s, 15s);
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(answer->failure);
+}
+
+// Guards against a read that waits to its end for a leader although it has no outcome that could be open.
+TEST_F(LeaderLinkTest, AReadThatALostLeaderWasGivenIsRefused)
+{
+    FakeControlNode& leader = addNode("127.0.0.1", "127.0.0.1");
+    leader.setSilent(true);
+    leader.setLeaderAfterRequest("");
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    const auto answer = ask(leaderLink, 100ms, 15s);
+    ASSERT_TRUE(answer);
+    EXPECT_GT(leader.requests(), 0U);
+    EXPECT_EQ(answer->failure, RequestFailure::NotExecuted);
+}
+
+// Guards against a change that is told as unknown although the only node that was given it refused it.
+TEST_F(LeaderLinkTest, AChangeThatANodeRefusedAsNotTheLeaderIsRefused)
+{
+    FakeControlNode& leader = addNode("127.0.0.1", "127.0.0.1");
+    leader.setLeaderAfterRequest("");
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    const auto answer = ask(leaderLink, 100ms, 15s, "POST");
+    ASSERT_TRUE(answer);
+    EXPECT_GT(leader.requests(), 0U);
+    EXPECT_EQ(answer->failure, RequestFailure::NotExecuted);
+}
+
+// Guards against a change that is told as not executed although a lost leader was given it.
+TEST_F(LeaderLinkTest, AChangeThatALostLeaderWasGivenEndsAsUnknown)
+{
+    FakeControlNode& leader = addNode("127.0.0.1", "127.0.0.1");
+    leader.setSilent(true);
+    leader.setLeaderAfterRequest("");
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    const auto answer = ask(leaderLink, 100ms, 3s, "POST");
+    ASSERT_TRUE(answer);
+    EXPECT_GT(leader.requests(), 0U);
+    EXPECT_EQ(answer->failure, RequestFailure::Unknown);
+}
+
 // Guards against an answer of a deposed leader that is passed on, and a request that isn't sent to the next one.
 TEST_F(LeaderLinkTest, ARequestGoesToTheNextLeaderWhenTheFirstDoesNotLeadAnyMore)
 {
