An entry node forgets addresses that the leader no longer names

An entry node kept every address of a control node that it had ever heard of, and searched them in turn when it lost the leader. A dead address costs 50 to 500 ms of the search, so that after enough replacements the search takes longer than a client waits; only a restart of the entry node shortened it.

An address that no view has named for 5 s is forgotten when a view of the leader arrives; only the leader is sure to be in contact with the nodes that count, so that nothing is forgotten without one. At most 64 addresses are kept; beyond that the one named longest ago goes.

--- a/src/crocuscove/entry/leader_link.cpp
+++ b/src/crocuscove/entry/leader_link.cpp
@@ -23,6 +23,9 @@
 /// A request that a lost leader can't have carried out waits this long for the next one.
 constexpr base::Milliseconds nextLeaderPatience { 500 };
 constexpr base::Milliseconds absenceLogInterval { 5'000 };
+/// A node that the leader doesn't name for this long is no longer searched.
+constexpr base::Milliseconds addressMemory { 5'000 };
+constexpr std::size_t maxAddresses = 64;
 constexpr std::uint32_t statusNotFound = 404;
 constexpr std::uint32_t statusTooManyRequests = 429;
 constexpr std::uint32_t statusUnavailable = 503;
@@ -42,8 +45,7 @@
     , m_log(log)
     , m_leaderLostAt(base::monotonicNow())
 {
-    std::ranges::transform(
-        options.seeds, std::inserter(m_addresses, m_addresses.end()), [](const auto& seed) { return seed.host; });
+    std::ranges::for_each(options.seeds, [this](const auto& seed) { m_addresses[seed.host] = *m_leaderLostAt; });
     m_timer = loop.runEvery(tickInterval, [this] { tick(); });
     connectNext();
 }
@@ -114,7 +116,7 @@
     }
     // The search goes through all nodes in turn, whatever leader the last ones named.
     const auto next = m_addresses.upper_bound(m_searched);
-    m_searched = next == m_addresses.end() ? *m_addresses.begin() : *next;
+    m_searched = next == m_addresses.end() ? m_addresses.begin()->first : next->first;
     connect(m_searched);
 }
 
@@ -179,6 +181,33 @@
             { "addresses", m_addresses.size() } });
 }
 
+bool LeaderLink::isSeed(const std::string& address) const
+{
+    return std::ranges::any_of(m_options.seeds, [&](const auto& seed) { return seed.host == address; });
+}
+
+void LeaderLink::learn(const std::string& address, base::MonotonicTime now)
+{
+    m_addresses[address] = now;
+    if (m_addresses.size() <= maxAddresses) {
+        return;
+    }
+    const auto rank = [this](const auto& entry) { return std::pair(isSeed(entry.first), entry.second); };
+    m_addresses.erase(std::ranges::min_element(m_addresses, {}, rank));
+}
+
+// Only the leader is sure to be in contact with the nodes that count.
+void LeaderLink::forgetAddresses(base::MonotonicTime now)
+{
+    std::erase_if(m_addresses, [&](const auto& entry) {
+        const bool isForgotten = now - entry.second > addressMemory && !isSeed(entry.first);
+        if (isForgotten) {
+            m_log.info("control_node_forgotten", { { "address", entry.first } });
+        }
+        return isForgotten;
+    });
+}
+
 void LeaderLink::onFrame(std::uint64_t connectionNumber, std::string_view frame)
 {
     if (connectionNumber != m_connectionNumber) {
@@ -207,12 +236,13 @@
         return;
     }
     const auto now = base::monotonicNow();
-    std::ranges::for_each(view.nodes, [&](const auto& node) { m_addresses.insert(node.second); });
+    std::ranges::for_each(view.nodes, [&](const auto& node) { learn(node.second, now); });
     if (view.leader == m_target) {
         if (!m_isLeader) {
             onLeaderFound(now);
         }
         m_leaderHeardAt = now;
+        forgetAddresses(now);
         sendWaiting();
         return;
     }
@@ -220,7 +250,7 @@
         disconnect("no longer leads");
     }
     if (!view.leader.empty()) {
-        m_addresses.insert(view.leader);
+        learn(view.leader, now);
         connect(view.leader);
     }
 }
--- a/src/crocuscove/entry/leader_link.h
+++ b/src/crocuscove/entry/leader_link.h
@@ -12,7 +12,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace crocuscove::entry {
@@ -75,6 +74,9 @@
     void onView(const control::ClusterView& view);
     void onAnswer(const control::ForwardedAnswer& answer);
     void onLeaderFound(base::MonotonicTime now);
+    void learn(const std::string& address, base::MonotonicTime now);
+    void forgetAddresses(base::MonotonicTime now);
+    [[nodiscard]] bool isSeed(const std::string& address) const;
     void sendWaiting();
     void expire(base::MonotonicTime now);
     void logAbsence(base::MonotonicTime now);
@@ -88,7 +90,8 @@
     http::EventLoop& m_loop;
     const EntryOptions& m_options;
     const base::Log& m_log;
-    std::set<std::string> m_addresses;
+    /// Addresses of control nodes, and when a node named them last.
+    std::map<std::string, base::MonotonicTime> m_addresses;
     std::string m_target;
     /// The node that was asked last in the search for the leader.
     std::string m_searched;
--- a/src/crocuscove/entry/leader_link_test.cpp
+++ b/src/crocuscove/entry/leader_link_test.cpp
@@ -319,6 +319,15 @@
     EXPECT_EQ(answer->body, "127.0.0.2");
 }
 
+// Guards against a search for the leader that takes longer with each control node that was replaced.
+TEST_F(LeaderLinkTest, AnAddressThatTheLeaderNoLongerNamesIsForgotten)
+{
+    FakeControlNode& leader = addNode("127.0.0.1", "127.0.0.1");
+    leader.setNamedOnce("127.0.0.9");
+    const LeaderLink leaderLink(m_loop, m_options, m_log);
+    EXPECT_NE(waitForLine("control_node_forgotten").find("127.0.0.9"), std::string::npos);
+}
+
 // Guards against an entry node that ends because of a frame that it can't read.
 TEST_F(LeaderLinkTest, AMalformedFrameClosesTheConnectionOnly)
 {
