A connection between our processes to a peer that lost power is closed

Callers saw nothing at once: a node that loses power, or is cut off, while nothing is on its way to it leaves a connection that is open on one side for ever. A control node then never connects to that peer again when the peer's hello was still to come, since it sends nothing before it; and each such caller of an accepting node keeps a descriptor until the process restarts. TCP_USER_TIMEOUT covers sent data only.

Idle connections are now probed by TCP each second, and given up after the same 1.5 s without an acknowledgement. A peer whose process merely stands still acknowledges, and keeps its connection.

--- a/include/crocuscove/link/frame_connection.h
+++ b/include/crocuscove/link/frame_connection.h
@@ -18,7 +18,8 @@
     std::size_t maxFrameBytes = std::size_t { 8 } * 1024 * 1024;
     /// Maximum number of bytes queued for sending. A frame that would exceed it closes the connection.
     std::size_t maxQueuedBytes = std::size_t { 32 } * 1024 * 1024;
-    /// The connection is closed when sent data stays unacknowledged for this long (TCP_USER_TIMEOUT).
+    /// The connection is closed when sent data, or a probe of an idle connection, stays unacknowledged for this long
+    /// (TCP_USER_TIMEOUT).
     base::Milliseconds silenceTimeout { 1500 };
 };
 
--- a/src/crocuscove/link/frame_connection.cpp
+++ b/src/crocuscove/link/frame_connection.cpp
@@ -22,14 +22,22 @@
 constexpr int listenBacklog = 512;
 constexpr std::size_t lengthBytes = 4;
 
-/// Disables the Nagle algorithm and sets the acknowledgement timeout. Errors are ignored, because a failed option only
-/// adds latency or delays the detection of an unresponsive peer.
+/// An idle connection is probed after this time, and again after as long; silenceTimeout says when it is given up.
+constexpr int probeIntervalSeconds = 1;
+
+/// Disables the Nagle algorithm, and has an unresponsive peer detected also while nothing is sent. Errors are ignored,
+/// because a failed option only adds latency or delays the detection.
 void setSocketOptions(int socket, base::Milliseconds silenceTimeout)
 {
     const int enabled = 1;
     const auto timeout = static_cast<unsigned int>(silenceTimeout.count());
     static_cast<void>(setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled));
     static_cast<void>(setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout));
+    static_cast<void>(setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof enabled));
+    static_cast<void>(
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &probeIntervalSeconds, sizeof probeIntervalSeconds));
+    static_cast<void>(
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &probeIntervalSeconds, sizeof probeIntervalSeconds));
 }
 
 } // namespace
