A control node connects to new nodes beside many that were replaced

A node that lost its disk or was replaced leaves its old address in the recorded nodes, so that it was never forgotten. Once 64 addresses were known, every new one was refused for ever: a new core VM was connected to by nobody, so that it joined nothing, whatever was restarted, since the recorded nodes are replicated state.

A full table of peers now lets go of the peer that was silent longest, unless it is connected, a seed or a voter; the new address gets its place, and peer_forgotten says so. A forgotten node that comes back says hello itself.

--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -101,12 +101,46 @@
 
 void Cluster::learn(const std::string& address)
 {
-    if (address != m_options.listen.host && m_peers.size() < maxKnownAddresses) {
-        const auto [peer, isNew] = m_peers.try_emplace(address);
-        if (isNew) {
-            peer->second.knownSince = base::monotonicNow();
+    if (address == m_options.listen.host || m_peers.contains(address)) {
+        return;
+    }
+    if (m_peers.size() >= maxKnownAddresses && !forgetPeer()) {
+        m_logLines.warning("peer_not_kept", { { "address", address }, { "peers", m_peers.size() } });
+        return;
+    }
+    Peer& peer = m_peers[address];
+    peer.knownSince = base::monotonicNow();
+    peer.heardAt = peer.knownSince;
+}
+
+bool Cluster::mayForget(const std::string& address, const Peer& peer) const
+{
+    const bool isSeed
+        = std::ranges::any_of(m_options.seeds, [&](const base::Endpoint& seed) { return seed.host == address; });
+    const auto& voters = m_log.raft().membership().voters;
+    const bool isVoter = std::ranges::any_of(voters, [&](const base::NodeId& voter) {
+        const auto node = m_state.nodes().find(voter.text());
+        return node != m_state.nodes().end() && node->second == address;
+    });
+    return !peer.isReady && !isSeed && !isVoter;
+}
+
+// The nodes that were ever recorded include those that were replaced, which never answer again.
+bool Cluster::forgetPeer()
+{
+    auto longestSilent = m_peers.end();
+    for (auto peer = m_peers.begin(); peer != m_peers.end(); ++peer) {
+        if (mayForget(peer->first, peer->second)
+            && (longestSilent == m_peers.end() || peer->second.heardAt < longestSilent->second.heardAt)) {
+            longestSilent = peer;
         }
     }
+    if (longestSilent == m_peers.end()) {
+        return false;
+    }
+    m_logLines.info("peer_forgotten", { { "address", longestSilent->first } });
+    m_peers.erase(longestSilent);
+    return true;
 }
 
 void Cluster::tick()
@@ -238,15 +272,17 @@
     const auto message = decodeNodeMessage(frame);
     Peer& peer = found->second;
     peer.silentTicks = 0;
+    peer.heardAt = base::monotonicNow();
     if (const auto* hello = std::get_if<Hello>(&message)) {
         peer.node = hello->node;
         peer.isReady = true;
         m_logLines.info("peer_connected", { { "address", address }, { "peer", hello->node } });
     }
+    heardFrom(peer.node);
     if (const auto* other = std::get_if<ClusterView>(&message)) {
+        // The last step, since a peer that hasn't said who it is may be forgotten by it.
         learnNodes(*other);
     }
-    heardFrom(peer.node);
 }
 
 void Cluster::learnNodes(const ClusterView& view)
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -81,6 +81,8 @@
         bool isReady = false;
         base::MonotonicTime reconnectAt;
         base::MonotonicTime knownSince;
+        /// When it answered last, or became known.
+        base::MonotonicTime heardAt;
         /// Ticks without an answer on this connection.
         std::uint32_t silentTicks = 0;
     };
@@ -100,6 +102,9 @@
     void handleRequest(std::uint64_t id, const ForwardedRequest& request);
     void onOutbound(const std::string& address, std::string_view frame);
     void learn(const std::string& address);
+    /// Makes room in the full table of peers. Returns false when each of them is needed.
+    bool forgetPeer();
+    [[nodiscard]] bool mayForget(const std::string& address, const Peer& peer) const;
     void learnNodes(const ClusterView& view);
     void heardFrom(const std::string& node);
     void send(const consensus::Message& message);
--- a/src/crocuscove/control/cluster_test.cpp
+++ b/src/crocuscove/control/cluster_test.cpp
@@ -104,6 +104,29 @@
     EXPECT_TRUE(runUntil(m_loop, [&] { return accepted.size() >= 2; }));
 }
 
+// Guards against addresses of replaced nodes that fill the table of peers, so that no later node is ever connected to.
+TEST_F(ClusterConnectionTest, ANewNodeIsConnectedToBesideManyThatWereReplaced)
+{
+    constexpr int replacedNodes = 100;
+    constexpr auto newAddress = "127.0.0.3";
+    m_options.seeds = { { ownAddress, 1 } };
+    start();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_cluster->isServing(); }));
+    const auto connection = connect();
+    for (int node = 0; node < replacedNodes; ++node) {
+        const std::string name = "old" + std::to_string(node);
+        const std::string address = "127.0.1." + std::to_string(node);
+        m_cluster->propose(jobs::RecordNode { name, address }, nullptr);
+        connection->send(encodeNodeMessage(Hello { name, address }));
+    }
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_cluster->state().nodes().contains("old99"); }));
+    bool isConnected = false;
+    const link::FrameListener newNode(
+        m_loop, { newAddress, m_options.internalPort }, link::FrameOptions {}, [&](auto) { isConnected = true; });
+    connection->send(encodeNodeMessage(Hello { "new", newAddress }));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return isConnected; }));
+}
+
 // Guards against a request that ends one leader after another, since entry nodes send it again to the next one.
 TEST_F(ClusterConnectionTest, AnErrorInTheHandlingOfARequestIsAnswered)
 {
