A list of VMs that never ends is given up and read again

Callers saw no maintenance and no moves from then on: a page of the platform's list that refers to itself, or ever further pages, kept one reading going for ever, and no other one starts while one runs; only a change of leader ended it.

A reading now has a deadline of 10 s for all pages, and ends when a page token repeats; vm_list_endless says so, the last list stays in use, and the next reading begins as usual.

--- a/src/crocuscove/control/vm_directory.cpp
+++ b/src/crocuscove/control/vm_directory.cpp
@@ -11,7 +11,9 @@
 
 /// Each reading is paid for; a VM that moves or is maintained is away for 1.5 s or more.
 constexpr base::Milliseconds readInterval { 500 };
-constexpr base::Milliseconds readTimeout { 2'000 };
+constexpr base::Milliseconds pageTimeout { 2'000 };
+/// The whole list, of some hundred pages.
+constexpr base::Milliseconds readTimeout { 10'000 };
 
 } // namespace
 
@@ -22,40 +24,49 @@
     }
     m_isReading = true;
     m_startedAt = now;
-    readPage("", std::make_shared<Vms>());
+    readPage("", std::make_shared<Reading>(Reading { {}, {}, now + readTimeout }));
 }
 
-void VmDirectory::readPage(const std::string& page, const std::shared_ptr<Vms>& found)
+void VmDirectory::readPage(const std::string& page, const std::shared_ptr<Reading>& reading)
 {
-    m_client.call(m_interface, platform::listVmsRequest(page), base::monotonicNow() + readTimeout,
-        [this, found](const http::ExchangeResult& result) {
-            if (!result.response || result.response->status != 200) {
-                m_isReading = false;
-                m_log.warning("vm_list_failed",
-                    { { "status", result.response ? result.response->status : 0 },
-                        { "failure", http::exchangeFailureName(result.failure) } });
-                return;
-            }
-            try {
-                platform::VmPage part = platform::decodeVmPage(result.response->body);
-                if (part.malformedEntries > 0) {
-                    m_log.warning("vm_entries_malformed", { { "count", part.malformedEntries } });
-                }
-                std::ranges::for_each(part.vms, [&](platform::Vm& vm) {
-                    const std::string id = vm.id;
-                    found->insert_or_assign(id, std::move(vm));
-                });
-                if (!part.nextPage.empty()) {
-                    readPage(part.nextPage, found);
-                    return;
-                }
-                m_vms = std::move(*found);
-                m_askedAt = m_startedAt;
-            } catch (const platform::MalformedMessage& error) {
-                m_log.warning("vm_list_malformed", { { "cause", error.what() } });
-            }
-            m_isReading = false;
+    const auto now = base::monotonicNow();
+    if (!reading->pages.insert(page).second || now >= reading->deadline) {
+        m_isReading = false;
+        m_log.warning("vm_list_endless", { { "pages", reading->pages.size() }, { "vms", reading->vms.size() } });
+        return;
+    }
+    m_client.call(m_interface, platform::listVmsRequest(page), std::min(now + pageTimeout, reading->deadline),
+        [this, reading](const http::ExchangeResult& result) { onPage(result, reading); });
+}
+
+void VmDirectory::onPage(const http::ExchangeResult& result, const std::shared_ptr<Reading>& reading)
+{
+    if (!result.response || result.response->status != 200) {
+        m_isReading = false;
+        m_log.warning("vm_list_failed",
+            { { "status", result.response ? result.response->status : 0 },
+                { "failure", http::exchangeFailureName(result.failure) } });
+        return;
+    }
+    try {
+        platform::VmPage part = platform::decodeVmPage(result.response->body);
+        if (part.malformedEntries > 0) {
+            m_log.warning("vm_entries_malformed", { { "count", part.malformedEntries } });
+        }
+        std::ranges::for_each(part.vms, [&](platform::Vm& vm) {
+            const std::string id = vm.id;
+            reading->vms.insert_or_assign(id, std::move(vm));
         });
+        if (!part.nextPage.empty()) {
+            readPage(part.nextPage, reading);
+            return;
+        }
+        m_vms = std::move(reading->vms);
+        m_askedAt = m_startedAt;
+    } catch (const platform::MalformedMessage& error) {
+        m_log.warning("vm_list_malformed", { { "cause", error.what() } });
+    }
+    m_isReading = false;
 }
 
 } // namespace crocuscove::control
--- a/src/crocuscove/control/vm_directory.h
+++ b/src/crocuscove/control/vm_directory.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace crocuscove::control {
@@ -34,7 +35,16 @@
 private:
     using Vms = std::map<std::string, platform::Vm>;
 
-    void readPage(const std::string& page, const std::shared_ptr<Vms>& found);
+    /// A list that is being read.
+    struct Reading {
+        Vms vms;
+        /// Tokens of the pages asked for.
+        std::set<std::string> pages;
+        base::MonotonicTime deadline;
+    };
+
+    void readPage(const std::string& page, const std::shared_ptr<Reading>& reading);
+    void onPage(const http::ExchangeResult& result, const std::shared_ptr<Reading>& reading);
 
     http::HttpClient& m_client;
     base::Endpoint m_interface;
