Log lines that nobody reads take no more memory than their bound

A process whose standard output is full, closed or on a full disk kept its collected lines within 256 KB, but at each flush added one more line that told of the dropped ones, for as long as that lasted: ten a second, without a bound. When the output worked again it began with all of them.

The line about dropped lines now counts against the bound: it is written in front of the next line that finds room, or by the flush that finds the buffer empty. Collected lines are still written as soon as the output takes them.

--- a/include/crocuscove/http/log_output.h
+++ b/include/crocuscove/http/log_output.h
@@ -32,6 +32,8 @@
 
 private:
     void add(std::string_view line);
+    [[nodiscard]] std::string droppedLine() const;
+    void writeLines();
 
     std::string m_lines;
     std::uint64_t m_droppedLines = 0;
--- a/src/crocuscove/http/log_output.cpp
+++ b/src/crocuscove/http/log_output.cpp
@@ -36,24 +36,33 @@
 
 void LogOutput::add(std::string_view line)
 {
-    if (m_lines.size() + line.size() > maxBufferedBytes) {
+    const std::string dropped = m_droppedLines > 0 ? droppedLine() : std::string();
+    if (m_lines.size() + dropped.size() + line.size() > maxBufferedBytes) {
         ++m_droppedLines;
         return;
     }
-    m_lines.append(line);
+    m_droppedLines = 0;
+    m_lines.append(dropped).append(line);
     m_lines.push_back('\n');
 }
 
+std::string LogOutput::droppedLine() const
+{
+    return fmt::format("{{\"level\":\"warning\",\"event\":\"log_lines_dropped\",\"count\":{}}}\n", m_droppedLines);
+}
+
 void LogOutput::flush()
 {
-    if (m_lines.empty()) {
-        return;
-    }
-    if (m_droppedLines > 0) {
-        m_lines
-            += fmt::format("{{\"level\":\"warning\",\"event\":\"log_lines_dropped\",\"count\":{}}}\n", m_droppedLines);
+    writeLines();
+    if (m_lines.empty() && m_droppedLines > 0) {
+        m_lines = droppedLine();
         m_droppedLines = 0;
+        writeLines();
     }
+}
+
+void LogOutput::writeLines()
+{
     std::size_t written = 0;
     while (written < m_lines.size()) {
         const ssize_t part
