--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -28,6 +28,9 @@
 /// An address that belongs to no member and doesn't answer is forgotten after this time.
 constexpr base::Milliseconds strangerMemory { 30'000 };
 constexpr std::size_t maxKnownAddresses = 64;
+/// A peer that leaves the requests of so many ticks without an answer is connected to again: 3 s, longer than a pause
+/// of a busy node. Ticks are counted, since a pause of this node is no silence of the peer.
+constexpr std::uint32_t maxSilentTicks = 15;
 constexpr std::uint32_t statusInternalError = 500;
 
 std::string nodeName(std::uint64_t folderId) { return fmt::format("n{:016x}", folderId); }
@@ -99,12 +102,46 @@
 
 void Cluster::learn(const std::string& address)
 {
-    if (address != m_options.listen.host && m_peers.size() < maxKnownAddresses) {
-        const auto [peer, isNew] = m_peers.try_emplace(address);
-        if (isNew) {
-            peer->second.knownSince = base::monotonicNow();
+    if (address == m_options.listen.host || m_peers.contains(address)) {
+        return;
+    }
+    if (m_peers.size() >= maxKnownAddresses && !forgetPeer()) {
+        m_logLines.warning("peer_not_kept", { { "address", address }, { "peers", m_peers.size() } });
+        return;
+    }
+    Peer& peer = m_peers[address];
+    peer.knownSince = base::monotonicNow();
+    peer.heardAt = peer.knownSince;
+}
+
+bool Cluster::mayForget(const std::string& address, const Peer& peer) const
+{
+    const bool isSeed
+        = std::ranges::any_of(m_options.seeds, [&](const base::Endpoint& seed) { return seed.host == address; });
+    const auto& voters = m_log.raft().membership().voters;
+    const bool isVoter = std::ranges::any_of(voters, [&](const base::NodeId& voter) {
+        const auto node = m_state.nodes().find(voter.text());
+        return node != m_state.nodes().end() && node->second == address;
+    });
+    return !peer.isReady && !isSeed && !isVoter;
+}
+
+// The nodes that were ever recorded include those that were replaced, which never answer again.
+bool Cluster::forgetPeer()
+{
+    auto longestSilent = m_peers.end();
+    for (auto peer = m_peers.begin(); peer != m_peers.end(); ++peer) {
+        if (mayForget(peer->first, peer->second)
+            && (longestSilent == m_peers.end() || peer->second.heardAt < longestSilent->second.heardAt)) {
+            longestSilent = peer;
         }
     }
+    if (longestSilent == m_peers.end()) {
+        return false;
+    }
+    m_logLines.info("peer_forgotten", { { "address", longestSilent->first } });
+    m_peers.erase(longestSilent);
+    return true;
 }
 
 void Cluster::tick()
@@ -113,6 +150,9 @@
     connectPeers(now);
     const std::string request = encodeNodeMessage(ViewRequest {});
     for (auto& [address, peer] : m_peers) {
+        if (peer.connection && ++peer.silentTicks > maxSilentTicks) {
+            disconnect(address, peer, "silent");
+        }
         if (peer.isReady) {
             peer.connection->send(request);
         }
@@ -150,20 +190,25 @@
             if (found == m_peers.end() || !found->second.connection || found->second.connection->isOpen()) {
                 return;
             }
-            if (found->second.isReady) {
-                m_logLines.warning(
-                    "peer_lost", { { "address", address }, { "peer", found->second.node }, { "cause", cause } });
-            }
-            found->second.connection.reset();
-            found->second.isReady = false;
-            found->second.reconnectAt = base::monotonicNow() + reconnectPause;
+            disconnect(address, found->second, cause);
         });
     };
+    peer.silentTicks = 0;
     peer.connection = link::FrameConnection::connect(
         m_loop, { address, m_options.internalPort }, link::FrameOptions {}, std::move(hooks));
     peer.connection->send(encodeNodeMessage(Hello { m_log.node().text(), m_options.listen.host }));
 }
 
+void Cluster::disconnect(const std::string& address, Peer& peer, std::string_view cause)
+{
+    if (peer.isReady) {
+        m_logLines.warning("peer_lost", { { "address", address }, { "peer", peer.node }, { "cause", cause } });
+    }
+    peer.connection.reset();
+    peer.isReady = false;
+    peer.reconnectAt = base::monotonicNow() + reconnectPause;
+}
+
 void Cluster::accept(std::unique_ptr<link::FrameConnection> connection)
 {
     const std::uint64_t id = m_nextInbound++;
@@ -226,14 +271,19 @@
         return;
     }
     const auto message = decodeNodeMessage(frame);
+    Peer& peer = found->second;
+    peer.silentTicks = 0;
+    peer.heardAt = base::monotonicNow();
     if (const auto* hello = std::get_if<Hello>(&message)) {
-        found->second.node = hello->node;
-        found->second.isReady = true;
+        peer.node = hello->node;
+        peer.isReady = true;
         m_logLines.info("peer_connected", { { "address", address }, { "peer", hello->node } });
-    } else if (const auto* other = std::get_if<ClusterView>(&message)) {
+    }
+    heardFrom(peer.node);
+    if (const auto* other = std::get_if<ClusterView>(&message)) {
+        // The last step, since a peer that hasn't said who it is may be forgotten by it.
         learnNodes(*other);
     }
-    heardFrom(found->second.node);
 }
 
 void Cluster::learnNodes(const ClusterView& view)
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -9,10 +9,12 @@
 #include "crocuscove/link/frame_connection.h"
 #include "crocuscove/replication/replicated_log.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace crocuscove::control {
@@ -84,6 +86,10 @@
         bool isReady = false;
         base::MonotonicTime reconnectAt;
         base::MonotonicTime knownSince;
+        /// When it answered last, or became known.
+        base::MonotonicTime heardAt;
+        /// Ticks without an answer on this connection.
+        std::uint32_t silentTicks = 0;
     };
     struct Pending {
         std::vector<jobs::Command> commands;
@@ -95,11 +101,15 @@
     void tick();
     void connectPeers(base::MonotonicTime now);
     void connect(const std::string& address, Peer& peer);
+    void disconnect(const std::string& address, Peer& peer, std::string_view cause);
     void accept(std::unique_ptr<link::FrameConnection> connection);
     void onInbound(std::uint64_t id, std::string_view frame);
     void handleRequest(std::uint64_t id, const ForwardedRequest& request);
     void onOutbound(const std::string& address, std::string_view frame);
     void learn(const std::string& address);
+    /// Makes room in the full table of peers. Returns false when each of them is needed.
+    bool forgetPeer();
+    [[nodiscard]] bool mayForget(const std::string& address, const Peer& peer) const;
     void learnNodes(const ClusterView& view);
     void heardFrom(const std::string& node);
     void send(const consensus::Message& message);
