--- a/src/crocuscove/base/settings.cpp
+++ b/src/crocuscove/base/settings.cpp
@@ -142,7 +142,8 @@
         host = host.substr(1, host.size() - 2);
     }
     in6_addr address {};
-    if (inet_pton(isBracketed ? AF_INET6 : AF_INET, host.c_str(), &address) != 1) {
+    const bool isTruncated = host.find('\0') != std::string::npos;
+    if (isTruncated || inet_pton(isBracketed ? AF_INET6 : AF_INET, host.c_str(), &address) != 1) {
         throw InvalidInput("not a numeric IP address");
     }
     return { host, static_cast<std::uint16_t>(parseInteger(text.substr(colon + 1), 0, 65535)) };
