--- a/src/crocuscove/control/control_api.cpp
+++ b/src/crocuscove/control/control_api.cpp
@@ -256,7 +256,8 @@
 {
     std::uint64_t number = 0;
     const auto parsed = std::from_chars(id.data(), id.data() + id.size(), number);
-    m_cluster.confirmCurrent([this, responder, number, isNumber = parsed.ec == std::errc()](bool isCurrent) {
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == id.data() + id.size();
+    m_cluster.confirmCurrent([this, responder, number, isNumber](bool isCurrent) {
         const auto wave = m_cluster.state().waves().find(number);
         if (!isCurrent) {
             responder.respond(response(statusUnavailable));
