--- a/src/crocuscove/jobs/pool_plan.cpp
+++ b/src/crocuscove/jobs/pool_plan.cpp
@@ -27,6 +27,10 @@
 /// and back costs about as much as keeping a VM in a pool for this long.
 constexpr base::Milliseconds surplusDelay { 1'000 };
 
+/// Upper limit of the work of one arrival, so that the sum of `maxArrivals` of them stays in range.
+constexpr double maxScaled = 4.0e14;
+constexpr double maxVmsWanted = 1.0e6;
+
 /// A pool with fewer VMs than it should have.
 struct Shortage {
     std::string pool;
@@ -43,8 +47,9 @@
 
 Resources scaled(const Resources& amount, double factor)
 {
-    const auto scale
-        = [&](std::int64_t value) { return static_cast<std::int64_t>(std::ceil(static_cast<double>(value) * factor)); };
+    const auto scale = [&](std::int64_t value) {
+        return static_cast<std::int64_t>(std::min(maxScaled, std::ceil(static_cast<double>(value) * factor)));
+    };
     return { scale(amount.cpuMilli), scale(amount.memoryMb), scale(amount.accelerators) };
 }
 
@@ -79,7 +84,7 @@
         return each <= 0 ? 0.0 : static_cast<double>(needed) / (static_cast<double>(each) * targetUtilisation);
     };
     const double vms = std::max(ratio(demand.cpuMilli, vm.cpuMilli), ratio(demand.memoryMb, vm.memoryMb));
-    return static_cast<std::uint32_t>(std::ceil(vms));
+    return static_cast<std::uint32_t>(std::min(maxVmsWanted, std::ceil(vms)));
 }
 
 } // namespace
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "crocuscove/jobs/scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <optional>
@@ -48,7 +49,7 @@
     Urgency urgency = Urgency::Missed;
     std::uint32_t priority = 0;
     /// Expected core-milliseconds that the job still needs.
-    std::int64_t remainingWork = 0;
+    double remainingWork = 0;
 };
 
 /// Returns the length of the critical path through the steps, in milliseconds. With `onlyRemaining`, finished steps
@@ -67,15 +68,16 @@
     return ends.empty() ? 0 : std::ranges::max(ends);
 }
 
-std::int64_t remainingWork(const Job& job, const RunTimes& runTimes)
+double remainingWork(const Job& job, const RunTimes& runTimes)
 {
-    std::int64_t work = 0;
+    double work = 0;
     for (const auto& steps : job.occurrences) {
         for (std::size_t step = 0; step < steps.size(); ++step) {
             const StepSpec& spec = job.spec.steps[step];
-            const auto unfinished = static_cast<std::int64_t>(steps[step].tasks.size() - steps[step].doneTasks);
-            work += unfinished * std::max<std::int64_t>(1, spec.perTask.cpuMilli)
-                * runTimes.expectedMs(job.queue, spec.estimateMs) / 1000;
+            const auto unfinished = static_cast<double>(steps[step].tasks.size() - steps[step].doneTasks);
+            const auto cpuMilli = static_cast<double>(std::max<std::int64_t>(1, spec.perTask.cpuMilli));
+            const auto expectedMs = static_cast<double>(runTimes.expectedMs(job.queue, spec.estimateMs));
+            work += std::floor(unfinished * cpuMilli * expectedMs / 1000);
         }
     }
     return work;
