serve: name no leader while the own disk fails

Callers: while the disk of a `serve` node failed, its commands and worker reports went to the leader that it had known before, or to itself, until their deadlines, also when another one led meanwhile.

Cause: a node that takes no part in consensus learns of no new leader, and `raft().leader()` keeps the last one. Found by review; read, not reproduced.

Change: ReplicatedLog::leader() is empty while the node takes no part, so that callers are told at once that there is no leader.

--- a/include/crocuscove/replication/replicated_log.h
+++ b/include/crocuscove/replication/replicated_log.h
@@ -85,6 +85,9 @@
     [[nodiscard]] const consensus::Raft& raft() const { return m_raft; }
     [[nodiscard]] bool isLeader() const { return !m_hasStorageFailed && m_raft.role() == consensus::Role::Leader; }
 
+    /// The known leader, or an empty id, as while this node takes no part in consensus.
+    [[nodiscard]] base::NodeId leader() const { return m_hasStorageFailed ? base::NodeId() : m_raft.leader(); }
+
     /// Tells whether the disk failed to take a write, so that this node takes no part in consensus until it does.
     [[nodiscard]] bool hasStorageFailed() const { return m_hasStorageFailed; }
 
--- a/src/crocuscove/server/command_submitter.cpp
+++ b/src/crocuscove/server/command_submitter.cpp
@@ -52,7 +52,7 @@
             submission.command, deadline, [this, id](const ProposalResult& result) { onAttemptFinished(id, result); });
         return;
     }
-    const base::NodeId leader = m_replica.raft().leader();
+    const base::NodeId leader = m_replica.leader();
     if (leader.empty() || !forwardToLeader(id, leader, deadline)) {
         scheduleRetry(id);
     }
--- a/src/crocuscove/server/fleet_api.cpp
+++ b/src/crocuscove/server/fleet_api.cpp
@@ -152,7 +152,7 @@
         respondError(responder, 503, "unavailable");
         return;
     }
-    const auto leader = m_replica.raft().leader();
+    const auto leader = m_replica.leader();
     const bool isSent = !leader.empty()
         && m_rpc.call(leader, Procedure::WorkerReport, request.body, base::monotonicNow() + forwardTimeout,
             [responder](const std::optional<std::string>& reply) {
--- a/src/crocuscove/server/replica.h
+++ b/src/crocuscove/server/replica.h
@@ -48,6 +48,8 @@
     [[nodiscard]] const state::State& state() const { return m_state; }
     [[nodiscard]] const consensus::Raft& raft() const { return m_replicatedLog.raft(); }
     [[nodiscard]] bool isLeader() const { return m_replicatedLog.isLeader(); }
+    /// See replication::ReplicatedLog::leader.
+    [[nodiscard]] base::NodeId leader() const { return m_replicatedLog.leader(); }
 
     /// Tells whether this node leads and has applied everything that was committed before its term.
     [[nodiscard]] bool isServing() const { return isLeader() && raft().term() == m_servingTerm; }
--- a/src/crocuscove/server/status_api.cpp
+++ b/src/crocuscove/server/status_api.cpp
@@ -128,7 +128,7 @@
         return { { "state", "no platform is configured" } };
     }
     if (!m_sources.replica.isLeader()) {
-        return { { "state", "see the leader" }, { "leader", m_sources.replica.raft().leader().text() } };
+        return { { "state", "see the leader" }, { "leader", m_sources.replica.leader().text() } };
     }
     const auto& plan = m_sources.maintenance->plan();
     Json pauses = Json::array();
