Harden the return to consensus after a failed write

The room asked for includes the batch, and a failure within 5 s after a return doubles the pause before the next one, up to 6.4 s. - A folder that was exchanged or shortened under the process was changed before its id was read, or taken with fewer entries than were acknowledged. The id is read first; a file shorter than what was synced is corrupt, which ends the process as at a start. - The writer thread and its pipe were made again at each return, which can fail for want of descriptors and then end the process. The follower is sent nothing and asks again (snapshot_unreadable). - An exception other than ours on the writer's thread ended the process without a log line; it is rethrown on the loop. - EAGAIN of any call counted as a folder owned by another process. Only that of the lock does. - Entries applied in the turn whose write failed were not reported to onApplied until the next entry.

--- a/include/crocuscove/replication/replicated_log.h
+++ b/include/crocuscove/replication/replicated_log.h
@@ -110,10 +110,10 @@
     };
 
     std::optional<storage::DataFolder> openFolder();
-    void takeRecovered(storage::Recovered recovered);
+    void keepRecovered(storage::Recovered recovered);
     consensus::Raft makeRaft();
-    void makeWriter();
-    void takeSnapshot();
+    [[nodiscard]] std::string readSnapshot(consensus::Index index, std::uint64_t offset, std::size_t maxBytes) const;
+    void restoreRecoveredSnapshot();
     void scheduleFlush();
     void flush();
     void onWritten(const std::exception_ptr& error);
@@ -137,6 +137,8 @@
     void completeReads();
     void expirePending();
     void compactIfLarge();
+    /// Returns nothing when the disk has no room for the snapshot.
+    std::optional<consensus::SnapshotMeta> saveSnapshot(consensus::SnapshotMeta meta);
     void armTimer();
 
     http::EventLoop& m_loop;
@@ -166,6 +168,10 @@
     bool m_hasStorageFailed = false;
     base::MonotonicTime m_storageFailedAt;
     base::MonotonicTime m_nextFailureLogAt;
+    base::MonotonicTime m_returnedAt;
+    /// Failures that each followed a return soon.
+    unsigned m_repeatedFailures = 0;
+    base::MonotonicTime m_nextCompactionAt;
     bool m_hasCaughtUp = false;
     http::Timer m_timer;
 };
--- a/include/crocuscove/replication/storage_start.h
+++ b/include/crocuscove/replication/storage_start.h
@@ -8,8 +8,8 @@
 
 namespace crocuscove::replication {
 
-/// Starts something that opens a data folder, and tries again while the disk has a fault that may end by itself, such as
-/// no room. Other errors are passed on: from the constructor, or out of the loop.
+/// Starts something that opens a data folder, and tries again while the disk has a fault that may end by itself, such
+/// as no room. Other errors are passed on: from the constructor, or out of the loop.
 class StorageStart {
 public:
     /// `start` runs at once, and again on the loop until it doesn't throw such a storage::StorageError.
--- a/include/crocuscove/storage/data_folder.h
+++ b/include/crocuscove/storage/data_folder.h
@@ -43,8 +43,8 @@
     bool isNew = false;
 };
 
-/// The data folder of one voter: log, hard state and snapshots. After a failed write or sync every call throws
-/// until reopen() has succeeded.
+/// The data folder of one voter: log, hard state and snapshots. After a failed change every call throws until reopen()
+/// has succeeded. Only a snapshot that could not be written leaves the folder as it was.
 class DataFolder {
 public:
     /// Locks the folder, creating it when it is missing, and recovers its content. Throws StorageError.
@@ -85,6 +85,9 @@
     /// Bytes of the segments in the folder.
     [[nodiscard]] std::uint64_t logBytes() const;
 
+    /// Tells whether a change has failed, so that reopen() is needed.
+    [[nodiscard]] bool hasFailed() const;
+
 private:
     class Impl;
     explicit DataFolder(std::unique_ptr<Impl> impl);
--- a/src/crocuscove/replication/disk_writer.cpp
+++ b/src/crocuscove/replication/disk_writer.cpp
@@ -96,7 +96,8 @@
                 std::ranges::for_each(writes,
                     [this](const consensus::PendingWrite& write) { m_folder.append(write.hardState, write.entries); });
                 m_folder.sync();
-            } catch (const base::Error&) {
+            } catch (...) {
+                // Rethrown on the loop.
                 error = std::current_exception();
             }
             lock.lock();
--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -28,6 +28,11 @@
 constexpr base::Milliseconds pendingCheckInterval { 50 };
 /// Pause between attempts to use a disk again that failed.
 constexpr base::Milliseconds returnInterval { 200 };
+/// A failure within this time after a return doubles the pause before the next return, up to a bound.
+constexpr base::Milliseconds stableAfterReturn { 5'000 };
+constexpr unsigned maxDoublings = 5;
+/// Pause after a snapshot that the disk had no room for.
+constexpr base::Milliseconds compactionRetryInterval { 5'000 };
 /// Interval of log lines about a disk that goes on failing.
 constexpr base::Milliseconds failureLogInterval { 5'000 };
 constexpr std::chrono::hours longestSleep { 1 };
@@ -45,13 +50,16 @@
     , m_folder(openFolder())
     , m_raft(makeRaft())
 {
-    takeSnapshot();
-    makeWriter();
+    restoreRecoveredSnapshot();
+    if (m_folder) {
+        m_writer = std::make_unique<DiskWriter>(
+            m_loop, *m_folder, [this](const std::exception_ptr& error) { onWritten(error); });
+    }
     scheduleFlush();
 }
 
 /// Loads the recovered snapshot into the state machine, unless the state is newer already.
-void ReplicatedLog::takeSnapshot()
+void ReplicatedLog::restoreRecoveredSnapshot()
 {
     m_snapshotIndex = m_raft.compactedIndex();
     m_reported = m_snapshotIndex;
@@ -62,14 +70,6 @@
     m_restoredSnapshot = {};
 }
 
-void ReplicatedLog::makeWriter()
-{
-    if (m_folder) {
-        m_writer = std::make_unique<DiskWriter>(
-            m_loop, *m_folder, [this](const std::exception_ptr& error) { onWritten(error); });
-    }
-}
-
 std::optional<storage::DataFolder> ReplicatedLog::openFolder()
 {
     if (m_options.dataFolder.empty()) {
@@ -81,7 +81,7 @@
     auto folder = storage::DataFolder::open(std::move(folderOptions));
     auto recovered = folder.takeRecovered();
     const bool isNew = recovered.isNew;
-    takeRecovered(std::move(recovered));
+    keepRecovered(std::move(recovered));
     // An interrupted first start may leave the hard state of the bootstrap without its entries.
     const bool isUnused = m_restored.snapshot.index == 0 && m_restored.entries.empty()
         && m_restored.hardState.term <= consensus::bootstrap({}).hardState.term;
@@ -101,7 +101,7 @@
     return folder;
 }
 
-void ReplicatedLog::takeRecovered(storage::Recovered recovered)
+void ReplicatedLog::keepRecovered(storage::Recovered recovered)
 {
     if (recovered.tornTail) {
         m_log.warning("torn_tail_removed",
@@ -121,11 +121,22 @@
     raftOptions.electionTimeoutMax = m_options.electionTimeoutMax;
     raftOptions.maxCommittedEntries = maxAppliedPerTurn;
     raftOptions.readSnapshot = [this](consensus::Index index, std::uint64_t offset, std::size_t maxBytes) {
-        return m_folder ? m_folder->readSnapshot(index, offset, maxBytes) : std::string();
+        return m_folder ? readSnapshot(index, offset, maxBytes) : std::string();
     };
     return { std::move(raftOptions), std::exchange(m_restored, {}), base::Random(m_random()), base::monotonicNow() };
 }
 
+std::string ReplicatedLog::readSnapshot(consensus::Index index, std::uint64_t offset, std::size_t maxBytes) const
+{
+    try {
+        return m_folder->readSnapshot(index, offset, maxBytes);
+    } catch (const storage::StorageError& error) {
+        // The follower asks again with the next heartbeat.
+        m_log.warning("snapshot_unreadable", { { "cause", error.what() } });
+        return {};
+    }
+}
+
 void ReplicatedLog::step(const consensus::Message& message)
 {
     if (m_hasStorageFailed) {
@@ -215,18 +226,19 @@
         work();
         compactIfLarge();
         startWrite();
+        // Before it hears from a leader, a restarted node knows only what its snapshot holds.
+        m_hasCaughtUp = m_hasCaughtUp
+            || (m_raft.lastQuorumContact() && m_raft.commitIndex() > 0 && m_applied >= m_raft.commitIndex());
     } catch (const storage::StorageError& error) {
         leaveConsensus(error);
-        return;
     }
-    // Before it hears from a leader, a restarted node knows only what its snapshot holds.
-    m_hasCaughtUp = m_hasCaughtUp
-        || (m_raft.lastQuorumContact() && m_raft.commitIndex() > 0 && m_applied >= m_raft.commitIndex());
-    completeReads();
+    if (!m_hasStorageFailed) {
+        completeReads();
+        armTimer();
+    }
     if (m_applied != appliedBefore) {
         m_hooks.onApplied();
     }
-    armTimer();
 }
 
 void ReplicatedLog::takeAll()
@@ -268,7 +280,9 @@
     m_writes = {};
     m_hooks.onRoleChange({ consensus::Role::Follower, m_raft.term(), {} });
     m_hooks.onStorageChange(false);
-    m_timer = m_loop.runAt(m_storageFailedAt + returnInterval, [this] { tryToReturn(); });
+    const bool isRepeated = m_storageFailedAt - m_returnedAt < stableAfterReturn;
+    m_repeatedFailures = isRepeated ? std::min(m_repeatedFailures + 1, maxDoublings) : 0;
+    m_timer = m_loop.runAt(m_storageFailedAt + returnInterval * (1U << m_repeatedFailures), [this] { tryToReturn(); });
 }
 
 void ReplicatedLog::tryToReturn()
@@ -291,14 +305,13 @@
 // As a restart would, but keeps the state: what was applied is committed, so that the log can't contradict it.
 void ReplicatedLog::returnToConsensus()
 {
-    m_writer.reset();
     m_folder->reopen();
-    takeRecovered(m_folder->takeRecovered());
+    keepRecovered(m_folder->takeRecovered());
     m_raft = makeRaft();
     const auto appliedBefore = m_applied;
-    takeSnapshot();
-    makeWriter();
+    restoreRecoveredSnapshot();
     m_hasStorageFailed = false;
+    m_returnedAt = base::monotonicNow();
     m_log.info("storage_recovered",
         { { "failed_for_ms", failedForMs() }, { "term", m_raft.term() }, { "last_index", m_raft.lastIndex() } });
     m_hooks.onStorageChange(true);
@@ -444,14 +457,16 @@
 void ReplicatedLog::compactIfLarge()
 {
     // The core can't describe the state while it is behind it.
-    if (m_raft.logBytes() < m_compactionBytes || m_applied <= m_snapshotIndex || m_reported < m_applied) {
+    if (m_raft.logBytes() < m_compactionBytes || m_applied <= m_snapshotIndex || m_reported < m_applied
+        || base::monotonicNow() < m_nextCompactionAt) {
         return;
     }
     finishAllWrites();
-    auto meta = m_raft.snapshotMetaAt(m_applied);
-    if (m_folder) {
-        meta = m_folder->saveSnapshot(std::move(meta), m_hooks.encodeSnapshot());
+    const auto saved = saveSnapshot(m_raft.snapshotMetaAt(m_applied));
+    if (!saved) {
+        return;
     }
+    const consensus::SnapshotMeta& meta = *saved;
     m_snapshotIndex = meta.index;
     const auto keepAfter = meta.index > entriesKept ? meta.index - entriesKept : 0;
     m_log.info("log_compacted", { { "index", meta.index }, { "snapshot_bytes", meta.size } });
@@ -463,6 +478,23 @@
     scheduleFlush();
 }
 
+std::optional<consensus::SnapshotMeta> ReplicatedLog::saveSnapshot(consensus::SnapshotMeta meta)
+{
+    if (!m_folder) {
+        return meta;
+    }
+    try {
+        return m_folder->saveSnapshot(std::move(meta), m_hooks.encodeSnapshot());
+    } catch (const storage::StorageError& error) {
+        if (m_folder->hasFailed() || !storage::isTemporary(error.fault())) {
+            throw;
+        }
+        m_nextCompactionAt = base::monotonicNow() + compactionRetryInterval;
+        m_log.warning("snapshot_failed", { { "cause", error.what() }, { "log_bytes", m_raft.logBytes() } });
+        return std::nullopt;
+    }
+}
+
 void ReplicatedLog::armTimer()
 {
     const auto now = base::monotonicNow();
--- a/src/crocuscove/storage/data_folder.cpp
+++ b/src/crocuscove/storage/data_folder.cpp
@@ -41,14 +41,12 @@
     void reopen()
     {
         m_failed = true;
+        requireSameFolder();
+        const std::uint64_t unsynced = m_wal.unsyncedBytes();
         m_wal.discardUnsynced();
         removeTemporary(listDataFolder(files(), path()));
-        requireRoom();
+        requireRoom(m_options.requiredRoomBytes + unsynced);
         const FolderListing listing = listDataFolder(files(), path());
-        if (const std::uint64_t id = readFormat(files(), path()).folderId; id != m_folderId) {
-            throw StorageError(StorageFault::Corrupt, path() + "/" + std::string(formatName), 0,
-                fmt::format("the folder has the id {:016x} instead of {:016x}", id, m_folderId));
-        }
         m_snapshot = {};
         recover(listing);
         m_failed = false;
@@ -83,8 +81,12 @@
         meta.size = data.size();
         meta.checksum = checksum;
         sync();
+        // The temporary file is no part of the folder's content, so that the folder stays usable when it can't be
+        // written.
+        const std::uint64_t dataOffset = writeSnapshotFile(files(), path(), meta, data);
         guarded([&] {
-            m_snapshotDataOffset = writeSnapshotFile(files(), path(), meta, data);
+            publishTemporaryFile(files(), path(), snapshotName(meta.index));
+            m_snapshotDataOffset = dataOffset;
             const consensus::Index older = std::exchange(m_snapshot, meta).index;
             if (m_wal.termAt(meta.index) != meta.term) {
                 m_wal.reset(meta.index, meta.term);
@@ -108,6 +110,8 @@
 
     [[nodiscard]] std::uint64_t logBytes() const { return m_wal.bytes(); }
 
+    [[nodiscard]] bool hasFailed() const { return m_failed; }
+
 private:
     [[nodiscard]] const FileHooks& files() const { return m_options.files; }
     [[nodiscard]] const std::string& path() const { return m_options.path; }
@@ -125,20 +129,25 @@
         std::ranges::for_each(listing.temporary, [this](const std::string& name) { removeFile(name); });
     }
 
-    /// Throws StorageError unless the disk takes some more bytes.
-    void requireRoom()
+    /// Throws StorageError when the path leads to another folder than the one that was opened.
+    void requireSameFolder()
     {
-        const std::string name = "room" + std::string(temporarySuffix);
-        try {
-            File file(files(), path() + "/" + name, OpenMode::Create);
-            file.write(std::string(m_options.requiredRoomBytes, '\0'), 0);
-            file.sync();
-        } catch (const StorageError&) {
-            // Others need the rest of the room too. What can't be removed now is removed by the next attempt.
-            static_cast<void>(files().remove(path() + "/" + name));
-            throw;
+        const std::string file = path() + "/" + std::string(formatName);
+        if (!listDataFolder(files(), path()).hasFormat) {
+            throw StorageError(StorageFault::Corrupt, file, 0, "the file is missing");
         }
-        removeFile(name);
+        if (const std::uint64_t id = readFormat(files(), path()).folderId; id != m_folderId) {
+            throw StorageError(StorageFault::Corrupt, file, 0,
+                fmt::format("the folder has the id {:016x} instead of {:016x}", id, m_folderId));
+        }
+    }
+
+    /// Throws StorageError unless the disk takes some more bytes.
+    void requireRoom(std::uint64_t bytes)
+    {
+        const std::string name = "room";
+        writeTemporaryFile(files(), path(), name, { std::string(bytes, '\0') });
+        removeFile(name + std::string(temporarySuffix));
     }
 
     /// FORMAT is written last, so that a folder with FORMAT and without a segment has lost its log.
@@ -268,4 +277,6 @@
 
 std::uint64_t DataFolder::logBytes() const { return m_impl->logBytes(); }
 
+bool DataFolder::hasFailed() const { return m_impl->hasFailed(); }
+
 } // namespace crocuscove::storage
--- a/src/crocuscove/storage/file.cpp
+++ b/src/crocuscove/storage/file.cpp
@@ -17,13 +17,16 @@
     case EDQUOT:
     case EFBIG:
         return StorageFault::DiskFull;
-    case EWOULDBLOCK:
-        return StorageFault::Locked;
     default:
         return StorageFault::InputOutput;
     }
 }
 
+std::string temporaryPath(const std::string& folder, const std::string& name)
+{
+    return folder + "/" + name + std::string(temporarySuffix);
+}
+
 } // namespace
 
 std::int64_t checkResult(std::int64_t result, const std::string& path, std::uint64_t offset, std::string_view what)
@@ -102,14 +105,20 @@
 
 void File::sync() { checkResult(m_hooks->sync(m_file), m_path, 0, "sync"); }
 
-void File::lock() { checkResult(m_hooks->lock(m_file), m_path, 0, "lock, another process owns the folder"); }
+void File::lock()
+{
+    const int result = m_hooks->lock(m_file);
+    if (result == -EWOULDBLOCK) {
+        throw StorageError(StorageFault::Locked, m_path, 0, "another process owns the folder");
+    }
+    checkResult(result, m_path, 0, "lock");
+}
 
-void writeWholeFile(const FileHooks& hooks, const std::string& folder, const std::string& name,
+void writeTemporaryFile(const FileHooks& hooks, const std::string& folder, const std::string& name,
     const std::vector<std::string_view>& parts)
 {
-    const std::string path = folder + "/" + name;
-    const std::string temporary = path + std::string(temporarySuffix);
-    {
+    const std::string temporary = temporaryPath(folder, name);
+    try {
         File file(hooks, temporary, OpenMode::Create);
         std::uint64_t offset = 0;
         for (const std::string_view part : parts) {
@@ -117,9 +126,25 @@
             offset += part.size();
         }
         file.sync();
+    } catch (const StorageError&) {
+        // On a full disk others need the room. What can't be removed now is removed when the folder is opened.
+        static_cast<void>(hooks.remove(temporary));
+        throw;
     }
-    checkResult(hooks.rename(temporary, path), path, 0, "rename");
+}
+
+void publishTemporaryFile(const FileHooks& hooks, const std::string& folder, const std::string& name)
+{
+    const std::string path = folder + "/" + name;
+    checkResult(hooks.rename(temporaryPath(folder, name), path), path, 0, "rename");
     checkResult(hooks.syncFolder(folder), folder, 0, "sync folder");
 }
 
+void writeWholeFile(const FileHooks& hooks, const std::string& folder, const std::string& name,
+    const std::vector<std::string_view>& parts)
+{
+    writeTemporaryFile(hooks, folder, name, parts);
+    publishTemporaryFile(hooks, folder, name);
+}
+
 } // namespace crocuscove::storage
--- a/src/crocuscove/storage/file.h
+++ b/src/crocuscove/storage/file.h
@@ -38,7 +38,15 @@
     int m_file = -1;
 };
 
-/// Writes `parts` to a temporary file, syncs it, renames it to `name` and syncs the folder.
+/// Writes `parts` to the temporary file of `name` and syncs it. After an error the file is removed, as far as that
+/// succeeds.
+void writeTemporaryFile(const FileHooks& hooks, const std::string& folder, const std::string& name,
+    const std::vector<std::string_view>& parts);
+
+/// Renames the temporary file of `name` to `name` and syncs the folder.
+void publishTemporaryFile(const FileHooks& hooks, const std::string& folder, const std::string& name);
+
+/// Does both.
 void writeWholeFile(const FileHooks& hooks, const std::string& folder, const std::string& name,
     const std::vector<std::string_view>& parts);
 
--- a/src/crocuscove/storage/snapshot_file.cpp
+++ b/src/crocuscove/storage/snapshot_file.cpp
@@ -60,7 +60,7 @@
     const FileHooks& hooks, const std::string& folder, const consensus::SnapshotMeta& meta, std::string_view data)
 {
     const std::string header = encodeHeader(meta);
-    writeWholeFile(hooks, folder, snapshotName(meta.index), { header, data });
+    writeTemporaryFile(hooks, folder, snapshotName(meta.index), { header, data });
     return header.size();
 }
 
--- a/src/crocuscove/storage/snapshot_file.h
+++ b/src/crocuscove/storage/snapshot_file.h
@@ -22,7 +22,8 @@
 /// Reads and verifies a snapshot file. Throws StorageError.
 SnapshotContent readSnapshotFile(const FileHooks& hooks, const std::string& folder, consensus::Index index);
 
-/// Makes a snapshot file durable. Returns the offset of the data in it.
+/// Writes and syncs the temporary file of a snapshot, which publishTemporaryFile() makes the snapshot. Returns the
+/// offset of the data in it.
 std::uint64_t writeSnapshotFile(
     const FileHooks& hooks, const std::string& folder, const consensus::SnapshotMeta& meta, std::string_view data);
 
--- a/src/crocuscove/storage/wal_writer.cpp
+++ b/src/crocuscove/storage/wal_writer.cpp
@@ -20,7 +20,11 @@
 {
     const Segment& segment = m_segments.back();
     File file(*m_hooks, pathOf(segment.firstIndex), OpenMode::Append);
-    if (file.size() > segment.bytes) {
+    const std::uint64_t size = file.size();
+    if (size < segment.bytes) {
+        throw StorageError(StorageFault::Corrupt, file.path(), size, "the file is shorter than what was synced");
+    }
+    if (size > segment.bytes) {
         file.truncate(segment.bytes);
     }
     file.sync();
--- a/src/crocuscove/storage/wal_writer.h
+++ b/src/crocuscove/storage/wal_writer.h
@@ -29,8 +29,10 @@
     /// Removes the segments whose entries all lie within a snapshot.
     void removeCovered(consensus::Index snapshotIndex);
 
+    /// Bytes that were appended and are not known to be durable.
+    [[nodiscard]] std::size_t unsyncedBytes() const { return m_buffer.size(); }
     /// Cuts off what was written to the current segment after its last successful sync, and makes that durable. Only
-    /// resume() may follow.
+    /// resume() may follow. Throws StorageError, Corrupt when synced bytes are missing.
     void discardUnsynced();
 
     [[nodiscard]] std::optional<consensus::Term> termAt(consensus::Index index) const { return m_terms.termAt(index); }
