Propose commands in several entries where one would be too large

All commands of one turn share an entry of the log, and an entry above 1 MiB is refused as a whole. One large command, such as that of a large message, had the reports, ends and assignments of the same turn refused with it. They are now halved until each entry fits, so that only a command that is too large by itself is refused.

ClusterConnectionTest.ACommandThatIsTooLargeDoesNotHaveTheOthersRefused failed before: all five commands weren't executed.

--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace crocuscove::control {
@@ -315,10 +316,24 @@
     }
 }
 
-void Cluster::flushProposals()
+void Cluster::flushProposals() { proposeTogether(std::exchange(m_pending, {})); }
+
+void Cluster::proposeTogether(Pending pending)
 {
-    Pending pending = std::exchange(m_pending, {});
-    m_log.propose(jobs::encodeCommands(pending.commands), base::monotonicNow() + proposalTimeout,
+    std::string entry = jobs::encodeCommands(pending.commands);
+    if (entry.size() > consensus::maxEntryBytes && pending.commands.size() > 1) {
+        // An entry that is too large is refused as a whole, so that a large command would have the others refused.
+        const auto half = static_cast<std::ptrdiff_t>(pending.commands.size() / 2);
+        Pending rest;
+        std::move(pending.commands.begin() + half, pending.commands.end(), std::back_inserter(rest.commands));
+        std::move(pending.callbacks.begin() + half, pending.callbacks.end(), std::back_inserter(rest.callbacks));
+        pending.commands.resize(static_cast<std::size_t>(half));
+        pending.callbacks.resize(static_cast<std::size_t>(half));
+        proposeTogether(std::move(pending));
+        proposeTogether(std::move(rest));
+        return;
+    }
+    m_log.propose(std::move(entry), base::monotonicNow() + proposalTimeout,
         [callbacks = std::move(pending.callbacks)](ProposalOutcome outcome) {
             std::ranges::for_each(callbacks, [&](const auto& callback) {
                 if (callback) {
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -102,6 +102,8 @@
     [[nodiscard]] bool isAlive(const std::string& node, base::MonotonicTime now) const;
     [[nodiscard]] ClusterView view() const;
     void flushProposals();
+    /// Proposes the commands in one entry, or in several where one would be too large.
+    void proposeTogether(Pending pending);
     void onRoleChange(const consensus::RoleChange& change);
     void confirmLeadership();
     void setServing(bool isServing);
--- a/src/crocuscove/control/cluster_test.cpp
+++ b/src/crocuscove/control/cluster_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -111,6 +112,31 @@
     EXPECT_EQ(answer->status, 500U);
 }
 
+// Guards against a large command, such as one from a large message, that has the commands of the same turn refused.
+TEST_F(ClusterConnectionTest, ACommandThatIsTooLargeDoesNotHaveTheOthersRefused)
+{
+    bool isServing = false;
+    m_hooks.onServing = [&](bool value) { isServing = value; };
+    m_options.seeds = { { ownAddress, 1 } };
+    start();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return isServing; }));
+    std::map<std::string, ProposalOutcome> outcomes;
+    const auto propose = [&](const std::string& vm, std::size_t bytes) {
+        m_cluster->propose(jobs::RecordVmOrder { vm, std::string(bytes, 'x') },
+            [&outcomes, vm](ProposalOutcome outcome) { outcomes[vm] = outcome; });
+    };
+    propose("a", 1);
+    propose("b", consensus::maxEntryBytes * 2 / 3);
+    propose("c", consensus::maxEntryBytes * 2 / 3);
+    propose("d", consensus::maxEntryBytes + 1);
+    propose("e", 1);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return outcomes.size() == 5; }));
+    for (const char* vm : { "a", "b", "c", "e" }) {
+        EXPECT_EQ(outcomes.at(vm), ProposalOutcome::Applied) << vm;
+    }
+    EXPECT_EQ(outcomes.at("d"), ProposalOutcome::NotExecuted);
+}
+
 /// The bytes of one frame on the wire.
 std::string framed(const std::string& payload)
 {
