--- a/src/crocuscove/control/vm_directory.cpp
+++ b/src/crocuscove/control/vm_directory.cpp
@@ -14,6 +14,7 @@
 constexpr base::Milliseconds pageTimeout { 2'000 };
 /// The whole list, of some hundred pages.
 constexpr base::Milliseconds readTimeout { 10'000 };
+constexpr std::size_t maxPages = 2'000;
 
 } // namespace
 
@@ -30,7 +31,8 @@
 void VmDirectory::readPage(const std::string& page, const std::shared_ptr<Reading>& reading)
 {
     const auto now = base::monotonicNow();
-    if (!reading->pages.insert(page).second || now >= reading->deadline) {
+    const bool isRepeated = !reading->pages.insert(page).second;
+    if (isRepeated || reading->pages.size() > maxPages || now >= reading->deadline) {
         m_isReading = false;
         m_log.warning("vm_list_endless", { { "pages", reading->pages.size() }, { "vms", reading->vms.size() } });
         return;
--- a/src/crocuscove/control/vm_directory_test.cpp
+++ b/src/crocuscove/control/vm_directory_test.cpp
@@ -45,9 +45,10 @@
     m_page = [](const std::string&) { return platform::testing::vmPage("vm-1", "again"); };
     ASSERT_TRUE(refreshUntil([&] { return m_readings >= 2; }));
     EXPECT_FALSE(m_directory.askedAt());
-    m_page = [](const std::string&) { return platform::testing::vmPage("vm-1", ""); };
+    m_page = [](const std::string&) { return platform::testing::vmPage("vm-2", ""); };
     EXPECT_TRUE(refreshUntil([&] { return m_directory.askedAt().has_value(); }));
-    EXPECT_EQ(m_directory.vms().size(), 1U);
+    ASSERT_EQ(m_directory.vms().size(), 1U) << "what was read before the end was given up is dropped";
+    EXPECT_TRUE(m_directory.vms().contains("vm-2"));
 }
 
 // Guards against a list that is never read again because it never ends.
@@ -58,5 +59,19 @@
     EXPECT_TRUE(refreshUntil([&] { return m_readings >= 2; }));
 }
 
+// Guards against pages with ever new names of the next one.
+TEST_F(VmDirectoryTest, AListOfTooManyPagesIsGivenUp)
+{
+    constexpr std::uint64_t maxPages = 2'000;
+    std::uint64_t pages = 0;
+    m_page = [&](const std::string&) { return platform::testing::vmPage("vm-1", std::to_string(++pages)); };
+    m_directory.refresh(base::monotonicNow());
+    runUntil(m_loop, [&] { return pages >= maxPages; });
+    std::size_t turns = 0;
+    runUntil(m_loop, [&] { return ++turns > 100; });
+    EXPECT_EQ(pages, maxPages);
+    EXPECT_FALSE(m_directory.askedAt());
+}
+
 } // namespace
 } // namespace crocuscove::control
