A leader that can't commit refuses further changes at once

Callers saw each change held for 2 s by the leader, and answered as unknown after 2.5 s, for as long as a quorum answered heartbeats but stored nothing, as when the disks of a majority are full or stand still: the leader keeps its leadership, so that nothing tells the entry nodes to refuse. Each unknown answer also ended the entry node's connection to the leader.

The leader now counts ticks in which entries wait and none is committed. From 1.6 s on, until something is committed, a change is refused at once with 503, which is true since it was not proposed. A submission whose id was submitted within 60 s with an open outcome gets 504 instead, since that one may still be carried out. What waits in the log is committed without a further proposal once a quorum stores again, so that the state ends by itself; a change of leader ends it too. commit_stalled, commit_resumed and job_refused say so.

--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -31,6 +31,8 @@
 /// A peer that leaves the requests of so many ticks without an answer is connected to again: 3 s, longer than a pause
 /// of a busy node. Ticks are counted, since a pause of this node is no silence of the peer.
 constexpr std::uint32_t maxSilentTicks = 15;
+/// 1.6 s; below the time that a proposal may take, so that only the first ones that can't be committed are held for it.
+constexpr std::uint32_t maxStalledTicks = 8;
 constexpr std::uint32_t statusInternalError = 500;
 
 std::string nodeName(std::uint64_t folderId) { return fmt::format("n{:016x}", folderId); }
@@ -147,6 +149,7 @@
 {
     const auto now = base::monotonicNow();
     connectPeers(now);
+    followCommits();
     const std::string request = encodeNodeMessage(ViewRequest {});
     for (auto& [address, peer] : m_peers) {
         if (peer.connection && ++peer.silentTicks > maxSilentTicks) {
@@ -164,6 +167,22 @@
     }
 }
 
+// What waits is committed without a further proposal once a quorum can store again.
+void Cluster::followCommits()
+{
+    const bool couldCommit = canCommit();
+    const consensus::Index commit = m_log.raft().commitIndex();
+    const bool isWaiting = m_log.isLeader() && m_log.raft().lastIndex() > commit && commit == m_lastCommit;
+    m_stalledTicks = isWaiting ? m_stalledTicks + 1 : 0;
+    m_lastCommit = commit;
+    if (couldCommit != canCommit()) {
+        m_logLines.warning(canCommit() ? "commit_resumed" : "commit_stalled",
+            { { "term", m_log.raft().term() }, { "commit", commit }, { "last", m_log.raft().lastIndex() } });
+    }
+}
+
+bool Cluster::canCommit() const { return m_stalledTicks < maxStalledTicks; }
+
 void Cluster::connectPeers(base::MonotonicTime now)
 {
     std::erase_if(m_peers, [&](const auto& entry) {
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -62,6 +62,10 @@
     /// reports cost the leader nothing; without another node it is this one.
     [[nodiscard]] std::string reportAddress(const std::string& workerId) const;
 
+    /// Returns false while this node leads, but nothing that it proposed has been committed for about as long as a
+    /// proposal may take, so that a further one would wait in vain.
+    [[nodiscard]] bool canCommit() const;
+
     /// Proposes a command; those of one loop turn are committed together. `callback` runs exactly once.
     void propose(jobs::Command command, std::function<void(ProposalOutcome)> callback);
 
@@ -94,6 +98,7 @@
     replication::ReplicatedLogOptions logOptions() const;
     replication::ReplicatedLogHooks logHooks();
     void tick();
+    void followCommits();
     void connectPeers(base::MonotonicTime now);
     void connect(const std::string& address, Peer& peer);
     void disconnect(const std::string& address, Peer& peer, std::string_view cause);
@@ -141,6 +146,9 @@
     std::map<std::uint64_t, Inbound> m_inbound;
     std::uint64_t m_nextInbound = 1;
     Pending m_pending;
+    consensus::Index m_lastCommit = 0;
+    /// Ticks in which entries waited and none was committed.
+    std::uint32_t m_stalledTicks = 0;
     bool m_isServing = false;
     std::uint64_t m_servingTerm = 0;
     bool m_isConfirming = false;
--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint32_t statusMethodNotAllowed = 405;
 constexpr std::uint32_t statusGone = 410;
 constexpr std::uint32_t statusUnavailable = 503;
+constexpr std::uint32_t statusTimeout = 504;
+/// A client that got no answer has sent its request again by then.
+constexpr base::Milliseconds submissionMemory { 60'000 };
 
 ForwardedAnswer answer(const ForwardedRequest& request, std::uint32_t status, std::string body = {})
 {
@@ -96,6 +99,10 @@
         reply(answer(request, statusOk));
         return;
     }
+    if (!m_cluster.canCommit()) {
+        refuse(request, id, reply);
+        return;
+    }
     jobs::AcceptJob command;
     command.job = id;
     command.queue = queue.name;
@@ -107,8 +114,15 @@
         reply(answer(request, statusBadRequest));
         return;
     }
+    m_openSubmissions[id] = base::monotonicNow() + submissionMemory;
     m_cluster.propose(
         std::move(command), [this, request, reply, id, start = base::monotonicNow()](ProposalOutcome outcome) {
+            if (outcome == ProposalOutcome::Applied) {
+                m_openSubmissions.erase(id);
+            } else {
+                std::erase_if(
+                    m_openSubmissions, [now = base::monotonicNow()](const auto& entry) { return entry.second <= now; });
+            }
             const std::chrono::duration<double> waited = base::monotonicNow() - start;
             m_metrics.observe("job_commit", waited.count());
             const bool isStored = outcome == ProposalOutcome::Applied && m_cluster.state().findJob(id) != nullptr;
@@ -132,6 +146,10 @@
         reply(answer(request, statusOk));
         return;
     }
+    if (!m_cluster.canCommit()) {
+        refuse(request, id, reply);
+        return;
+    }
     const std::int64_t nowMs = base::wallNow().time_since_epoch().count();
     m_cluster.propose(jobs::CancelJob { id, nowMs }, [this, request, reply, id](ProposalOutcome outcome) {
         const jobs::Job* cancelled = m_cluster.state().findJob(id);
@@ -146,6 +164,15 @@
     });
 }
 
+void JobApi::refuse(const ForwardedRequest& request, jobs::JobId id, const Reply& reply)
+{
+    const bool mayRun = request.method == "POST" && m_openSubmissions.contains(id);
+    m_metrics.count("job_refused", "commit-stalled");
+    m_log.warning(
+        "job_refused", { { "job", platform::jobName(id) }, { "method", request.method }, { "open", mayRun } });
+    reply(answer(request, mayRun ? statusTimeout : statusUnavailable));
+}
+
 void JobApi::read(
     const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply)
 {
--- a/src/crocuscove/control/job_api.h
+++ b/src/crocuscove/control/job_api.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -33,6 +34,8 @@
 private:
     void submit(const ForwardedRequest& request, const jobs::Queue& queue, jobs::JobId id, const Reply& reply);
     void cancel(const ForwardedRequest& request, jobs::JobId id, const Reply& reply);
+    /// Answers a change at once that couldn't be committed.
+    void refuse(const ForwardedRequest& request, jobs::JobId id, const Reply& reply);
     /// Answers a request for a queue that is not in the configuration.
     void answerUnknownQueue(const ForwardedRequest& request, const Reply& reply);
     void read(const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply);
@@ -43,6 +46,8 @@
     process::Metrics& m_metrics;
     Cluster& m_cluster;
     WaitingJobs m_waitingJobs;
+    /// Submitted jobs whose outcome is open, until when a refusal must not say that they don't run.
+    std::map<jobs::JobId, base::MonotonicTime> m_openSubmissions;
 };
 
 } // namespace crocuscove::control
--- /dev/null
+++ b/src/crocuscove/control/job_api_test.cpp
@@ -0,0 +1,164 @@
+#include "crocuscove/control/job_api.h"
+
+#include "crocuscove/http/socket_testing.h"
+#include "crocuscove/jobs/testing.h"
+#include "crocuscove/storage/temporary_folder.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocuscove::control {
+namespace {
+
+using http::testing::runUntil;
+
+constexpr auto ownAddress = "127.0.0.1";
+constexpr auto followerAddress = "127.0.0.2";
+constexpr std::uint32_t statusOk = 200;
+constexpr std::uint32_t statusUnavailable = 503;
+constexpr std::uint32_t statusTimeout = 504;
+
+std::uint16_t freePort()
+{
+    http::EventLoop loop;
+    return link::FrameListener(loop, { ownAddress, 0 }, link::FrameOptions {}, nullptr).port();
+}
+
+/// A voter that answers its leader's heartbeats, but acknowledges entries only while its disk works.
+class Follower {
+public:
+    Follower(http::EventLoop& loop, std::uint16_t port)
+        : m_listener(loop, { followerAddress, port }, link::FrameOptions {},
+            [this](auto connection) { accept(std::move(connection)); })
+        , m_connection(link::FrameConnection::connect(loop, { ownAddress, port }, link::FrameOptions {}, {}))
+    {
+        m_connection->send(encodeNodeMessage(Hello { "n2", followerAddress }));
+    }
+
+    void setDiskWorks(bool works) { m_diskWorks = works; }
+
+private:
+    void accept(std::unique_ptr<link::FrameConnection> connection)
+    {
+        link::FrameHooks hooks;
+        hooks.onFrame = [this, raw = connection.get()](std::string_view frame) { onFrame(*raw, frame); };
+        connection->setHooks(std::move(hooks));
+        m_accepted.push_back(std::move(connection));
+    }
+
+    void onFrame(link::FrameConnection& connection, std::string_view frame)
+    {
+        const auto message = decodeNodeMessage(frame);
+        if (std::holds_alternative<Hello>(message)) {
+            connection.send(encodeNodeMessage(Hello { "n2", followerAddress }));
+        } else if (std::holds_alternative<ViewRequest>(message)) {
+            connection.send(encodeNodeMessage(ClusterView {}));
+        } else if (const auto* consensusFrame = std::get_if<ConsensusFrame>(&message)) {
+            onConsensus(decodeConsensusFrame(*consensusFrame));
+        }
+    }
+
+    void onConsensus(const consensus::Message& message)
+    {
+        const auto* request = std::get_if<consensus::AppendRequest>(&message.body);
+        if (request == nullptr) {
+            return;
+        }
+        m_received = std::max<consensus::Index>(m_received, request->previousIndex + request->entries.size());
+        m_stored = m_diskWorks ? m_received : m_stored;
+        const consensus::AppendAnswer answer { true, request->previousIndex, m_stored, request->round };
+        m_connection->send(encodeNodeMessage(
+            ConsensusFrame { consensus::encodeMessage({ message.to, message.from, message.term, answer }) }));
+    }
+
+    bool m_diskWorks = true;
+    consensus::Index m_received = 0;
+    consensus::Index m_stored = 0;
+    std::vector<std::unique_ptr<link::FrameConnection>> m_accepted;
+    link::FrameListener m_listener;
+    std::unique_ptr<link::FrameConnection> m_connection;
+};
+
+class JobApiTest : public testing::Test {
+protected:
+    JobApiTest()
+    {
+        m_options.listen = { ownAddress, 1 };
+        m_options.internalPort = freePort();
+        m_options.seeds = { { ownAddress, 1 } };
+        m_options.votersWanted = 2;
+        m_options.isFirstStart = true;
+        m_options.dataFolder = m_folder.path("data");
+        ClusterHooks hooks;
+        hooks.onApplied = [](const std::vector<jobs::Command>&) {};
+        hooks.onServing = [](bool) {};
+        m_cluster.emplace(m_loop, m_options, m_log, m_random, std::move(hooks));
+        m_api.emplace(m_log, m_metrics, *m_cluster, [](const std::string&) { return 0; });
+    }
+
+    bool hasLine(const std::string& text) const
+    {
+        return std::ranges::any_of(m_lines, [&](const auto& line) { return line.find(text) != std::string::npos; });
+    }
+
+    /// Has the follower vote and the configuration in force.
+    bool form()
+    {
+        m_cluster->propose(jobs::PutConfiguration { jobs::testing::configuration() }, nullptr);
+        return runUntil(m_loop, [this] {
+            if (m_cluster->isServing() && m_cluster->state().configuration().version == 0) {
+                m_cluster->propose(jobs::PutConfiguration { jobs::testing::configuration() }, nullptr);
+            }
+            return hasLine("voter-wanted") && m_cluster->state().configuration().version == 1;
+        });
+    }
+
+    /// Answers a request for the job with number `job`.
+    std::optional<ForwardedAnswer> ask(const std::string& method, int job)
+    {
+        const auto answer = std::make_shared<std::optional<ForwardedAnswer>>();
+        const std::string path = "/q/000000000000000" + std::to_string(job);
+        m_api->handle({ 1, method, "host", path, R"({"steps":[{"count":1}]})" },
+            [answer](const ForwardedAnswer& given) { *answer = given; });
+        static_cast<void>(runUntil(m_loop, [&] { return answer->has_value(); }));
+        return *answer;
+    }
+
+    storage::TemporaryFolder m_folder;
+    http::EventLoop m_loop;
+    ControlOptions m_options;
+    std::vector<std::string> m_lines;
+    base::Log m_log { base::LogLevel::Info, {}, [this](std::string_view line) { m_lines.emplace_back(line); } };
+    base::Random m_random { 1 };
+    process::Metrics m_metrics;
+    std::optional<Cluster> m_cluster;
+    std::optional<JobApi> m_api;
+};
+
+// Guards against requests that are each held to their end by a leader that can't commit.
+TEST_F(JobApiTest, ALeaderThatCannotCommitRefusesFurtherChangesAtOnce)
+{
+    Follower follower(m_loop, m_options.internalPort);
+    ASSERT_TRUE(form());
+    ASSERT_EQ(ask("POST", 1)->status, statusOk);
+    follower.setDiskWorks(false);
+    EXPECT_EQ(ask("POST", 2)->outcome, ForwardOutcome::Unknown);
+    EXPECT_EQ(ask("POST", 3)->status, statusUnavailable);
+    EXPECT_EQ(ask("DELETE", 1)->status, statusUnavailable);
+    // An earlier request for it may still be carried out.
+    EXPECT_EQ(ask("POST", 2)->status, statusTimeout);
+    EXPECT_TRUE(m_cluster->isServing());
+    follower.setDiskWorks(true);
+    EXPECT_TRUE(runUntil(m_loop, [&] { return hasLine("commit_resumed"); }));
+    EXPECT_EQ(ask("POST", 2)->status, statusOk);
+    EXPECT_EQ(ask("POST", 3)->status, statusOk);
+}
+
+} // namespace
+} // namespace crocuscove::control
