Log how far a learner is behind while a voter is wanted

Operators saw in the log that a node had joined as a learner, not why it did not become a voter. The refusal of a promotion left no line, so that a learner that catches up slowly could not be told from one that is not chosen. learner_lags gives the entries it has acknowledged and the committed ones, on each tick of the leader in which the promotion is held up by that.

--- a/src/crocuscove/control/cluster_members.cpp
+++ b/src/crocuscove/control/cluster_members.cpp
@@ -109,8 +109,16 @@
     }
     const auto learner
         = std::ranges::find_if(members.learners, [&](const base::NodeId& node) { return isAlive(node.text(), now); });
-    return learner != members.learners.end()
-        && change(consensus::ChangeKind::PromoteLearner, learner->text(), "voter-wanted");
+    if (learner == members.learners.end()) {
+        return false;
+    }
+    const auto refusal = m_log.raft().changeRefusal({ consensus::ChangeKind::PromoteLearner, *learner });
+    if (refusal == consensus::ChangeRefusal::LearnerLagsBehind) {
+        m_logLines.info("learner_lags",
+            { { "peer", learner->text() }, { "match", m_log.raft().matchIndex(*learner).value_or(0) },
+                { "commit", m_log.raft().commitIndex() } });
+    }
+    return change(consensus::ChangeKind::PromoteLearner, learner->text(), "voter-wanted");
 }
 
 } // namespace crocuscove::control
