Send and receive up to 256 KB in a turn of the loop on connections between our own nodes

Cause: a connection received 4,096 bytes (EVBUFFER_MAX_READ of libevent 2.1) and sent 16 KB in one turn of the loop, whatever was waiting. A leader or learner whose turns take some milliseconds got some hundred KB/s of the log, and the entries that others wait for queue up behind. Change: after the bytes that libevent has read, the connection reads on by itself, 256 KB at most in one turn, and sends as much. Others on the loop still get their turn in between.

--- a/src/crocuscove/link/frame_connection.cpp
+++ b/src/crocuscove/link/frame_connection.cpp
@@ -11,7 +11,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <cstring>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -21,6 +23,10 @@
 
 constexpr int listenBacklog = 512;
 constexpr std::size_t lengthBytes = 4;
+/// Bytes that a connection sends and receives in one turn of the loop before others get theirs. By default libevent
+/// sends 16 KB and receives 4 KB, so that a node whose turns are long gets a long log slowly.
+constexpr std::size_t maxBytesPerTurn = std::size_t { 256 } * 1024;
+constexpr std::size_t receiveBytes = std::size_t { 64 } * 1024;
 
 /// Disables the Nagle algorithm and sets the acknowledgement timeout. Errors are ignored, because a failed option only
 /// adds latency or delays the detection of an unresponsive peer.
@@ -43,6 +49,7 @@
         , m_hooks(std::move(hooks))
     {
         bufferevent_setcb(m_stream, onRead, nullptr, onEvent, this);
+        bufferevent_set_max_single_write(m_stream, maxBytesPerTurn);
     }
 
     ~Impl()
@@ -113,10 +120,41 @@
             [self, what] { self->close((what & BEV_EVENT_EOF) != 0 ? "closed by peer" : "connection failed"); });
     }
 
+    /// Moves what has arrived to m_input. Returns whether the connection still works.
+    bool receive()
+    {
+        evbuffer_add_buffer(m_input.get(), bufferevent_get_input(m_stream));
+        for (std::size_t received = 0; received < maxBytesPerTurn;) {
+            evbuffer_iovec space {};
+            if (evbuffer_reserve_space(m_input.get(), receiveBytes, &space, 1) != 1) {
+                return false;
+            }
+            const ssize_t count = ::recv(bufferevent_getfd(m_stream), space.iov_base, space.iov_len, MSG_DONTWAIT);
+            if (count <= 0) {
+                // The end of the stream stays readable, and libevent reports it.
+                return count == 0 || errno == EAGAIN || errno == EINTR;
+            }
+            space.iov_len = static_cast<std::size_t>(count);
+            evbuffer_commit_space(m_input.get(), &space, 1);
+            received += space.iov_len;
+        }
+        return true;
+    }
+
     void readFrames()
     {
         const auto alive = m_isAlive;
-        evbuffer* input = bufferevent_get_input(m_stream);
+        const bool works = receive();
+        takeFrames();
+        if (*alive && !works) {
+            close("connection failed");
+        }
+    }
+
+    void takeFrames()
+    {
+        const auto alive = m_isAlive;
+        evbuffer* input = m_input.get();
         while (*alive && m_isOpen && evbuffer_get_length(input) >= lengthBytes) {
             std::uint32_t length = 0;
             evbuffer_copyout(input, &length, lengthBytes);
@@ -168,6 +206,7 @@
 
     http::EventLoop& m_loop;
     bufferevent* m_stream;
+    std::unique_ptr<evbuffer, decltype(&evbuffer_free)> m_input { evbuffer_new(), evbuffer_free };
     FrameOptions m_options;
     FrameHooks m_hooks;
     bool m_isOpen = true;
