Promote a learner that lags where the quorum stays the same size

Cause: a learner had to be within 1,024 entries of the committed ones. With an even number of voters that gains nothing: one more voter doesn't enlarge the quorum, so that a voter that lags holds up no commit, and it can vote as soon as it holds an entry. Change: the limit applies only where the quorum grows. A learner with an empty log is still refused. Evidence: RaftReplication.TwoDisksMayBeLostWhileAReplacementCatchesUp (five voters, 20,000 entries) failed before: the promotion was refused, and no leader was elected after the losses.

--- a/include/crocuscove/consensus/options.h
+++ b/include/crocuscove/consensus/options.h
@@ -44,7 +44,7 @@
     std::size_t maxPendingReads = 4096;
     std::size_t snapshotChunkBytes = std::size_t { 256 } * 1024;
     std::size_t maxSnapshotBytes = std::size_t { 512 } * 1024 * 1024;
-    /// Entries a learner may lag behind the leader's commit index and still become a voter.
+    /// Entries a learner may lag behind the leader's commit index and still become a voter that enlarges the quorum.
     std::size_t maxPromotionLag = 1024;
     SnapshotReader readSnapshot = nullptr;
     Fault fault = Fault::None;
--- a/src/crocuscove/consensus/raft_core.h
+++ b/src/crocuscove/consensus/raft_core.h
@@ -134,7 +134,8 @@
     [[nodiscard]] bool hasCommittedInTerm() const;
 
     // raft_quorum.cpp
-    [[nodiscard]] std::size_t quorum() const { return m_log.membership().voters.size() / 2 + 1; }
+    [[nodiscard]] static std::size_t quorumOf(std::size_t voters) { return voters / 2 + 1; }
+    [[nodiscard]] std::size_t quorum() const { return quorumOf(m_log.membership().voters.size()); }
     /// The highest value that a quorum of voters has reached.
     template <typename Value, typename Of> [[nodiscard]] Value quorumValue(Value own, Of of) const;
     [[nodiscard]] Index quorumMatch() const;
--- a/src/crocuscove/consensus/raft_membership.cpp
+++ b/src/crocuscove/consensus/raft_membership.cpp
@@ -56,8 +56,10 @@
             return isVoter ? ChangeRefusal::AlreadyMember : ChangeRefusal::NotMember;
         }
         // A node with an empty log grants no votes. As a voter it could leave the cluster without a quorum that votes.
+        // A voter that lags holds up commits only if the quorum grows with it.
         const Index match = matchIndex(change.node).value_or(0);
-        const bool lags = match == 0 || match + m_options.maxPromotionLag < m_commit;
+        const bool isQuorumLarger = quorumOf(membership.voters.size() + 1) > quorum();
+        const bool lags = match == 0 || (isQuorumLarger && match + m_options.maxPromotionLag < m_commit);
         return lags ? std::optional(ChangeRefusal::LearnerLagsBehind) : std::nullopt;
     }
     if (!isVoter && !isLearner) {
--- a/src/crocuscove/consensus/raft_replication_test.cpp
+++ b/src/crocuscove/consensus/raft_replication_test.cpp
@@ -229,6 +229,36 @@
     EXPECT_EQ(cluster.node(learner).raft->role(), Role::Follower);
 }
 
+// Guards against two lost disks that leave no quorum, because a third voter was replaced shortly before and its
+// replacement, which lags, doesn't vote yet.
+TEST(RaftReplication, TwoDisksMayBeLostWhileAReplacementCatchesUp)
+{
+    constexpr std::size_t entries = 20000;
+    Cluster cluster({ .seed = 10, .voters = 5, .maxBatchEntries = 64, .maxBatchBytes = 4096 });
+    ASSERT_TRUE(cluster.waitForLeader());
+    proposeMany(cluster, entries);
+    const NodeId leader = cluster.leader().value();
+    const std::vector<NodeId> others = followers(cluster);
+    cluster.loseDisk(others[0]);
+    changeMember(cluster, ChangeKind::RemoveNode, others[0]);
+    const NodeId replacement("n9");
+    changeMember(cluster, ChangeKind::AddLearner, replacement);
+    cluster.addNode(replacement);
+    const auto match = [&] { return cluster.node(leader).raft->matchIndex(replacement).value_or(0); };
+    cluster.runCalmly(Milliseconds(5000), [&] { return match() > 0; });
+    ASSERT_LT(match(), entries / 2);
+    cluster.act(leader, [&](Raft& raft) {
+        EXPECT_TRUE(raft.proposeMembership(cluster.now(), { ChangeKind::PromoteLearner, replacement }));
+    });
+    cluster.runCalmly(Milliseconds(5000),
+        [&] { return cluster.node(leader).raft->commitIndex() == cluster.node(leader).raft->lastIndex(); });
+    EXPECT_LT(match(), entries / 2);
+    cluster.loseDisk(others[1]);
+    cluster.loseDisk(leader);
+    EXPECT_TRUE(cluster.waitForLeader());
+    EXPECT_EQ(cluster.violation(), "");
+}
+
 // Guards against a second change that starts while the first isn't committed, and against removing the last voter.
 TEST(RaftReplication, RefusesUnsafeMembershipChanges)
 {
