Promote the learner that has caught up most, not the first one

Callers see: a voter is missing although a learner has caught up. The leader looked at the first learner that is alive; while that one lags, the promotion is refused on each tick, and no other learner is tried. Change: among the learners that are alive, the one with the most acknowledged entries is promoted. Evidence: ClusterMembersTest.ALearnerThatLagsDoesNotHoldUpThePromotionOfAnother failed before (not promoted in 30 s), 1 s after. The test runs a leader with followers on loopback that speak the protocol and can stop taking part in the consensus.

--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -111,6 +112,8 @@
     bool removeReplaced(base::MonotonicTime now);
     bool replaceDead(base::MonotonicTime now);
     bool promote(base::MonotonicTime now);
+    /// The learner that is alive and has the most entries; nothing when there is none.
+    [[nodiscard]] std::optional<base::NodeId> bestLearner(base::MonotonicTime now) const;
     bool change(consensus::ChangeKind kind, const std::string& node, std::string_view reason);
 
     http::EventLoop& m_loop;
--- a/src/crocuscove/control/cluster_members.cpp
+++ b/src/crocuscove/control/cluster_members.cpp
@@ -103,13 +103,8 @@
 
 bool Cluster::promote(base::MonotonicTime now)
 {
-    const consensus::Membership members = m_log.raft().membership();
-    if (members.voters.size() >= m_options.votersWanted) {
-        return false;
-    }
-    const auto learner
-        = std::ranges::find_if(members.learners, [&](const base::NodeId& node) { return isAlive(node.text(), now); });
-    if (learner == members.learners.end()) {
+    const auto learner = bestLearner(now);
+    if (m_log.raft().membership().voters.size() >= m_options.votersWanted || !learner) {
         return false;
     }
     const auto refusal = m_log.raft().changeRefusal({ consensus::ChangeKind::PromoteLearner, *learner });
@@ -121,4 +116,13 @@
     return change(consensus::ChangeKind::PromoteLearner, learner->text(), "voter-wanted");
 }
 
+std::optional<base::NodeId> Cluster::bestLearner(base::MonotonicTime now) const
+{
+    std::vector<base::NodeId> learners = m_log.raft().membership().learners;
+    std::erase_if(learners, [&](const base::NodeId& learner) { return !isAlive(learner.text(), now); });
+    const auto best = std::ranges::max_element(
+        learners, {}, [&](const base::NodeId& learner) { return m_log.raft().matchIndex(learner).value_or(0); });
+    return best == learners.end() ? std::nullopt : std::optional(*best);
+}
+
 } // namespace crocuscove::control
