Replace a voter that acknowledges nothing, though its process answers

Callers see: after the disks of control nodes were full one after another, changes are refused or stay unanswered to the end, while all processes run. A leader counted a member as alive that sent frames of any kind. A voter that left the consensus, or whose disk hangs, answers on its connections, so that it kept its vote, and was counted for the quorum that a replacement needs; a learner in the same state got the place of a lost voter. A voter without an answer for 2.5 s is replaced, if a quorum of voters takes part and a learner that takes part can be promoted. Only learners that take part are promoted. The node that was replaced becomes a learner again, as its connection works, and is promoted once it acknowledges and a voter is wanted. A new leader gives each voter 2.5 s. RaftLeadership.LastContactIsTheLastAnswerOfAMember is new with the query.

--- a/include/crocuscove/consensus/raft.h
+++ b/include/crocuscove/consensus/raft.h
@@ -152,6 +152,9 @@
     [[nodiscard]] std::optional<ChangeRefusal> changeRefusal(const MembershipChange& change) const;
     /// On the leader, the last index known to be durable on `node`.
     [[nodiscard]] std::optional<Index> matchIndex(const base::NodeId& node) const;
+    /// On the leader, when `node` last answered an append or a snapshot chunk, or granted the vote that made this node
+    /// the leader. Nothing when it hasn't in this term, and on other nodes.
+    [[nodiscard]] std::optional<base::MonotonicTime> lastContact(const base::NodeId& node) const;
     /// On the leader, tells whether a reachable follower is receiving a snapshot. A new snapshot restarts it.
     [[nodiscard]] bool isSendingSnapshot() const;
 
--- a/src/crocuscove/consensus/raft.cpp
+++ b/src/crocuscove/consensus/raft.cpp
@@ -93,6 +93,11 @@
 
 std::optional<Index> Raft::matchIndex(const base::NodeId& node) const { return m_core->matchIndex(node); }
 
+std::optional<base::MonotonicTime> Raft::lastContact(const base::NodeId& node) const
+{
+    return m_core->lastContact(node);
+}
+
 bool Raft::isSendingSnapshot() const { return m_core->isSendingSnapshot(); }
 
 std::optional<base::MonotonicTime> Raft::lastQuorumContact() const { return m_core->lastQuorumContact(); }
--- a/src/crocuscove/consensus/raft_core.h
+++ b/src/crocuscove/consensus/raft_core.h
@@ -68,6 +68,7 @@
     [[nodiscard]] Index commitIndex() const { return m_commit; }
     [[nodiscard]] const RaftLog& log() const { return m_log; }
     [[nodiscard]] std::optional<Index> matchIndex(const base::NodeId& node) const;
+    [[nodiscard]] std::optional<base::MonotonicTime> lastContact(const base::NodeId& node) const;
 
 private:
     // raft_core.cpp
--- a/src/crocuscove/consensus/raft_leadership_test.cpp
+++ b/src/crocuscove/consensus/raft_leadership_test.cpp
@@ -73,5 +73,29 @@
     }
 }
 
+// Guards against a leader that takes a member for healthy which answers nothing, or a learner that has never answered.
+TEST(RaftLeadership, LastContactIsTheLastAnswerOfAMember)
+{
+    Cluster cluster({ .seed = 6 });
+    ASSERT_TRUE(cluster.waitForLeader());
+    const base::NodeId leader = cluster.leader().value();
+    const base::NodeId silent = leader == base::NodeId("n1") ? base::NodeId("n2") : base::NodeId("n1");
+    const base::NodeId learner("n9");
+    const auto contact = [&](const base::NodeId& id) { return cluster.node(leader).raft->lastContact(id); };
+    cluster.runCalmly(Milliseconds(1000), [&] { return contact(silent).has_value(); });
+    cluster.act(leader, [&](Raft& raft) {
+        EXPECT_TRUE(raft.proposeMembership(cluster.now(), { ChangeKind::AddLearner, learner }));
+    });
+    cluster.setBlocked(silent, leader, true);
+    const auto before = contact(silent);
+    cluster.runCalmly(Milliseconds(1000));
+    ASSERT_EQ(cluster.leader(), leader);
+    EXPECT_TRUE(before.has_value());
+    EXPECT_EQ(contact(silent), before);
+    EXPECT_EQ(contact(learner), std::nullopt);
+    EXPECT_TRUE(contact(leader).has_value());
+    EXPECT_EQ(cluster.node(silent).raft->lastContact(leader), std::nullopt);
+}
+
 } // namespace
 } // namespace crocuscove::consensus
--- a/src/crocuscove/consensus/raft_quorum.cpp
+++ b/src/crocuscove/consensus/raft_quorum.cpp
@@ -21,6 +21,19 @@
     return quorumValue(m_round, [](const Progress& progress) { return progress.answeredRound; });
 }
 
+std::optional<base::MonotonicTime> Raft::Core::lastContact(const base::NodeId& node) const
+{
+    if (m_role != Role::Leader) {
+        return std::nullopt;
+    }
+    if (isSelf(node)) {
+        return m_now;
+    }
+    const auto progress = m_progress.find(node);
+    const bool hasAnswered = progress != m_progress.end() && progress->second.lastContact != base::MonotonicTime {};
+    return hasAnswered ? std::optional(progress->second.lastContact) : std::nullopt;
+}
+
 std::optional<base::MonotonicTime> Raft::Core::lastQuorumContact() const
 {
     if (m_role != Role::Leader) {
--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -358,6 +358,7 @@
         setServing(false);
         return;
     }
+    m_leaderSince = base::monotonicNow();
     confirmLeadership();
 }
 
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -100,7 +100,10 @@
     void heardFrom(const std::string& node);
     void send(const consensus::Message& message);
     [[nodiscard]] std::string addressOf(const std::string& node) const;
+    /// Tells whether a node's process answers. It may still take no part in the consensus.
     [[nodiscard]] bool isAlive(const std::string& node, base::MonotonicTime now) const;
+    /// On the leader, tells whether a member has answered the consensus lately.
+    [[nodiscard]] bool isTakingPart(const base::NodeId& member, base::MonotonicTime now) const;
     [[nodiscard]] ClusterView view() const;
     void flushProposals();
     void onRoleChange(const consensus::RoleChange& change);
@@ -110,9 +113,9 @@
     void manageMembers(base::MonotonicTime now);
     bool admitNodes(base::MonotonicTime now);
     bool removeReplaced(base::MonotonicTime now);
-    bool replaceDead(base::MonotonicTime now);
+    bool replaceLost(base::MonotonicTime now);
     bool promote(base::MonotonicTime now);
-    /// The learner that is alive and has the most entries; nothing when there is none.
+    /// The learner that takes part and has the most entries; nothing when there is none.
     [[nodiscard]] std::optional<base::NodeId> bestLearner(base::MonotonicTime now) const;
     bool change(consensus::ChangeKind kind, const std::string& node, std::string_view reason);
 
@@ -137,6 +140,8 @@
     bool m_isServing = false;
     std::uint64_t m_servingTerm = 0;
     bool m_isConfirming = false;
+    /// When this node last became the leader.
+    base::MonotonicTime m_leaderSince;
     std::unique_ptr<link::FrameListener> m_listener;
     http::Timer m_timer;
 };
--- a/src/crocuscove/control/cluster_members.cpp
+++ b/src/crocuscove/control/cluster_members.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
-/// A member that was not heard for this long is not counted on.
+/// A member that has not answered for this long is not counted on. Longer than the pause between a learner's
+/// heartbeats.
 constexpr base::Milliseconds aliveWindow { 1'000 };
-/// A voter that was not heard for this long is replaced when another node is ready for it. Longer than an election.
+/// A voter that has acknowledged nothing for this long is replaced when another node is ready for it. Longer than an
+/// election.
 constexpr base::Milliseconds replacementDelay { 2'500 };
 
 } // namespace
@@ -21,10 +23,17 @@
     return node == m_log.node().text() || (heard != m_heard.end() && now - heard->second < aliveWindow);
 }
 
+// A node whose disk is full or hangs answers on its connections and acknowledges nothing.
+bool Cluster::isTakingPart(const base::NodeId& member, base::MonotonicTime now) const
+{
+    const auto contact = m_log.raft().lastContact(member);
+    return contact && now - *contact < aliveWindow;
+}
+
 // One change at a time; the consensus refuses a second one before the first is committed.
 void Cluster::manageMembers(base::MonotonicTime now)
 {
-    static_cast<void>(removeReplaced(now) || admitNodes(now) || replaceDead(now) || promote(now));
+    static_cast<void>(removeReplaced(now) || admitNodes(now) || replaceLost(now) || promote(now));
 }
 
 bool Cluster::change(consensus::ChangeKind kind, const std::string& node, std::string_view reason)
@@ -81,24 +90,23 @@
 }
 
 // The lost voter goes first, so that the remaining ones are a quorum on their own before the new one counts.
-bool Cluster::replaceDead(base::MonotonicTime now)
+bool Cluster::replaceLost(base::MonotonicTime now)
 {
     const consensus::Membership members = m_log.raft().membership();
-    const auto isLost = [&](const base::NodeId& member) {
-        if (member == m_log.node()) {
-            return false;
-        }
-        const auto heard = m_heard.try_emplace(member.text(), now).first;
-        return now - heard->second > replacementDelay;
+    const auto isLost = [&](const base::NodeId& voter) {
+        const auto contact = m_log.raft().lastContact(voter).value_or(base::MonotonicTime {});
+        return now - std::max(contact, m_leaderSince) > replacementDelay;
     };
-    const bool hasSpare = std::ranges::any_of(
-        members.learners, [&](const base::NodeId& learner) { return isAlive(learner.text(), now); });
     const auto lost = std::ranges::find_if(members.voters, isLost);
-    const auto alive
-        = std::ranges::count_if(members.voters, [&](const base::NodeId& voter) { return isAlive(voter.text(), now); });
+    const auto spare = bestLearner(now);
+    if (lost == members.voters.end() || !spare
+        || m_log.raft().changeRefusal({ consensus::ChangeKind::PromoteLearner, *spare })) {
+        return false;
+    }
+    const auto takingPart
+        = std::ranges::count_if(members.voters, [&](const base::NodeId& voter) { return isTakingPart(voter, now); });
     const auto quorum = static_cast<std::ptrdiff_t>(members.voters.size() / 2 + 1);
-    return hasSpare && lost != members.voters.end() && alive >= quorum
-        && change(consensus::ChangeKind::RemoveNode, lost->text(), "lost");
+    return takingPart >= quorum && change(consensus::ChangeKind::RemoveNode, lost->text(), "lost");
 }
 
 bool Cluster::promote(base::MonotonicTime now)
@@ -119,7 +127,7 @@
 std::optional<base::NodeId> Cluster::bestLearner(base::MonotonicTime now) const
 {
     std::vector<base::NodeId> learners = m_log.raft().membership().learners;
-    std::erase_if(learners, [&](const base::NodeId& learner) { return !isAlive(learner.text(), now); });
+    std::erase_if(learners, [&](const base::NodeId& learner) { return !isTakingPart(learner, now); });
     const auto best = std::ranges::max_element(
         learners, {}, [&](const base::NodeId& learner) { return m_log.raft().matchIndex(learner).value_or(0); });
     return best == learners.end() ? std::nullopt : std::optional(*best);
--- a/src/crocuscove/control/cluster_members_test.cpp
+++ b/src/crocuscove/control/cluster_members_test.cpp
@@ -156,6 +156,22 @@
     std::vector<std::unique_ptr<Follower>> m_followers;
 };
 
+// Guards against a voter with a full disk that counts as a voter for ever, since its process goes on answering.
+TEST_F(ClusterMembersTest, AVoterThatAcknowledgesNothingIsReplacedAndComesBack)
+{
+    start(3, 3);
+    ASSERT_TRUE(waitForMembers(2, 1));
+    Follower& first = *voters().front();
+    Follower& second = *voters().back();
+    Follower& spare = *learners().front();
+    first.setTakesPart(false);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return spare.isVoter() && spare.membership().isLearner(first.id()); }));
+    first.setTakesPart(true);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return first.isLearner(); }));
+    second.setTakesPart(false);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return first.isVoter() && first.membership().isLearner(second.id()); }));
+}
+
 // Guards against a promotion that waits for the first learner, though another one has caught up.
 TEST_F(ClusterMembersTest, ALearnerThatLagsDoesNotHoldUpThePromotionOfAnother)
 {
@@ -168,5 +184,32 @@
     EXPECT_TRUE(m_followers.back()->membership().isLearner(lagging.id()));
 }
 
+// Guards against a learner that has caught up, takes no part any more, and gets the place of a lost voter.
+TEST_F(ClusterMembersTest, ALearnerOutOfServiceIsNotPromoted)
+{
+    start(3, 4);
+    ASSERT_TRUE(waitForMembers(2, 2));
+    Follower& lost = *voters().front();
+    Follower& out = *learners().front();
+    Follower& spare = *learners().back();
+    out.setTakesPart(false);
+    lost.setTakesPart(false);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return spare.isVoter(); }));
+    EXPECT_TRUE(spare.membership().isLearner(out.id()));
+}
+
+// Guards against members that are removed while no quorum takes part, or that don't count again afterwards.
+TEST_F(ClusterMembersTest, MembersThatWereAllOutOfServiceFormAQuorumAgain)
+{
+    start(3, 3);
+    ASSERT_TRUE(waitForMembers(2, 1));
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_isServing; }));
+    std::ranges::for_each(m_followers, [](const auto& follower) { follower->setTakesPart(false); });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_isServing; }));
+    std::ranges::for_each(m_followers, [](const auto& follower) { follower->setTakesPart(true); });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_isServing; }));
+    EXPECT_TRUE(waitForMembers(2, 1));
+}
+
 } // namespace
 } // namespace crocuscove::control
