--- a/include/crocuscove/consensus/options.h
+++ b/include/crocuscove/consensus/options.h
@@ -42,8 +42,7 @@
     /// Largest number of committed entries in one Ready.
     std::size_t maxCommittedEntries = 4096;
     std::size_t maxPendingReads = 4096;
-    /// One chunk is sent at a time, so that a smaller size needs more round trips.
-    std::size_t snapshotChunkBytes = std::size_t { 1024 } * 1024;
+    std::size_t snapshotChunkBytes = std::size_t { 256 } * 1024;
     std::size_t maxSnapshotBytes = std::size_t { 512 } * 1024 * 1024;
     /// Entries a learner may lag behind the leader's commit index and still become a voter that enlarges the quorum.
     std::size_t maxPromotionLag = 1024;
