Give up a list of VMs whose pages have no end

A page that names itself as the next one, or ever new names, kept the reading of the list going for ever, so that the list of before stayed in use until another leader. Such a reading is now given up after 2,000 pages, or as soon as a page names itself, and the list is read again from the start.

--- a/src/crocuscove/control/vm_directory.cpp
+++ b/src/crocuscove/control/vm_directory.cpp
@@ -12,6 +12,8 @@
 /// Each reading is paid for; a VM that moves or is maintained is away for 1.5 s or more.
 constexpr base::Milliseconds readInterval { 500 };
 constexpr base::Milliseconds readTimeout { 2'000 };
+/// Pages of one list; a list that goes on beyond has no end.
+constexpr std::size_t maxPages = 2'000;
 
 } // namespace
 
@@ -22,13 +24,13 @@
     }
     m_isReading = true;
     m_startedAt = now;
-    readPage("", std::make_shared<Vms>());
+    readPage("", std::make_shared<Reading>());
 }
 
-void VmDirectory::readPage(const std::string& page, const std::shared_ptr<Vms>& found)
+void VmDirectory::readPage(const std::string& page, const std::shared_ptr<Reading>& reading)
 {
     m_client.call(m_interface, platform::listVmsRequest(page), base::monotonicNow() + readTimeout,
-        [this, found](const http::ExchangeResult& result) {
+        [this, page, reading](const http::ExchangeResult& result) {
             if (!result.response || result.response->status != 200) {
                 m_isReading = false;
                 m_log.warning("vm_list_failed",
@@ -43,14 +45,19 @@
                 }
                 std::ranges::for_each(part.vms, [&](platform::Vm& vm) {
                     const std::string id = vm.id;
-                    found->insert_or_assign(id, std::move(vm));
+                    reading->vms.insert_or_assign(id, std::move(vm));
                 });
-                if (!part.nextPage.empty()) {
-                    readPage(part.nextPage, found);
+                const bool isEndless = part.nextPage == page || ++reading->pages >= maxPages;
+                if (!part.nextPage.empty() && !isEndless) {
+                    readPage(part.nextPage, reading);
                     return;
                 }
-                m_vms = std::move(*found);
-                m_askedAt = m_startedAt;
+                if (part.nextPage.empty()) {
+                    m_vms = std::move(reading->vms);
+                    m_askedAt = m_startedAt;
+                } else {
+                    m_log.warning("vm_list_endless", { { "pages", reading->pages } });
+                }
             } catch (const platform::MalformedMessage& error) {
                 m_log.warning("vm_list_malformed", { { "cause", error.what() } });
             }
--- a/src/crocuscove/control/vm_directory.h
+++ b/src/crocuscove/control/vm_directory.h
@@ -6,6 +6,7 @@
 #include "crocuscove/http/http_client.h"
 #include "platform/vm_codec.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,7 +35,12 @@
 private:
     using Vms = std::map<std::string, platform::Vm>;
 
-    void readPage(const std::string& page, const std::shared_ptr<Vms>& found);
+    struct Reading {
+        Vms vms;
+        std::size_t pages = 0;
+    };
+
+    void readPage(const std::string& page, const std::shared_ptr<Reading>& reading);
 
     http::HttpClient& m_client;
     base::Endpoint m_interface;
