Count the rows that are skipped in a worker's lists of runs

A list of 500 ends is the first part of a longer one, so that runs that aren't listed may have ended. Rows that were skipped weren't counted, so that a full list with one odd row passed for a complete one, and tasks whose ends were still to come were released and started again. Skipped rows now count, and are logged as worker_rows_skipped.

--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -230,8 +230,14 @@
     reconcile(status, sentAt);
     recordEnds(status);
     update();
-    if (!m_isRecording) {
+    if (status.skippedRows > 0) {
+        m_log.warning("worker_rows_skipped", { { "worker", m_id }, { "count", status.skippedRows } });
+    }
+    if (!m_isRecording && status.skippedRows == 0) {
         renew();
+    } else if (!m_isRecording) {
+        // An end that is skipped is never confirmed, so that the worker answers at once.
+        scheduleRenew(retryPause);
     }
     if (isFirst) {
         m_log.info("worker_reached", { { "worker", m_id }, { "running", status.running.size() } });
@@ -298,7 +304,7 @@
             m_orders[task.task] = Order { task.run, OrderPhase::Started, sentAt, {}, false, false, true };
         }
     }
-    if (status.ended.size() >= maxListedEnds) {
+    if (status.listedEnds >= maxListedEnds) {
         return;
     }
     for (const auto& [key, order] : m_orders) {
