Refuse reports of a start in the far future

A report with a start far in the future was recorded, and all reports of the worker's true incarnation counted as outdated from then on, also after the worker was removed, since the start of a removed worker is remembered.

WorkerChangeTest.AStartInTheFarFutureIsNotPossible checks the decision, which is new.

--- a/include/crocuscove/jobs/worker_change.h
+++ b/include/crocuscove/jobs/worker_change.h
@@ -3,11 +3,19 @@
 #include "crocuscove/base/time.h"
 #include "crocuscove/jobs/worker.h"
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
 namespace crocuscove::jobs {
 
+/// How far the clock of a worker may be ahead of that of the leader.
+inline constexpr base::Milliseconds maxClockLead { 24 * 3'600 * 1'000 };
+
+/// Tells whether the worker can have started when its report says, at the Unix time `nowMs`. A later start would
+/// outdate all reports of the worker's true incarnation.
+bool hasPossibleStart(const WorkerReport& report, std::int64_t nowMs);
+
 /// What a report says that the recorded state of its worker doesn't hold yet.
 enum class WorkerChange {
     None,
--- a/src/crocuscove/control/control_api.cpp
+++ b/src/crocuscove/control/control_api.cpp
@@ -31,6 +31,16 @@
     return result;
 }
 
+/// Throws MalformedMessage.
+jobs::WorkerReport decodeReport(const std::string& id, std::string_view body)
+{
+    jobs::WorkerReport report = platform::decodeWorkerReport(id, body);
+    if (!jobs::hasPossibleStart(report, base::wallNow().time_since_epoch().count())) {
+        throw platform::MalformedMessage("the worker can't have started at that time");
+    }
+    return report;
+}
+
 } // namespace
 
 ControlApi::ControlApi(const ControlOptions& options, const base::Log& log, Cluster& cluster, ControlApiHooks hooks)
@@ -133,7 +143,7 @@
 {
     jobs::WorkerReport report;
     try {
-        report = platform::decodeWorkerReport(id, request.body);
+        report = decodeReport(id, request.body);
     } catch (const platform::MalformedMessage& error) {
         m_log.warning("worker_report_refused", { { "worker", id }, { "cause", error.what() } });
         responder.respond(response(statusBadRequest));
@@ -211,7 +221,7 @@
         return false;
     }
     try {
-        const jobs::WorkerReport report = platform::decodeWorkerReport(id, request.body);
+        const jobs::WorkerReport report = decodeReport(id, request.body);
         if (jobs::compareReports(known->report, report) != jobs::WorkerChange::None) {
             return false;
         }
--- a/src/crocuscove/jobs/worker_change.cpp
+++ b/src/crocuscove/jobs/worker_change.cpp
@@ -19,6 +19,11 @@
 
 std::string_view growthRefusalName(GrowthRefusal refusal) { return refusalNames.name(refusal); }
 
+bool hasPossibleStart(const WorkerReport& report, std::int64_t nowMs)
+{
+    return report.incarnation >= 0 && report.incarnation <= nowMs + maxClockLead.count();
+}
+
 WorkerChange compareReports(const WorkerReport& known, const WorkerReport& report)
 {
     if (known.incarnation != report.incarnation) {
--- a/src/crocuscove/jobs/worker_change_test.cpp
+++ b/src/crocuscove/jobs/worker_change_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <limits>
+
 namespace crocuscove::jobs {
 namespace {
 
@@ -16,6 +19,22 @@
     return result;
 }
 
+// Guards against a start in the far future, after which all reports of the worker's true incarnation are outdated.
+TEST(WorkerChangeTest, AStartInTheFarFutureIsNotPossible)
+{
+    constexpr std::int64_t nowMs = 1'779'248'700'000;
+    WorkerReport report = reportOf({ 4000, 4096, 0 }, 1);
+    for (const std::int64_t start : { std::int64_t { 0 }, nowMs, nowMs + 3'600'000 }) {
+        report.incarnation = start;
+        EXPECT_TRUE(hasPossibleStart(report, nowMs)) << start;
+    }
+    for (const std::int64_t start : { std::int64_t { -1 }, std::numeric_limits<std::int64_t>::max(),
+             std::numeric_limits<std::int64_t>::min(), 2 * nowMs }) {
+        report.incarnation = start;
+        EXPECT_FALSE(hasPossibleStart(report, nowMs)) << start;
+    }
+}
+
 // Guards against a capacity that shrinks or grows without being recorded.
 TEST(WorkerChangeTest, AnotherCapacityIsAChange)
 {
