--- a/tests/commands/standin_executor.cpp
+++ b/tests/commands/standin_executor.cpp
@@ -30,6 +30,7 @@
         integerSetting("late-order-delay-ms", "delay of such orders", 0, 60'000, options.lateOrderDelayMs),
         integerSetting("crash-ms", "time away after a crash", 1, 60'000, options.crashMs),
         switchSetting("renames-after-crash", "come back under another id after a crash", options.renamesAfterCrash),
+        switchSetting("odd-rows", "list rows of another writer among its runs", options.hasOddRows),
         textSetting("records", "file that gets a JSON line for each start and end", options.recordsFile),
     };
 }
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -1,5 +1,7 @@
 #include "support/standin_executor.h"
 
+#include "support/odd_rows.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -77,6 +79,9 @@
     http::HttpResponse response;
     response.status = status;
     response.body = body.dump();
+    if (m_options.hasOddRows) {
+        response.body = withOddRows(withOddRows(response.body, "running"), "ended");
+    }
     responder.respond(response);
 }
 
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -51,6 +51,8 @@
     std::int64_t crashMs = 500;
     /// It comes back from a crash under another id.
     bool renamesAfterCrash = false;
+    /// Its lists of runs hold rows of another writer.
+    bool hasOddRows = false;
     /// File that gets a JSON line for each start, end, refusal and crash.
     std::string recordsFile;
 };
--- a/tests/support/standin_vms.cpp
+++ b/tests/support/standin_vms.cpp
@@ -1,6 +1,7 @@
 #include "support/standin_vms.h"
 
 #include "crocuscove/base/error.h"
+#include "support/odd_rows.h"
 
 #include <algorithm>
 #include <utility>
@@ -71,7 +72,13 @@
             { "zone", "z" }, { "labels", { "a", "r1" } },
             { "capacity", { { "cpu", 8000 }, { "memMb", 8192 }, { "gpu", 0 } } }, { "id", vm.worker } });
     }
-    respond(responder, 200, { { "machines", vms }, { "nextToken", "" } });
+    http::HttpResponse response;
+    response.status = 200;
+    response.body = nlohmann::json { { "machines", vms }, { "nextToken", "" } }.dump();
+    if (m_options.hasOddEntries) {
+        response.body = withOddRows(response.body, "machines");
+    }
+    responder.respond(response);
 }
 
 void StandinVms::maintain(const nlohmann::json& body, const http::Responder& responder)
--- a/tests/support/standin_vms.h
+++ b/tests/support/standin_vms.h
@@ -29,6 +29,8 @@
     /// A VM whose first order is carried out late and not answered; empty for none.
     std::string lateVm;
     std::int64_t lateMs = 3'000;
+    /// The list holds entries of another writer.
+    bool hasOddEntries = false;
     /// File that gets a JSON line for each order and return of a VM.
     std::string recordsFile;
 };
