Assign VMs to the pool of what runs on them after their registration

A VM got its pool once, when the platform first listed it: the pool of the service whose backend server had announced itself by then, or else the spare pool or "unassigned". No command changed it later. When the first list came between the announcements of two backend servers, one VM joined the pool of the service and the others stayed in "unassigned" for ever. The pool then had one member, too few for its budget, and planning went on every 200 ms with the same result. When the list came first, all VMs stayed in "unassigned", so that the budget of the service was not what maintenance checked.

AssignVm moves a serving VM out of a pool that belongs to no document, without a stop, since the service runs on it already. The leader assigns it to the pool of the service on it. An idle VM joins the spare pool once all backend servers had the time of a lease to announce themselves, as capacity planning can't lend VMs of other pools. The state refuses it for a VM that drains or whose pool a document names, so that no budget loses a VM this way.

--- a/include/crocuscove/state/command.h
+++ b/include/crocuscove/state/command.h
@@ -122,8 +122,16 @@
     base::WallTime now;
 };
 
+/// Assigns a VM to the pool of what runs on it, without a stop. Refused unless the VM is serving in `from`, and `from`
+/// is the pool of no document.
+struct AssignVm {
+    base::VmId vm;
+    base::PoolId from;
+    base::PoolId to;
+};
+
 using Command = std::variant<PutDocument, RegisterVm, MoveVm, SetVmPhase, RemoveVm, SubmitJob, StartJob, FinishJob,
-    CancelJob, ExpireLease, RejectJob, ClaimIdempotencyKey, SettleIdempotencyKey, AdvanceTime, SetEntryNodes>;
+    CancelJob, ExpireLease, RejectJob, ClaimIdempotencyKey, SettleIdempotencyKey, AdvanceTime, SetEntryNodes, AssignVm>;
 
 enum class ResultCode {
     Ok,
--- a/include/crocuscove/state/state.h
+++ b/include/crocuscove/state/state.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -42,6 +43,9 @@
     [[nodiscard]] const document::ServiceDocument* serviceDocument(const base::ServiceId& service) const;
     [[nodiscard]] const document::FleetDocument* fleetDocument() const;
 
+    /// Returns the pools of the service documents in force, and the spare pool.
+    [[nodiscard]] std::set<base::PoolId> documentPools() const;
+
     /// Encodes the whole state. Equal states give equal bytes.
     [[nodiscard]] std::string encodeSnapshot() const;
 
@@ -72,6 +76,7 @@
     CommandResult run(std::uint64_t index, const SettleIdempotencyKey& command);
     CommandResult run(std::uint64_t index, const AdvanceTime& command);
     CommandResult run(std::uint64_t index, const SetEntryNodes& command);
+    CommandResult run(std::uint64_t index, const AssignVm& command);
 
     CommandResult storeRevision(std::uint64_t index, const PutDocument& command, document::Document document);
     void rememberRequest(const std::string& requestId, const CommandResult& result);
--- a/src/crocuscove/server/maintenance_controller.cpp
+++ b/src/crocuscove/server/maintenance_controller.cpp
@@ -1,5 +1,7 @@
 #include "maintenance_controller.h"
 
+#include "vm_pools.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <iterator>
@@ -69,6 +71,7 @@
     }
     const auto announcements = m_backends.directory().announcements(now);
     registerVms(announcements);
+    assignVms(announcements);
     m_capacity.tick(now, buildView(announcements), m_plan);
     m_plan = maintenance::planMaintenance(buildView(announcements), {}, base::wallNow());
     std::ranges::for_each(
@@ -84,7 +87,7 @@
 // that runs on it, or the spare pool if no service does.
 void MaintenanceController::registerVms(const std::vector<routing::Announcement>& announcements)
 {
-    const auto byVm = mapByVm(announcements);
+    const auto pools = announcedPools(announcements);
     const auto* fleet = m_replica.state().fleetDocument();
     for (const auto& [id, vm] : m_platform.vms()) {
         const auto record = m_replica.state().vms().find(id);
@@ -92,12 +95,10 @@
         if (isKnown && hasSameProperties(record->second, vm)) {
             continue;
         }
+        const auto announced = pools.find(id);
         base::PoolId pool = fleet != nullptr ? fleet->sparePool : defaultPool;
-        const auto backend = byVm.find(id);
-        const auto* document
-            = backend == byVm.end() ? nullptr : m_replica.state().serviceDocument(backend->second->service);
-        if (document != nullptr) {
-            pool = document->pool.name;
+        if (announced != pools.end()) {
+            pool = announced->second;
         }
         if (!isKnown && !m_pendingCommands.contains(id)) {
             m_log.info("vm_registered",
@@ -108,6 +109,39 @@
     }
 }
 
+// Documents and backend servers may come after the VMs were registered.
+void MaintenanceController::assignVms(const std::vector<routing::Announcement>& announcements)
+{
+    const auto& state = m_replica.state();
+    const auto* fleet = state.fleetDocument();
+    const VmPoolsView view { .vms = state.vms(),
+        .documentPools = state.documentPools(),
+        .sparePool = fleet == nullptr ? std::nullopt : std::optional(fleet->sparePool),
+        .announcedPools = announcedPools(announcements),
+        .hasHeardAll = m_observingSince + routing::announcementLease <= base::wallNow() };
+    for (const state::AssignVm& assignment : planVmPools(view)) {
+        if (!m_pendingCommands.contains(assignment.vm)) {
+            m_log.info("vm_assigned",
+                { { "vm", assignment.vm.text() }, { "from", assignment.from.text() }, { "pool", assignment.to.text() },
+                    { "reason", view.announcedPools.contains(assignment.vm) ? "backend-announced" : "idle" } });
+        }
+        propose(assignment.vm, assignment);
+    }
+}
+
+std::map<base::VmId, base::PoolId> MaintenanceController::announcedPools(
+    const std::vector<routing::Announcement>& announcements) const
+{
+    std::map<base::VmId, base::PoolId> pools;
+    for (const routing::Announcement& announcement : announcements) {
+        const auto* document = m_replica.state().serviceDocument(announcement.service);
+        if (document != nullptr) {
+            pools.insert_or_assign(announcement.vm, document->pool.name);
+        }
+    }
+    return pools;
+}
+
 maintenance::MaintenanceView MaintenanceController::buildView(
     const std::vector<routing::Announcement>& announcements) const
 {
--- a/src/crocuscove/server/maintenance_controller.h
+++ b/src/crocuscove/server/maintenance_controller.h
@@ -34,6 +34,9 @@
     using BackendsByVm = std::map<base::VmId, const routing::Announcement*>;
 
     void registerVms(const std::vector<routing::Announcement>& announcements);
+    void assignVms(const std::vector<routing::Announcement>& announcements);
+    [[nodiscard]] std::map<base::VmId, base::PoolId> announcedPools(
+        const std::vector<routing::Announcement>& announcements) const;
     maintenance::MaintenanceView buildView(const std::vector<routing::Announcement>& announcements) const;
     [[nodiscard]] maintenance::VmObservation observeVm(
         const state::VmRecord& record, const routing::Announcement* announcement) const;
--- a/src/crocuscove/state/apply_vm.cpp
+++ b/src/crocuscove/state/apply_vm.cpp
@@ -92,6 +92,21 @@
     return { ResultCode::Ok, record.operation, "", {} };
 }
 
+CommandResult State::run(std::uint64_t, const AssignVm& command)
+{
+    const auto entry = m_vms.find(command.vm);
+    if (entry == m_vms.end()) {
+        return { ResultCode::NotFound, 0, "unknown VM", {} };
+    }
+    VmRecord& record = entry->second;
+    if (record.phase != VmPhase::Serving || record.pool != command.from || command.to.empty()
+        || documentPools().contains(command.from)) {
+        return { ResultCode::Refused, 0, "the VM is not serving in a pool that belongs to no document", {} };
+    }
+    record.pool = command.to;
+    return {};
+}
+
 CommandResult State::run(std::uint64_t, const RemoveVm& command)
 {
     return m_vms.erase(command.vm) == 1 ? CommandResult {}
--- a/src/crocuscove/state/codec.h
+++ b/src/crocuscove/state/codec.h
@@ -33,5 +33,6 @@
 CROCUSCOVE_FIELDS(SettleIdempotencyKey, v.service, v.key, v.requestId, v.isExecuted, v.isUnknown, v.answer)
 CROCUSCOVE_FIELDS(AdvanceTime, v.now)
 CROCUSCOVE_FIELDS(SetEntryNodes, v.expected, v.nodes, v.shareNodes)
+CROCUSCOVE_FIELDS(AssignVm, v.vm, v.from, v.to)
 
 } // namespace crocuscove::state
--- a/src/crocuscove/state/state.cpp
+++ b/src/crocuscove/state/state.cpp
@@ -41,6 +41,20 @@
     return record == nullptr ? nullptr : std::get_if<document::FleetDocument>(record->inForce.get());
 }
 
+std::set<base::PoolId> State::documentPools() const
+{
+    std::set<base::PoolId> pools;
+    for (const auto& [service, record] : m_documents) {
+        if (const auto* document = serviceDocument(service)) {
+            pools.insert(document->pool.name);
+        }
+    }
+    if (const auto* fleet = fleetDocument()) {
+        pools.insert(fleet->sparePool);
+    }
+    return pools;
+}
+
 CommandResult State::run(std::uint64_t index, const PutDocument& command)
 {
     if (const auto* first = findRecord<const CommandResult>(m_requestResults, command.requestId)) {
--- a/src/crocuscove/state/state_test.cpp
+++ b/src/crocuscove/state/state_test.cpp
@@ -127,6 +127,25 @@
     EXPECT_FALSE(state.vms().at(vm).moveTarget);
 }
 
+// Guards against a VM that leaves the pool of a document, or a drain, without a stop.
+TEST(StateVms, AssignmentNeedsAPoolWithoutADocument)
+{
+    State state;
+    const base::VmId vm("vm-1");
+    const base::PoolId main("main");
+    const base::PoolId unassigned("unassigned");
+    state.apply(1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), {}, unassigned, {} });
+    EXPECT_EQ(state.apply(2, AssignVm { vm, base::PoolId("other"), main }).code, ResultCode::Refused);
+    state.apply(3, SetVmPhase { vm, VmPhase::Serving, VmPhase::Draining, VmReason::Maintenance, 0, 7 });
+    EXPECT_EQ(state.apply(4, AssignVm { vm, unassigned, main }).code, ResultCode::Refused);
+    state.apply(5, SetVmPhase { vm, VmPhase::Draining, VmPhase::Serving, VmReason::None, 3, 0 });
+    EXPECT_EQ(state.apply(6, AssignVm { vm, unassigned, main }).code, ResultCode::Ok);
+    EXPECT_EQ(state.vms().at(vm).pool, main);
+    state.apply(7, putDocument("r1", 0));
+    EXPECT_EQ(state.apply(8, AssignVm { vm, main, unassigned }).code, ResultCode::Refused);
+    EXPECT_EQ(state.vms().at(vm).pool, main);
+}
+
 // Guards against a late phase change of a finished operation acting on the next one.
 TEST(StateVms, PhaseChangeOfAnOldOperationIsRefused)
 {
@@ -217,7 +236,7 @@
         const base::JobId job("job-" + std::to_string(number));
         const auto index = static_cast<std::uint64_t>(*rc::gen::inRange(0, 60));
         const auto phase = static_cast<VmPhase>(*rc::gen::inRange(0, 5));
-        switch (*rc::gen::inRange(0, 10)) {
+        switch (*rc::gen::inRange(0, 11)) {
         case 0:
             return putDocument("r" + std::to_string(*rc::gen::inRange(0, 20)), index % 4);
         case 1:
@@ -237,6 +256,8 @@
         case 7:
             return claimKey("r" + std::to_string(number));
         case 8:
+            return AssignVm { vm, base::PoolId("main"), base::PoolId("other") };
+        case 9:
             return AdvanceTime { base::WallTime(std::chrono::milliseconds(index * 100)) };
         default:
             return FinishJob { job, index, static_cast<JobState>(*rc::gen::inRange(0, 4)), true, "" };
--- a/tests/integration/main_path_test.cpp
+++ b/tests/integration/main_path_test.cpp
@@ -77,6 +77,27 @@
     EXPECT_EQ(system.vmPhase("vm-1"), "serving");
 }
 
+// Guards against a VM that stays outside the pool of its service because it was registered before its backend server
+// announced itself, so that the pool is too small for maintenance for ever.
+TEST_F(MainPathTest, VmJoinsThePoolOfABackendServerThatAnnouncesItselfLater)
+{
+    System system(cluster, { .vms = fourVms(), .isPlatformSuspended = true });
+    ASSERT_TRUE(system.waitUntilReady());
+    ASSERT_EQ(system.applyAndWait(demoDocument), 0) << cluster.process("apply").errorText();
+    system.startBackend("demo", 1);
+    ASSERT_TRUE(waitUntil([&] { return system.inService("demo") == 1; }));
+    cluster.process("platform").signal(SIGCONT);
+    ASSERT_TRUE(waitUntil([&] { return system.vmPhase("vm-4") == "serving"; }));
+    ASSERT_EQ(system.vmPool("vm-1"), "demo");
+    for (int number = 2; number <= 4; ++number) {
+        system.startBackend("demo", number);
+    }
+    for (const char* vm : { "vm-2", "vm-3", "vm-4" }) {
+        EXPECT_TRUE(waitUntil([&] { return system.vmPool(vm) == "demo"; })) << vm;
+    }
+    EXPECT_EQ(cluster.process("demo-1").waitForExit(), 0);
+}
+
 // Guards against log lines that are no JSON, decisions without a line or a reason, and a stop that cuts off requests.
 TEST_F(MainPathTest, EveryDecisionIsLoggedAndTheStopIsGraceful)
 {
--- a/tests/support/system.cpp
+++ b/tests/support/system.cpp
@@ -1,6 +1,7 @@
 #include "support/system.h"
 
 #include <algorithm>
+#include <csignal>
 #include <fmt/format.h>
 #include <fstream>
 #include <iterator>
@@ -30,6 +31,9 @@
                 flag("records", cluster.path("platform.jsonl")) },
             ready);
         m_platform = loopback(ready.at("port").get<std::uint16_t>());
+        if (m_options.isPlatformSuspended) {
+            cluster.process("platform").signal(SIGSTOP);
+        }
     }
     for (int number = 1; number <= m_options.nodes; ++number) {
         startNode(number);
@@ -208,17 +212,21 @@
     return lines.empty() ? nlohmann::json { { "violations", -1 }, { "error", checker.errorText() } } : lines.back();
 }
 
-std::string System::vmPhase(const std::string& vm, int viaNode) const
+std::string System::vmField(const std::string& vm, const char* field, int viaNode) const
 {
     const auto body = status(viaNode);
     for (const auto& entry : body.value("vms", nlohmann::json::array())) {
         if (entry.at("vm") == vm) {
-            return entry.at("phase").get<std::string>();
+            return entry.at(field).get<std::string>();
         }
     }
     return "";
 }
 
+std::string System::vmPhase(const std::string& vm, int viaNode) const { return vmField(vm, "phase", viaNode); }
+
+std::string System::vmPool(const std::string& vm, int viaNode) const { return vmField(vm, "pool", viaNode); }
+
 int System::inService(const std::string& service, int viaNode) const
 {
     const auto body = status(viaNode);
--- a/tests/support/system.h
+++ b/tests/support/system.h
@@ -18,6 +18,8 @@
     /// Starts a stand-in platform with these VMs when not null.
     nlohmann::json vms = nullptr;
     std::int64_t rebootMs = 300;
+    /// Suspends the stand-in platform before the nodes start. It answers once it gets SIGCONT.
+    bool isPlatformSuspended = false;
     std::int64_t seed = 1;
     /// Returns the address at which node `from` reaches the peer listener of node `to`, such as a proxy's. Without it
     /// nodes reach each other directly.
@@ -96,6 +98,9 @@
     /// Returns the phase of a VM, or an empty text.
     [[nodiscard]] std::string vmPhase(const std::string& vm, int viaNode = 1) const;
 
+    /// Returns the pool of a VM, or an empty text.
+    [[nodiscard]] std::string vmPool(const std::string& vm, int viaNode = 1) const;
+
     /// Returns how many executors of a service are in service, or -1.
     [[nodiscard]] int inService(const std::string& service, int viaNode = 1) const;
 
@@ -105,6 +110,7 @@
 private:
     [[nodiscard]] std::vector<std::string> nodeArguments(int number) const;
     [[nodiscard]] std::string adminList() const;
+    [[nodiscard]] std::string vmField(const std::string& vm, const char* field, int viaNode) const;
 
     Cluster& m_cluster;
     SystemOptions m_options;
