--- a/include/crocuscove/state/records.h
+++ b/include/crocuscove/state/records.h
@@ -151,6 +151,8 @@
     std::uint32_t shareNodes = 0;
     /// No other entry nodes were in force before.
     bool isFirst = false;
+    /// Restored from a snapshot without entry nodes, so that others may have been in force before.
+    bool hasUnknownPast = false;
 };
 
 /// A claim is named by its service and the client's Idempotency-Key.
--- a/src/crocuscove/state/codec.h
+++ b/src/crocuscove/state/codec.h
@@ -15,7 +15,7 @@
 CROCUSCOVE_FIELDS(JobRecord, v.spec, v.state, v.reason, v.worker, v.workerIncarnation, v.token, v.starts,
     v.hasCheckpoint, v.isCancelRequested, v.submittedAt, v.changedAt)
 CROCUSCOVE_FIELDS(ClaimRecord, v.bodyDigest, v.node, v.requestId, v.state, v.answer, v.deadline, v.retainUntil)
-CROCUSCOVE_FIELDS(EntryNodes, v.number, v.nodes, v.shareNodes, v.isFirst)
+CROCUSCOVE_FIELDS(EntryNodes, v.number, v.nodes, v.shareNodes, v.isFirst, v.hasUnknownPast)
 CROCUSCOVE_FIELDS(CommandResult, v.code, v.number, v.detail, v.answer)
 
 CROCUSCOVE_FIELDS(PutDocument, v.requestId, v.service, v.expectedRevision, v.text)
--- a/src/crocuscove/state/snapshot.cpp
+++ b/src/crocuscove/state/snapshot.cpp
@@ -4,12 +4,13 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace crocuscove::state {
 
 namespace {
 
-constexpr std::uint32_t snapshotVersion = 1;
+constexpr std::uint32_t snapshotVersion = 2;
 
 struct EncodedState {
     std::uint32_t version = snapshotVersion;
@@ -25,7 +26,31 @@
 };
 
 CROCUSCOVE_FIELDS(EncodedState, v.version, v.appliedIndex, v.now, v.documents, v.vms, v.jobs, v.claims,
-    v.requestResults, v.requestOrder)
+    v.requestResults, v.requestOrder, v.entryNodes)
+
+/// Version 1 lacks the entry nodes.
+struct EncodedStateVersion1 : EncodedState { };
+
+auto codecFields(EncodedStateVersion1& v)
+{
+    return std::tie(
+        v.version, v.appliedIndex, v.now, v.documents, v.vms, v.jobs, v.claims, v.requestResults, v.requestOrder);
+}
+
+EncodedState decodeState(std::string_view bytes)
+{
+    // The first byte of a MessagePack array of up to 15 elements holds their number.
+    constexpr char firstByteVersion1 = '\x99';
+    if (!bytes.starts_with(firstByteVersion1)) {
+        return base::decode<EncodedState>(bytes);
+    }
+    EncodedState encoded = base::decode<EncodedStateVersion1>(bytes);
+    if (encoded.version == 1) {
+        encoded.version = snapshotVersion;
+        encoded.entryNodes.hasUnknownPast = true;
+    }
+    return encoded;
+}
 
 DocumentRecord makeDocumentRecord(const base::ServiceId& service, std::vector<DocumentRevision> revisions)
 {
@@ -59,7 +84,7 @@
 
 void State::restoreSnapshot(std::string_view bytes)
 {
-    auto encoded = base::decode<EncodedState>(bytes);
+    auto encoded = decodeState(bytes);
     if (encoded.version != snapshotVersion) {
         throw base::Error("snapshot has an unsupported version");
     }
--- a/src/crocuscove/state/state.cpp
+++ b/src/crocuscove/state/state.cpp
@@ -108,7 +108,8 @@
     }
     // A node that lags behind would keep a larger share than others reserve for it, if the divisor could change.
     const std::uint32_t shareNodes = m_entryNodes.number == 0 ? command.shareNodes : m_entryNodes.shareNodes;
-    m_entryNodes = { index, command.nodes, shareNodes, command.expected == 0 };
+    const bool isFirst = command.expected == 0 && !m_entryNodes.hasUnknownPast;
+    m_entryNodes = { index, command.nodes, shareNodes, isFirst, m_entryNodes.hasUnknownPast };
     return { ResultCode::Ok, index, "", {} };
 }
 
--- a/src/crocuscove/state/state_test.cpp
+++ b/src/crocuscove/state/state_test.cpp
@@ -6,6 +6,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <msgpack.hpp>
 #include <set>
 
 namespace crocuscove::state {
@@ -219,6 +221,40 @@
     EXPECT_EQ(state.entryNodes().shareNodes, 6U);
 }
 
+// Guards against a node that knows no entry nodes after it restored a snapshot, and refuses every later change of them.
+TEST(StateEntryNodes, SnapshotKeepsThem)
+{
+    State state;
+    state.apply(1, SetEntryNodes { 0, { base::NodeId("n1"), base::NodeId("n2") }, 6 });
+    State restored;
+    restored.restoreSnapshot(state.encodeSnapshot());
+    EXPECT_EQ(restored.entryNodes().number, 1U);
+    EXPECT_EQ(restored.entryNodes().shareNodes, 6U);
+    EXPECT_EQ(restored.apply(2, SetEntryNodes { 1, { base::NodeId("n2") }, 6 }).code, ResultCode::Ok);
+}
+
+// Guards against a grantor that takes itself for the first one after a snapshot of version 1, which lacks the entry
+// nodes.
+TEST(StateEntryNodes, SnapshotOfVersion1LeavesThemUnknown)
+{
+    const std::map<std::string, std::string> none;
+    msgpack::sbuffer bytes;
+    msgpack::packer packer(bytes);
+    packer.pack_array(9);
+    packer.pack(1U);
+    packer.pack(7U);
+    packer.pack(5000);
+    for (int map = 0; map < 5; ++map) {
+        packer.pack(none);
+    }
+    packer.pack_array(0);
+    State state;
+    state.restoreSnapshot({ bytes.data(), bytes.size() });
+    EXPECT_EQ(state.appliedIndex(), 7U);
+    EXPECT_EQ(state.apply(8, SetEntryNodes { 0, { base::NodeId("n1") }, 6 }).code, ResultCode::Ok);
+    EXPECT_FALSE(state.entryNodes().isFirst);
+}
+
 // Guards against a new leader with a slow clock that makes replicated time run backward.
 TEST(StateTime, NeverGoesBack)
 {
@@ -236,7 +272,7 @@
         const base::JobId job("job-" + std::to_string(number));
         const auto index = static_cast<std::uint64_t>(*rc::gen::inRange(0, 60));
         const auto phase = static_cast<VmPhase>(*rc::gen::inRange(0, 5));
-        switch (*rc::gen::inRange(0, 11)) {
+        switch (*rc::gen::inRange(0, 12)) {
         case 0:
             return putDocument("r" + std::to_string(*rc::gen::inRange(0, 20)), index % 4);
         case 1:
@@ -258,6 +294,8 @@
         case 8:
             return AssignVm { vm, base::PoolId("main"), base::PoolId("other") };
         case 9:
+            return SetEntryNodes { index % 2, { base::NodeId("n" + std::to_string(number)) }, 6 };
+        case 10:
             return AdvanceTime { base::WallTime(std::chrono::milliseconds(index * 100)) };
         default:
             return FinishJob { job, index, static_cast<JobState>(*rc::gen::inRange(0, 4)), true, "" };
