Let the first process of an entry node use its base slots without a grant

A node took its base share from a first grant, and a grantor grants only after a confirmation that needs a quorum. A node that lost the quorum right after its start told every request not-executed, and the first requests at a node waited up to 2.0 s for slots.

The share is lent only after a report of the node, and every grantor reserves it until then. Only an earlier process of the node could have reported. The committed entry nodes now keep the incarnation that the process of a node had when it first became an entry node (SetEntryProcesses). A process with this incarnation knows that no earlier one reported, and uses the base share at every incarnation of a backend server that it has not met before. Later processes wait for their first grant as before.

And limits are passed to the gateway with every change of the backend servers, since it ignores them without the document of the service.

The property breaks the limit when every process counts as a first one, and holds otherwise.

--- a/bench/routing/slot_scheme.cpp
+++ b/bench/routing/slot_scheme.cpp
@@ -65,6 +65,7 @@
         epoch.shareNodes = static_cast<std::uint32_t>(nodes);
         for (std::size_t i = 0; i < nodes; ++i) {
             epoch.nodes.emplace_back("n" + std::to_string(i));
+            epoch.firstProcesses.emplace(epoch.nodes.back(), 1);
         }
         for (std::size_t i = 0; i < nodes; ++i) {
             auto& holder = m_holders.emplace_back(epoch.nodes[i], 1);
--- a/include/crocuscove/routing/slot_holder.h
+++ b/include/crocuscove/routing/slot_holder.h
@@ -25,7 +25,8 @@
     SlotHolder(base::NodeId self, std::uint64_t incarnation, SlotOptions options = {});
 
     void updateEpoch(const EntryEpoch& epoch);
-    /// Replaces the backend servers of a service. A new incarnation of a backend server starts with no slots.
+    /// Replaces the backend servers of a service. A new incarnation of a backend server starts with the base share in
+    /// the first process of a node, see isFirstProcess(), and with no slots in a later one.
     void updateBackendViews(const base::ServiceId& service, const std::vector<BackendView>& views);
     /// Records the requests in flight at a backend server and the slots that could be used there now.
     void recordUsage(
@@ -72,6 +73,8 @@
     static SlotDemandEntry makeDemandEntry(
         base::MonotonicTime now, const base::BackendId& backend, BackendRecord& record);
     void reserveSlots(Service& service);
+    void keepBaseShare(BackendRecord& record) const;
+    void rememberDropped(const base::BackendId& backend, std::uint64_t incarnation);
     void applyEntry(const SlotGrant& grant, const SlotGrantEntry& entry);
 
     base::NodeId m_self;
@@ -81,6 +84,9 @@
     std::map<base::BackendId, BackendRecord> m_backends;
     std::map<base::ServiceId, Service> m_services;
     std::map<base::NodeId, GrantorLink> m_links;
+    /// Incarnations of the backend servers that this holder dropped. Their base shares may have been lent.
+    std::map<base::BackendId, std::uint64_t> m_dropped;
+    bool m_hasBaseShares = false;
     std::uint64_t m_sequence = 0;
 };
 
--- a/include/crocuscove/routing/slot_lease.h
+++ b/include/crocuscove/routing/slot_lease.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace crocuscove::routing {
@@ -18,6 +19,8 @@
     std::uint32_t shareNodes = 1;
     /// True if there was no earlier epoch, and so no earlier grantor that may still grant slots.
     bool isFirst = false;
+    /// Incarnation of the process that a node had when it first became an entry node; 0 if it is unknown.
+    std::map<base::NodeId, std::uint64_t> firstProcesses {};
 
     bool operator==(const EntryEpoch&) const = default;
 };
@@ -52,4 +55,8 @@
 /// partitioned and use its base share.
 std::uint32_t absentShares(const EntryEpoch& epoch, std::uint32_t slots);
 
+/// Returns whether the process is the first that its node had as an entry node. Then no grantor of any epoch has lent
+/// the base share that the node has at a backend server which the process has not reported to a grantor.
+bool isFirstProcess(const EntryEpoch& epoch, const base::NodeId& node, std::uint64_t incarnation);
+
 } // namespace crocuscove::routing
--- a/include/crocuscove/state/command.h
+++ b/include/crocuscove/state/command.h
@@ -3,6 +3,7 @@
 #include "crocuscove/state/records.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -117,6 +118,13 @@
     std::uint32_t shareNodes = 0;
 };
 
+/// Replaces the entry nodes like SetEntryNodes, each given with the incarnation of its process.
+struct SetEntryProcesses {
+    std::uint64_t expected = 0;
+    std::map<base::NodeId, std::uint64_t> processes;
+    std::uint32_t shareNodes = 0;
+};
+
 /// Moves the replicated clock forward. Drops what has expired.
 struct AdvanceTime {
     base::WallTime now;
@@ -131,7 +139,8 @@
 };
 
 using Command = std::variant<PutDocument, RegisterVm, MoveVm, SetVmPhase, RemoveVm, SubmitJob, StartJob, FinishJob,
-    CancelJob, ExpireLease, RejectJob, ClaimIdempotencyKey, SettleIdempotencyKey, AdvanceTime, SetEntryNodes, AssignVm>;
+    CancelJob, ExpireLease, RejectJob, ClaimIdempotencyKey, SettleIdempotencyKey, AdvanceTime, SetEntryNodes, AssignVm,
+    SetEntryProcesses>;
 
 enum class ResultCode {
     Ok,
--- a/include/crocuscove/state/records.h
+++ b/include/crocuscove/state/records.h
@@ -153,6 +153,9 @@
     bool isFirst = false;
     /// Restored from a snapshot without entry nodes, so that others may have been in force before.
     bool hasUnknownPast = false;
+    /// Every node that was ever an entry node, with the incarnation that its process had when it first became one, or 0
+    /// if that is unknown. Holds at most shareNodes incarnations other than 0.
+    std::map<base::NodeId, std::uint64_t> firstProcesses;
 };
 
 /// A claim is named by its service and the client's Idempotency-Key.
--- a/include/crocuscove/state/state.h
+++ b/include/crocuscove/state/state.h
@@ -77,6 +77,7 @@
     CommandResult run(std::uint64_t index, const AdvanceTime& command);
     CommandResult run(std::uint64_t index, const SetEntryNodes& command);
     CommandResult run(std::uint64_t index, const AssignVm& command);
+    CommandResult run(std::uint64_t index, const SetEntryProcesses& command);
 
     CommandResult storeRevision(std::uint64_t index, const PutDocument& command, document::Document document);
     void rememberRequest(const std::string& requestId, const CommandResult& result);
--- a/src/crocuscove/routing/slot_grantor.cpp
+++ b/src/crocuscove/routing/slot_grantor.cpp
@@ -258,7 +258,9 @@
     std::vector<Share*> increasing;
     for (auto& [node, share] : record.shares) {
         free -= upperBoundOf(share, base);
-        const auto target = wanted.at(node);
+        // Before the first report, no other node could get what this one lends.
+        const auto kept = record.unattributed < record.slots ? 0 : std::min(share.allotment, base);
+        const auto target = std::max(wanted.at(node), kept);
         if (!share.isReported || target == share.allotment) {
             continue;
         }
--- a/src/crocuscove/routing/slot_holder.cpp
+++ b/src/crocuscove/routing/slot_holder.cpp
@@ -12,6 +12,9 @@
 /// acknowledges the demand without using the entry.
 constexpr std::uint64_t demandsBetweenRefreshes = 10;
 
+/// When more dropped backend servers would have to be remembered, new ones get their base share by a grant only.
+constexpr std::size_t maxDropped = 65536;
+
 /// Maximum number of demands whose send time is kept. A grant that answers an older demand renews no lease.
 constexpr std::size_t maxSentDemands = 64;
 
@@ -38,25 +41,59 @@
     m_epoch = epoch;
     // Allotments stay valid until their leases end, and their base part is reserved for this node in every epoch.
     m_links.clear();
+    const bool isMember = std::ranges::find(m_epoch.nodes, m_self) != m_epoch.nodes.end();
+    const bool isFirstMembership = !m_hasBaseShares && isMember && isFirstProcess(m_epoch, m_self, m_incarnation);
+    m_hasBaseShares = m_hasBaseShares || isFirstMembership;
     for (auto& [backend, record] : m_backends) {
         record.changedAt = m_sequence + 1;
+        if (isFirstMembership) {
+            keepBaseShare(record);
+        }
+    }
+}
+
+void SlotHolder::keepBaseShare(BackendRecord& record) const
+{
+    record.base = baseShare(m_epoch, record.slots);
+    record.allotment = record.base;
+}
+
+void SlotHolder::rememberDropped(const base::BackendId& backend, std::uint64_t incarnation)
+{
+    if (m_dropped.size() < maxDropped || m_dropped.contains(backend)) {
+        auto& newest = m_dropped[backend];
+        newest = std::max(newest, incarnation);
     }
 }
 
 void SlotHolder::updateBackendViews(const base::ServiceId& service, const std::vector<BackendView>& views)
 {
     std::erase_if(m_backends, [&](const auto& each) {
-        return each.second.service == service
+        const bool isDropped = each.second.service == service
             && std::ranges::find(views, each.first, &BackendView::backend) == views.end();
+        if (isDropped) {
+            rememberDropped(each.first, each.second.incarnation);
+        }
+        return isDropped;
     });
     auto& retentionOrder = m_services[service].retentionOrder;
     retentionOrder.clear();
     for (const auto& view : views) {
-        auto& record = m_backends[view.backend];
-        if (record.incarnation != view.incarnation) {
+        const auto [known, isNew] = m_backends.try_emplace(view.backend);
+        auto& record = known->second;
+        if (isNew || record.incarnation != view.incarnation) {
+            if (!isNew) {
+                rememberDropped(view.backend, record.incarnation);
+            }
+            const auto dropped = m_dropped.find(view.backend);
+            const bool wasDropped = dropped != m_dropped.end() && dropped->second >= view.incarnation;
             record = BackendRecord();
             record.incarnation = view.incarnation;
+            record.slots = view.slots;
             record.changedAt = m_sequence + 1;
+            if (m_hasBaseShares && !wasDropped && m_dropped.size() < maxDropped) {
+                keepBaseShare(record);
+            }
         }
         record.service = service;
         record.slots = view.slots;
--- a/src/crocuscove/routing/slot_lease.cpp
+++ b/src/crocuscove/routing/slot_lease.cpp
@@ -38,4 +38,10 @@
     return (epoch.shareNodes - static_cast<std::uint32_t>(present)) * baseShare(epoch, slots);
 }
 
+bool isFirstProcess(const EntryEpoch& epoch, const base::NodeId& node, std::uint64_t incarnation)
+{
+    const auto first = epoch.firstProcesses.find(node);
+    return first != epoch.firstProcesses.end() && first->second == incarnation && incarnation != 0;
+}
+
 } // namespace crocuscove::routing
--- a/src/crocuscove/routing/slot_lease_property_test.cpp
+++ b/src/crocuscove/routing/slot_lease_property_test.cpp
@@ -30,6 +30,8 @@
     NoWait,
     /// Holders use leases for longer than the grantors reserve the slots.
     LeaseTooLong,
+    /// Every process of a node uses its base share without a grant.
+    EveryProcessIsFirst,
 };
 
 class LimitPassed : public base::Error {
@@ -145,7 +147,11 @@
             return;
         }
         node.epoch = m_epoch.number;
-        node.holder->updateEpoch(m_epoch);
+        auto epoch = m_epoch;
+        if (m_fault == Fault::EveryProcessIsFirst) {
+            epoch.firstProcesses[node.id] = node.process;
+        }
+        node.holder->updateEpoch(epoch);
         node.holder->updateBackendViews(base::ServiceId("pricing"), { m_view });
         node.grantor->updateEpoch(m_now, m_epoch);
         node.grantor->updateBackendViews(m_now, { m_view });
@@ -165,6 +171,7 @@
         for (const auto& node : m_nodes) {
             if (!node.isGone && !(lacksPartitioned && node.isCutOff)) {
                 m_epoch.nodes.push_back(node.id);
+                m_epoch.firstProcesses.try_emplace(node.id, node.process);
             }
         }
     }
@@ -364,7 +371,8 @@
 // Guards against a property test that can't fail: each injected fault must exceed the limit in some sequences.
 TEST(SlotLeaseProperty, DetectsBrokenGrantors)
 {
-    for (const auto fault : { Fault::NoReport, Fault::NoAuthority, Fault::NoWait, Fault::LeaseTooLong }) {
+    for (const auto fault :
+        { Fault::NoReport, Fault::NoAuthority, Fault::NoWait, Fault::LeaseTooLong, Fault::EveryProcessIsFirst }) {
         bool isBroken = false;
         for (std::uint64_t seed = 0; seed < 100 && !isBroken; ++seed) {
             try {
--- a/src/crocuscove/routing/slot_lease_test.cpp
+++ b/src/crocuscove/routing/slot_lease_test.cpp
@@ -24,6 +24,7 @@
         m_epoch.shareNodes = 6;
         for (int i = 0; i < 6; ++i) {
             m_epoch.nodes.emplace_back("n" + std::to_string(i));
+            m_epoch.firstProcesses.emplace(m_epoch.nodes.back(), 1);
         }
         for (const auto& node : m_epoch.nodes) {
             m_holders.emplace(node, SlotHolder(node, 1));
@@ -177,6 +178,60 @@
     EXPECT_EQ(m_grantor.takeGrants(at(m_now)).at(0).entries.at(0).allotment, 3U);
 }
 
+// Guards against a node that lends its base share before a report lets another node get it, and then waits for it.
+TEST_F(SlotLease, BaseShareIsNotLentBeforeTheFirstReport)
+{
+    m_view.incarnation = 1;
+    m_grantor.updateBackendViews(at(m_now), { m_view });
+    for (auto& [node, holder] : m_holders) {
+        // The share that a node keeps anyway may be at the other backend server.
+        holder.updateBackendViews(pricing, { m_view, testing::view("b2", 8) });
+    }
+    rounds(40, {});
+    for (const auto& node : m_epoch.nodes) {
+        EXPECT_EQ(limit(node), 1U) << node.text();
+    }
+}
+
+// Guards against a node that never serves when quorum is lost before the first grant.
+TEST(SlotBaseShare, FirstProcessOfANodeNeedsNoGrant)
+{
+    const base::NodeId node("n1");
+    const EntryEpoch epoch { 1, { base::NodeId("n0"), node }, 2, true, { { base::NodeId("n0"), 7 }, { node, 8 } } };
+    const auto view = testing::view("b1", 8);
+    SlotHolder before(node, 8);
+    before.updateBackendViews(pricing, { view });
+    EXPECT_EQ(before.limits(pricing).at(0).limitAfterDeadline, 0U);
+    before.updateEpoch(epoch);
+    EXPECT_EQ(before.limits(pricing).at(0).limitAfterDeadline, 4U);
+    SlotHolder after(node, 8);
+    after.updateEpoch(epoch);
+    after.updateBackendViews(pricing, { view });
+    EXPECT_EQ(after.limits(pricing).at(0).limitAfterDeadline, 4U);
+    EXPECT_EQ(after.takeDemands(at(0)).at(0).entries.at(0).inFlightBound, 4U);
+}
+
+// Guards against a base share that is used again while it is lent to another node.
+TEST(SlotBaseShare, LaterProcessOrReturningBackendServerNeedsAGrant)
+{
+    const base::NodeId node("n1");
+    const EntryEpoch epoch { 1, { base::NodeId("n0"), node }, 2, true, { { base::NodeId("n0"), 7 }, { node, 8 } } };
+    auto view = testing::view("b1", 8);
+    SlotHolder later(node, 9);
+    later.updateEpoch(epoch);
+    later.updateBackendViews(pricing, { view });
+    EXPECT_EQ(later.limits(pricing).at(0).limitAfterDeadline, 0U);
+    SlotHolder first(node, 8);
+    first.updateEpoch(epoch);
+    first.updateBackendViews(pricing, { view });
+    first.updateBackendViews(pricing, {});
+    first.updateBackendViews(pricing, { view });
+    EXPECT_EQ(first.limits(pricing).at(0).limitAfterDeadline, 0U);
+    ++view.incarnation;
+    first.updateBackendViews(pricing, { view });
+    EXPECT_EQ(first.limits(pricing).at(0).limitAfterDeadline, 4U);
+}
+
 // Guards against a grantor that continues to issue grants because it does not know that it was replaced.
 TEST_F(SlotLease, GrantsNothingWithoutConfirmedEpoch)
 {
--- a/src/crocuscove/server/entry_node_controller.cpp
+++ b/src/crocuscove/server/entry_node_controller.cpp
@@ -42,6 +42,17 @@
     return reachable;
 }
 
+std::map<base::NodeId, std::uint64_t> EntryNodeController::reachableProcesses() const
+{
+    std::map<base::NodeId, std::uint64_t> processes;
+    std::ranges::for_each(m_nodes.nodes(), [&](const NodeView& view) {
+        if (std::ranges::find(m_lastReachable, view.status.node) != m_lastReachable.end()) {
+            processes.emplace(view.status.node, view.incarnation);
+        }
+    });
+    return processes;
+}
+
 void EntryNodeController::tick(base::MonotonicTime now)
 {
     auto reachable = reachableEntryNodes();
@@ -57,8 +68,8 @@
     }
     m_isProposalPending = true;
     m_log.info("entry_nodes_proposed", { { "entry_nodes", m_lastReachable.size() }, { "replaces", committed.number } });
-    m_replica.propose(
-        state::SetEntryNodes { committed.number, m_lastReachable, static_cast<std::uint32_t>(m_options.peers.size()) },
+    m_replica.propose(state::SetEntryProcesses { committed.number, reachableProcesses(),
+                          static_cast<std::uint32_t>(m_options.peers.size()) },
         now + commandTimeout, [this](const ProposalResult&) { m_isProposalPending = false; });
 }
 
--- a/src/crocuscove/server/entry_node_controller.h
+++ b/src/crocuscove/server/entry_node_controller.h
@@ -5,6 +5,8 @@
 
 #include "crocuscove/base/log.h"
 
+#include <cstdint>
+#include <map>
 #include <vector>
 
 namespace crocuscove::server {
@@ -23,6 +25,8 @@
 
 private:
     [[nodiscard]] std::vector<base::NodeId> reachableEntryNodes() const;
+    /// Returns the stable reachable entry nodes, each with the incarnation of its process.
+    [[nodiscard]] std::map<base::NodeId, std::uint64_t> reachableProcesses() const;
 
     const base::Log& m_log;
     const ServerOptions& m_options;
--- a/src/crocuscove/server/node.cpp
+++ b/src/crocuscove/server/node.cpp
@@ -19,9 +19,10 @@
 /// Upper limit of maxBodyBytes in a service document.
 constexpr std::size_t maxClientBodyBytes = std::size_t { 64 } * 1024 * 1024;
 
-transport::PeerNetworkOptions networkOptions(const ServerOptions& options)
+std::uint64_t processIncarnation() { return static_cast<std::uint64_t>(base::wallNow().time_since_epoch().count()); }
+
+transport::PeerNetworkOptions networkOptions(const ServerOptions& options, std::uint64_t incarnation)
 {
-    const auto incarnation = static_cast<std::uint64_t>(base::wallNow().time_since_epoch().count());
     return { options.cluster, options.node, incarnation, options.peerListen, options.peers };
 }
 
@@ -40,7 +41,8 @@
     , m_options(std::move(options))
     , m_log(log)
     , m_random(*m_options.seed)
-    , m_network(loop, networkOptions(m_options),
+    , m_incarnation(processIncarnation())
+    , m_network(loop, networkOptions(m_options, m_incarnation),
           [this](const transport::PeerMessage& message) { receivePeerMessage(message); })
     , m_rpc(
           loop,
@@ -54,7 +56,7 @@
            },
               [this] { onEntriesApplied(); }, [this](const consensus::RoleChange& change) { onRoleChanged(change); } })
     , m_submitter(loop, m_replica, m_rpc)
-    , m_nodes(m_options, m_replica, [this] { return m_gateway.serviceLoads(); })
+    , m_nodes(m_options, m_incarnation, m_replica, [this] { return m_gateway.serviceLoads(); })
     , m_backends(loop, log, m_options.node,
           { [this](const std::string& payload) { broadcast(transport::MessageKind::Backends, payload); },
               [this](const base::ServiceId& service) { onBackendsChanged(service); },
@@ -62,7 +64,7 @@
               [this] { return m_nodes.clockReadings(); } })
     , m_gateway(loop, m_options, log, m_random, m_replica, m_submitter, m_backends,
           [this](const base::ServiceId& service) { onBackendsChanged(service); })
-    , m_slots(loop, m_options, log, m_replica,
+    , m_slots(loop, m_options, m_incarnation, log, m_replica,
           { [this](const base::NodeId& node, const std::string& payload) {
                m_network.send(node, transport::MessageKind::Slots, payload);
            },
--- a/src/crocuscove/server/node.h
+++ b/src/crocuscove/server/node.h
@@ -22,6 +22,7 @@
 #include "crocuscove/http/http_server.h"
 #include "crocuscove/transport/peer_network.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -51,6 +52,8 @@
     ServerOptions m_options;
     const base::Log& m_log;
     base::Random m_random;
+    /// Higher than that of any earlier process of this node.
+    std::uint64_t m_incarnation;
     transport::PeerNetwork m_network;
     PeerRpc m_rpc;
     Replica m_replica;
--- a/src/crocuscove/server/node_table.cpp
+++ b/src/crocuscove/server/node_table.cpp
@@ -20,9 +20,10 @@
 
 } // namespace
 
-NodeTable::NodeTable(
-    const ServerOptions& options, const Replica& replica, std::function<std::vector<ServiceLoad>()> loads)
+NodeTable::NodeTable(const ServerOptions& options, std::uint64_t incarnation, const Replica& replica,
+    std::function<std::vector<ServiceLoad>()> loads)
     : m_options(options)
+    , m_incarnation(incarnation)
     , m_replica(replica)
     , m_loads(std::move(loads))
 {
@@ -41,8 +42,8 @@
 {
     auto status = base::decode<NodeStatus>(message.payload);
     if (status.node == message.sender) {
-        m_receivedStatuses.insert_or_assign(
-            message.sender, ReceivedStatus { std::move(status), base::monotonicNow() + reachableTimeout });
+        m_receivedStatuses.insert_or_assign(message.sender,
+            ReceivedStatus { std::move(status), base::monotonicNow() + reachableTimeout, message.senderIncarnation });
     }
 }
 
@@ -52,15 +53,15 @@
     std::vector<NodeView> views;
     std::ranges::transform(m_options.peers, std::back_inserter(views), [&](const auto& peer) -> NodeView {
         if (peer.first == m_options.node) {
-            return { ownStatus(), true };
+            return { ownStatus(), true, m_incarnation };
         }
         const auto received = m_receivedStatuses.find(peer.first);
         if (received == m_receivedStatuses.end()) {
             NodeStatus unknown;
             unknown.node = peer.first;
-            return { unknown, false };
+            return { unknown, false, 0 };
         }
-        return { received->second.status, received->second.reachableUntil > now };
+        return { received->second.status, received->second.reachableUntil > now, received->second.incarnation };
     });
     return views;
 }
--- a/src/crocuscove/server/node_table.h
+++ b/src/crocuscove/server/node_table.h
@@ -44,13 +44,16 @@
     NodeStatus status;
     /// True when a status arrived within the last 2.5 s, and always for this node.
     bool isReachable = false;
+    /// Incarnation of the process that sent the status, or 0 without one.
+    std::uint64_t incarnation = 0;
 };
 
 /// The nodes of the cluster as seen from this node, based on the status that each sends at intervals.
 class NodeTable {
 public:
-    /// The references must outlive this. `loads` returns the load of this node.
-    NodeTable(const ServerOptions& options, const Replica& replica, std::function<std::vector<ServiceLoad>()> loads);
+    /// The references must outlive this. `incarnation` is that of this process; `loads` returns the load of this node.
+    NodeTable(const ServerOptions& options, std::uint64_t incarnation, const Replica& replica,
+        std::function<std::vector<ServiceLoad>()> loads);
 
     /// Returns the status of this node, encoded for sending to the other nodes.
     [[nodiscard]] std::string encodeOwnStatus() const;
@@ -74,11 +77,13 @@
     struct ReceivedStatus {
         NodeStatus status;
         base::MonotonicTime reachableUntil;
+        std::uint64_t incarnation = 0;
     };
 
     [[nodiscard]] NodeStatus ownStatus() const;
 
     const ServerOptions& m_options;
+    std::uint64_t m_incarnation;
     const Replica& m_replica;
     std::function<std::vector<ServiceLoad>()> m_loads;
     bool m_isStopping = false;
--- a/src/crocuscove/server/slot_coordinator.cpp
+++ b/src/crocuscove/server/slot_coordinator.cpp
@@ -20,18 +20,16 @@
 constexpr base::Milliseconds confirmInterval { 500 };
 constexpr base::Milliseconds confirmTimeout { 1500 };
 
-std::uint64_t processIncarnation() { return static_cast<std::uint64_t>(base::wallNow().time_since_epoch().count()); }
-
 } // namespace
 
-SlotCoordinator::SlotCoordinator(
-    http::EventLoop& loop, const ServerOptions& options, const base::Log& log, Replica& replica, SlotHooks hooks)
+SlotCoordinator::SlotCoordinator(http::EventLoop& loop, const ServerOptions& options, std::uint64_t incarnation,
+    const base::Log& log, Replica& replica, SlotHooks hooks)
     : m_options(options)
     , m_log(log)
     , m_replica(replica)
     , m_hooks(std::move(hooks))
-    , m_holder(options.node, processIncarnation(), slotOptions)
-    , m_grantor(options.node, processIncarnation(), slotOptions)
+    , m_holder(options.node, incarnation, slotOptions)
+    , m_grantor(options.node, incarnation, slotOptions)
     , m_exchangeTimer(loop.runEvery(slotOptions.batchInterval, [this] { exchangeMessages(); }))
     , m_confirmTimer(loop.runEvery(confirmInterval, [this] { confirmEpoch(); }))
 {
@@ -44,7 +42,8 @@
         return;
     }
     m_epoch = entryNodes.number;
-    const routing::EntryEpoch epoch { entryNodes.number, entryNodes.nodes, entryNodes.shareNodes, entryNodes.isFirst };
+    const routing::EntryEpoch epoch { entryNodes.number, entryNodes.nodes, entryNodes.shareNodes, entryNodes.isFirst,
+        entryNodes.firstProcesses };
     m_holder.updateEpoch(epoch);
     m_grantor.updateEpoch(base::monotonicNow(), epoch);
     // The grantor dropped its backend servers when the epoch changed.
@@ -62,6 +61,10 @@
     std::ranges::for_each(
         m_backendViews, [&](const auto& entry) { std::ranges::copy(entry.second, std::back_inserter(all)); });
     m_grantor.updateBackendViews(base::monotonicNow(), all);
+    // Applied again although they may be unchanged: without the service's document the gateway ignored them.
+    auto& applied = m_appliedLimits[service];
+    applied = m_holder.limits(service);
+    m_hooks.onLimitsChanged(service, applied);
     applyLimits();
 }
 
--- a/src/crocuscove/server/slot_coordinator.h
+++ b/src/crocuscove/server/slot_coordinator.h
@@ -36,9 +36,9 @@
 /// slots of the backend servers that the committed set of entry nodes assigns to it.
 class SlotCoordinator {
 public:
-    /// The references must outlive this.
-    SlotCoordinator(
-        http::EventLoop& loop, const ServerOptions& options, const base::Log& log, Replica& replica, SlotHooks hooks);
+    /// The references must outlive this. `incarnation` is that of this process.
+    SlotCoordinator(http::EventLoop& loop, const ServerOptions& options, std::uint64_t incarnation,
+        const base::Log& log, Replica& replica, SlotHooks hooks);
 
     /// Applies the set of entry nodes in the replicated state, if its number changed.
     void updateEntryNodes();
--- a/src/crocuscove/state/codec.h
+++ b/src/crocuscove/state/codec.h
@@ -15,7 +15,7 @@
 CROCUSCOVE_FIELDS(JobRecord, v.spec, v.state, v.reason, v.worker, v.workerIncarnation, v.token, v.starts,
     v.hasCheckpoint, v.isCancelRequested, v.submittedAt, v.changedAt)
 CROCUSCOVE_FIELDS(ClaimRecord, v.bodyDigest, v.node, v.requestId, v.state, v.answer, v.deadline, v.retainUntil)
-CROCUSCOVE_FIELDS(EntryNodes, v.number, v.nodes, v.shareNodes, v.isFirst, v.hasUnknownPast)
+CROCUSCOVE_FIELDS(EntryNodes, v.number, v.nodes, v.shareNodes, v.isFirst, v.hasUnknownPast, v.firstProcesses)
 CROCUSCOVE_FIELDS(CommandResult, v.code, v.number, v.detail, v.answer)
 
 CROCUSCOVE_FIELDS(PutDocument, v.requestId, v.service, v.expectedRevision, v.text)
@@ -34,5 +34,6 @@
 CROCUSCOVE_FIELDS(AdvanceTime, v.now)
 CROCUSCOVE_FIELDS(SetEntryNodes, v.expected, v.nodes, v.shareNodes)
 CROCUSCOVE_FIELDS(AssignVm, v.vm, v.from, v.to)
+CROCUSCOVE_FIELDS(SetEntryProcesses, v.expected, v.processes, v.shareNodes)
 
 } // namespace crocuscove::state
--- a/src/crocuscove/state/state.cpp
+++ b/src/crocuscove/state/state.cpp
@@ -103,13 +103,27 @@
 
 CommandResult State::run(std::uint64_t index, const SetEntryNodes& command)
 {
-    if (command.expected != m_entryNodes.number || command.nodes.empty()) {
+    SetEntryProcesses same { command.expected, {}, command.shareNodes };
+    std::ranges::for_each(command.nodes, [&](const base::NodeId& node) { same.processes.emplace(node, 0); });
+    return run(index, same);
+}
+
+CommandResult State::run(std::uint64_t index, const SetEntryProcesses& command)
+{
+    if (command.expected != m_entryNodes.number || command.processes.empty()) {
         return refuse(ResultCode::Refused, "other entry nodes are in force", m_entryNodes.number);
     }
+    m_entryNodes.isFirst = m_entryNodes.number == 0 && !m_entryNodes.hasUnknownPast;
     // A node that lags behind would keep a larger share than others reserve for it, if the divisor could change.
-    const std::uint32_t shareNodes = m_entryNodes.number == 0 ? command.shareNodes : m_entryNodes.shareNodes;
-    const bool isFirst = command.expected == 0 && !m_entryNodes.hasUnknownPast;
-    m_entryNodes = { index, command.nodes, shareNodes, isFirst, m_entryNodes.hasUnknownPast };
+    m_entryNodes.shareNodes = m_entryNodes.number == 0 ? command.shareNodes : m_entryNodes.shareNodes;
+    m_entryNodes.number = index;
+    m_entryNodes.nodes.clear();
+    for (const auto& [node, process] : command.processes) {
+        m_entryNodes.nodes.push_back(node);
+        const bool isKnown
+            = !m_entryNodes.hasUnknownPast && m_entryNodes.firstProcesses.size() < m_entryNodes.shareNodes;
+        m_entryNodes.firstProcesses.try_emplace(node, isKnown ? process : 0);
+    }
     return { ResultCode::Ok, index, "", {} };
 }
 
--- a/src/crocuscove/state/state_test.cpp
+++ b/src/crocuscove/state/state_test.cpp
@@ -255,6 +255,25 @@
     EXPECT_FALSE(state.entryNodes().isFirst);
 }
 
+// Guards against a restarted process that counts as the first one of its node, whose base share nobody else has.
+TEST(StateEntryNodes, FirstProcessOfANodeStays)
+{
+    using Processes = std::map<base::NodeId, std::uint64_t>;
+    const base::NodeId first("n1");
+    const base::NodeId second("n2");
+    const base::NodeId third("n3");
+    State state;
+    state.apply(1, SetEntryProcesses { 0, { { first, 11 } }, 2 });
+    state.apply(2, SetEntryProcesses { 1, { { first, 12 }, { second, 21 }, { third, 31 } }, 2 });
+    EXPECT_EQ(state.entryNodes().nodes, (std::vector { first, second, third }));
+    // The third node is one more than the divisor of the shares counts.
+    EXPECT_EQ(state.entryNodes().firstProcesses, (Processes { { first, 11 }, { second, 21 }, { third, 0 } }));
+    state.apply(3, SetEntryNodes { 2, { second }, 2 });
+    state.apply(4, SetEntryProcesses { 3, { { first, 13 }, { second, 22 } }, 2 });
+    EXPECT_EQ(state.entryNodes().firstProcesses, (Processes { { first, 11 }, { second, 21 }, { third, 0 } }));
+    EXPECT_EQ(state.apply(5, SetEntryProcesses { 3, { { first, 13 } }, 2 }).code, ResultCode::Refused);
+}
+
 // Guards against a new leader with a slow clock that makes replicated time run backward.
 TEST(StateTime, NeverGoesBack)
 {
