Count the requests of an ended process at the first contact of its successor

A process may start requests in its base share until it ends, also when a new grantor has long taken over. When its successor contacted this grantor first, the grantor reserved the share for the successor and counted nothing for the requests of the ended process, which may run on: one more request than slots.

At a first contact, the base share now counts as in use by an earlier process until a report of the backend server, unless the process is known to be the first of its node.

Evidence: RequestOfAnEndedProcessKeepsItsSlotUntilAReport got 3 slots instead of 2 before.

--- a/src/crocuscove/routing/slot_grantor.cpp
+++ b/src/crocuscove/routing/slot_grantor.cpp
@@ -119,10 +119,11 @@
 void SlotGrantor::restartHolder(
     base::MonotonicTime now, const base::NodeId& node, Holder& holder, std::uint64_t incarnation)
 {
-    const bool isFirst = holder.incarnation == 0;
+    // In an earlier epoch, an earlier process may have used the base share until it ended.
+    const bool mayHavePrevious = holder.incarnation != 0 || !isFirstProcess(m_epoch, node, incarnation);
     for (auto& [backend, record] : m_backends) {
         auto& share = record.shares.at(node);
-        if (!isFirst) {
+        if (mayHavePrevious) {
             // Requests of the previous process may still run at the backend server.
             const auto remaining = upperBoundOf(share, baseShare(m_epoch, record.slots));
             record.unattributed = std::min(record.unattributed + remaining, record.slots);
--- a/src/crocuscove/routing/slot_lease_test.cpp
+++ b/src/crocuscove/routing/slot_lease_test.cpp
@@ -193,6 +193,27 @@
     }
 }
 
+// Guards against more requests than slots when a process ended in an earlier epoch while its request runs on.
+TEST_F(SlotLease, RequestOfAnEndedProcessKeepsItsSlotUntilAReport)
+{
+    const base::NodeId restarted("n3");
+    m_epoch.number = 2;
+    m_grantor.updateEpoch(at(m_now), m_epoch);
+    m_grantor.updateBackendViews(at(m_now), { m_view });
+    m_now += 3600;
+    m_grantor.confirmEpoch(2, at(m_now));
+    m_grantor.report(backend, 0, 0, at(m_now));
+    const auto allotment = [&](std::uint64_t sequence) {
+        m_grantor.receive(
+            at(m_now), { 2, restarted, 2, m_grantorId, 1, sequence, sequence - 1, { { backend, 0, 8, 0, 1 } } });
+        return m_grantor.takeGrants(at(m_now)).at(0).entries.at(0).allotment;
+    };
+    EXPECT_EQ(allotment(1), 2U);
+    m_now += 500;
+    m_grantor.report(backend, 0, 0, at(m_now));
+    EXPECT_EQ(allotment(2), 3U);
+}
+
 // Guards against a node that never serves when quorum is lost before the first grant.
 TEST(SlotBaseShare, FirstProcessOfANodeNeedsNoGrant)
 {
