--- a/src/crocuscove/routing/slot_grantor.cpp
+++ b/src/crocuscove/routing/slot_grantor.cpp
@@ -119,10 +119,11 @@
 void SlotGrantor::restartHolder(
     base::MonotonicTime now, const base::NodeId& node, Holder& holder, std::uint64_t incarnation)
 {
-    const bool isFirst = holder.incarnation == 0;
+    // In an earlier epoch, an earlier process may have used the base share until it ended.
+    const bool mayHavePrevious = holder.incarnation != 0 || !isFirstProcess(m_epoch, node, incarnation);
     for (auto& [backend, record] : m_backends) {
         auto& share = record.shares.at(node);
-        if (!isFirst) {
+        if (mayHavePrevious) {
             // Requests of the previous process may still run at the backend server.
             const auto remaining = upperBoundOf(share, baseShare(m_epoch, record.slots));
             record.unattributed = std::min(record.unattributed + remaining, record.slots);
@@ -201,12 +202,17 @@
         [](std::uint32_t maximum, const auto& grant) { return std::max(maximum, grant.allotment); });
 }
 
+std::int64_t SlotGrantor::freeSlots(const BackendRecord& record) const
+{
+    return static_cast<std::int64_t>(record.slots) - record.unattributed - absentShares(m_epoch, record.slots);
+}
+
 std::map<base::NodeId, std::uint32_t> SlotGrantor::targetAllotments(
     base::MonotonicTime now, const base::BackendId& backend, const BackendRecord& record) const
 {
     const auto base = baseShare(m_epoch, record.slots);
     std::map<base::NodeId, std::uint32_t> targetAllotments;
-    std::int64_t remaining = static_cast<std::int64_t>(record.slots) - record.unattributed;
+    std::int64_t remaining = freeSlots(record);
     for (const auto& [node, share] : record.shares) {
         targetAllotments[node] = share.reservedSlots;
         remaining -= share.isReported ? share.reservedSlots : base;
@@ -249,11 +255,13 @@
 {
     const auto base = baseShare(m_epoch, record.slots);
     const auto wanted = targetAllotments(now, backend, record);
-    std::int64_t free = static_cast<std::int64_t>(record.slots) - record.unattributed;
+    std::int64_t free = freeSlots(record);
     std::vector<Share*> increasing;
     for (auto& [node, share] : record.shares) {
         free -= upperBoundOf(share, base);
-        const auto target = wanted.at(node);
+        // Before the first report, no other node could get what this one lends.
+        const auto kept = record.unattributed < record.slots ? 0 : std::min(share.allotment, base);
+        const auto target = std::max(wanted.at(node), kept);
         if (!share.isReported || target == share.allotment) {
             continue;
         }
--- a/src/crocuscove/state/state_test.cpp
+++ b/src/crocuscove/state/state_test.cpp
@@ -6,6 +6,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <msgpack.hpp>
 #include <set>
 
 namespace crocuscove::state {
@@ -127,6 +129,25 @@
     EXPECT_FALSE(state.vms().at(vm).moveTarget);
 }
 
+// Guards against a VM that leaves the pool of a document, or a drain, without a stop.
+TEST(StateVms, AssignmentNeedsAPoolWithoutADocument)
+{
+    State state;
+    const base::VmId vm("vm-1");
+    const base::PoolId main("main");
+    const base::PoolId unassigned("unassigned");
+    state.apply(1, RegisterVm { vm, base::DataCentreId("dc-a"), base::RackId("r1"), {}, unassigned, {} });
+    EXPECT_EQ(state.apply(2, AssignVm { vm, base::PoolId("other"), main }).code, ResultCode::Refused);
+    state.apply(3, SetVmPhase { vm, VmPhase::Serving, VmPhase::Draining, VmReason::Maintenance, 0, 7 });
+    EXPECT_EQ(state.apply(4, AssignVm { vm, unassigned, main }).code, ResultCode::Refused);
+    state.apply(5, SetVmPhase { vm, VmPhase::Draining, VmPhase::Serving, VmReason::None, 3, 0 });
+    EXPECT_EQ(state.apply(6, AssignVm { vm, unassigned, main }).code, ResultCode::Ok);
+    EXPECT_EQ(state.vms().at(vm).pool, main);
+    state.apply(7, putDocument("r1", 0));
+    EXPECT_EQ(state.apply(8, AssignVm { vm, main, unassigned }).code, ResultCode::Refused);
+    EXPECT_EQ(state.vms().at(vm).pool, main);
+}
+
 // Guards against a late phase change of a finished operation acting on the next one.
 TEST(StateVms, PhaseChangeOfAnOldOperationIsRefused)
 {
@@ -200,6 +221,59 @@
     EXPECT_EQ(state.entryNodes().shareNodes, 6U);
 }
 
+// Guards against a node that knows no entry nodes after it restored a snapshot, and refuses every later change of them.
+TEST(StateEntryNodes, SnapshotKeepsThem)
+{
+    State state;
+    state.apply(1, SetEntryNodes { 0, { base::NodeId("n1"), base::NodeId("n2") }, 6 });
+    State restored;
+    restored.restoreSnapshot(state.encodeSnapshot());
+    EXPECT_EQ(restored.entryNodes().number, 1U);
+    EXPECT_EQ(restored.entryNodes().shareNodes, 6U);
+    EXPECT_EQ(restored.apply(2, SetEntryNodes { 1, { base::NodeId("n2") }, 6 }).code, ResultCode::Ok);
+}
+
+// Guards against a grantor that takes itself for the first one after a snapshot of version 1, which lacks the entry
+// nodes.
+TEST(StateEntryNodes, SnapshotOfVersion1LeavesThemUnknown)
+{
+    const std::map<std::string, std::string> none;
+    msgpack::sbuffer bytes;
+    msgpack::packer packer(bytes);
+    packer.pack_array(9);
+    packer.pack(1U);
+    packer.pack(7U);
+    packer.pack(5000);
+    for (int map = 0; map < 5; ++map) {
+        packer.pack(none);
+    }
+    packer.pack_array(0);
+    State state;
+    state.restoreSnapshot({ bytes.data(), bytes.size() });
+    EXPECT_EQ(state.appliedIndex(), 7U);
+    EXPECT_EQ(state.apply(8, SetEntryNodes { 0, { base::NodeId("n1") }, 6 }).code, ResultCode::Ok);
+    EXPECT_FALSE(state.entryNodes().isFirst);
+}
+
+// Guards against a restarted process that counts as the first one of its node, whose base share nobody else has.
+TEST(StateEntryNodes, FirstProcessOfANodeStays)
+{
+    using Processes = std::map<base::NodeId, std::uint64_t>;
+    const base::NodeId first("n1");
+    const base::NodeId second("n2");
+    const base::NodeId third("n3");
+    State state;
+    state.apply(1, SetEntryProcesses { 0, { { first, 11 } }, 2 });
+    state.apply(2, SetEntryProcesses { 1, { { first, 12 }, { second, 21 }, { third, 31 } }, 2 });
+    EXPECT_EQ(state.entryNodes().nodes, (std::vector { first, second, third }));
+    // The third node is one more than the divisor of the shares counts.
+    EXPECT_EQ(state.entryNodes().firstProcesses, (Processes { { first, 11 }, { second, 21 }, { third, 0 } }));
+    state.apply(3, SetEntryNodes { 2, { second }, 2 });
+    state.apply(4, SetEntryProcesses { 3, { { first, 13 }, { second, 22 } }, 2 });
+    EXPECT_EQ(state.entryNodes().firstProcesses, (Processes { { first, 11 }, { second, 21 }, { third, 0 } }));
+    EXPECT_EQ(state.apply(5, SetEntryProcesses { 3, { { first, 13 } }, 2 }).code, ResultCode::Refused);
+}
+
 // Guards against a new leader with a slow clock that makes replicated time run backward.
 TEST(StateTime, NeverGoesBack)
 {
@@ -217,7 +291,7 @@
         const base::JobId job("job-" + std::to_string(number));
         const auto index = static_cast<std::uint64_t>(*rc::gen::inRange(0, 60));
         const auto phase = static_cast<VmPhase>(*rc::gen::inRange(0, 5));
-        switch (*rc::gen::inRange(0, 10)) {
+        switch (*rc::gen::inRange(0, 12)) {
         case 0:
             return putDocument("r" + std::to_string(*rc::gen::inRange(0, 20)), index % 4);
         case 1:
@@ -237,6 +311,10 @@
         case 7:
             return claimKey("r" + std::to_string(number));
         case 8:
+            return AssignVm { vm, base::PoolId("main"), base::PoolId("other") };
+        case 9:
+            return SetEntryNodes { index % 2, { base::NodeId("n" + std::to_string(number)) }, 6 };
+        case 10:
             return AdvanceTime { base::WallTime(std::chrono::milliseconds(index * 100)) };
         default:
             return FinishJob { job, index, static_cast<JobState>(*rc::gen::inRange(0, 4)), true, "" };
