--- a/src/crocuscove/state/snapshot.cpp
+++ b/src/crocuscove/state/snapshot.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint32_t snapshotVersion = 2;
 
 struct EncodedState {
+    // GCC 12 warns of uninitialized members in base::decode() when this is an aggregate.
+    EncodedState() = default;
+
     std::uint32_t version = snapshotVersion;
     std::uint64_t appliedIndex = 0;
     base::WallTime now;
@@ -29,12 +32,15 @@
     v.requestResults, v.requestOrder, v.entryNodes)
 
 /// Version 1 lacks the entry nodes.
-struct EncodedStateVersion1 : EncodedState { };
+struct EncodedStateVersion1 {
+    EncodedState state;
+};
 
 auto codecFields(EncodedStateVersion1& v)
 {
+    EncodedState& s = v.state;
     return std::tie(
-        v.version, v.appliedIndex, v.now, v.documents, v.vms, v.jobs, v.claims, v.requestResults, v.requestOrder);
+        s.version, s.appliedIndex, s.now, s.documents, s.vms, s.jobs, s.claims, s.requestResults, s.requestOrder);
 }
 
 EncodedState decodeState(std::string_view bytes)
@@ -44,7 +50,7 @@
     if (!bytes.starts_with(firstByteVersion1)) {
         return base::decode<EncodedState>(bytes);
     }
-    EncodedState encoded = base::decode<EncodedStateVersion1>(bytes);
+    EncodedState encoded = base::decode<EncodedStateVersion1>(bytes).state;
     if (encoded.version == 1) {
         encoded.version = snapshotVersion;
         encoded.entryNodes.hasUnknownPast = true;
