--- a/tests/integration/platform_fixture.h
+++ b/tests/integration/platform_fixture.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -32,6 +33,7 @@
         m_entryPort = cluster.freePort();
         m_readyPort = cluster.freePort();
         m_vmPort = cluster.freePort();
+        m_metricsPort = cluster.freePort();
         for (int number = 1; number <= 3; ++number) {
             startControl(number, true);
         }
@@ -61,7 +63,18 @@
                 flag("internal-port", m_internalPort), flag("seeds", seeds()),
                 flag("first-start", isFirstStart ? "true" : "false"),
                 flag("data-folder", cluster.path("data-" + std::to_string(number))),
-                flag("vm-interface", loopback(m_vmPort).text()) });
+                flag("vm-interface", loopback(m_vmPort).text()),
+                flag("metrics-listen", base::Endpoint { address(number), m_metricsPort }.text()) });
+    }
+
+    /// Returns a gauge of a control node; nothing while the node doesn't answer.
+    [[nodiscard]] std::optional<double> gauge(int number, const std::string& name) const
+    {
+        const auto result = Cluster::request({ address(number), m_metricsPort }, "GET", "/metrics");
+        const std::string text = result.response ? result.response->body : "";
+        const auto line = text.find("{name=\"" + name + "\"}");
+        const auto value = line == std::string::npos ? line : text.find(' ', line);
+        return value == std::string::npos ? std::nullopt : std::optional(std::stod(text.substr(value)));
     }
 
     /// Starts the platform's interface for VMs; one VM for each worker, named like it with "vm-" before.
@@ -211,6 +224,7 @@
     std::uint16_t m_entryPort = 0;
     std::uint16_t m_readyPort = 0;
     std::uint16_t m_vmPort = 0;
+    std::uint16_t m_metricsPort = 0;
     std::set<std::string> m_workers;
     std::map<std::string, std::uint16_t> m_workerPorts;
     mutable std::string m_body;
