--- a/tests/integration/platform_disk_test.cpp
+++ b/tests/integration/platform_disk_test.cpp
@@ -1,7 +1,5 @@
 #include "integration/platform_fixture.h"
 
-#include <sys/resource.h>
-
 namespace crocuscove::testing {
 namespace {
 
@@ -13,21 +11,6 @@
 
 class PlatformDiskTest : public PlatformTest {
 protected:
-    PlatformDiskTest()
-    {
-        // Processes inherit this, so that a write over the limit fails instead of ending them.
-        static_cast<void>(std::signal(SIGXFSZ, SIG_IGN));
-    }
-
-    /// Makes every write of a control node that extends a file fail, as on a full disk, or lets them succeed again.
-    void setDiskFull(int number, bool isFull)
-    {
-        rlimit limit {};
-        ASSERT_EQ(prlimit(cluster.process(controlName(number)).pid(), RLIMIT_FSIZE, nullptr, &limit), 0);
-        limit.rlim_cur = isFull ? 0 : limit.rlim_max;
-        ASSERT_EQ(prlimit(cluster.process(controlName(number)).pid(), RLIMIT_FSIZE, &limit, nullptr), 0);
-    }
-
     /// Puts a configuration with the next version.
     int putNext(int number)
     {
--- a/tests/integration/platform_fixture.h
+++ b/tests/integration/platform_fixture.h
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <csignal>
@@ -67,6 +68,16 @@
                 flag("metrics-listen", base::Endpoint { address(number), m_metricsPort }.text()) });
     }
 
+    /// Makes every write of a control node that extends a file fail, as on a full disk, or lets them succeed again.
+    void setDiskFull(int number, bool isFull)
+    {
+        const int pid = cluster.process(controlName(number)).pid();
+        rlimit limit {};
+        ASSERT_EQ(prlimit(pid, RLIMIT_FSIZE, nullptr, &limit), 0);
+        limit.rlim_cur = isFull ? 0 : limit.rlim_max;
+        ASSERT_EQ(prlimit(pid, RLIMIT_FSIZE, &limit, nullptr), 0);
+    }
+
     /// Returns a gauge of a control node; nothing while the node doesn't answer.
     [[nodiscard]] std::optional<double> gauge(int number, const std::string& name) const
     {
--- a/tests/integration/platform_soak_test.cpp
+++ b/tests/integration/platform_soak_test.cpp
@@ -131,6 +131,19 @@
         restartLater(controlName(number), [this, number] { startControl(number, false); });
     }
 
+    /// Fills the disk of a control node for a while, beside whatever else happens to it.
+    void fillDisk(int number)
+    {
+        const auto setFull = [this, number](bool isFull) {
+            if (cluster.process(controlName(number)).isRunning()) {
+                setDiskFull(number, isFull);
+            }
+        };
+        setFull(true);
+        const base::Milliseconds time(200 + m_diskRandom() % 2'800);
+        m_undo.push_back({ base::monotonicNow() + time, [setFull] { setFull(false); } });
+    }
+
     void stopEntry()
     {
         cluster.process("entry").signal(SIGTERM);
@@ -152,6 +165,9 @@
     {
         const int control = static_cast<int>(draw(1, controls));
         const int worker = static_cast<int>(draw(1, workers));
+        if (m_diskRandom() % 8 == 0) {
+            fillDisk(static_cast<int>(1 + m_diskRandom() % controls));
+        }
         const bool isControlBusy = m_busy.contains(controlName(control));
         const bool isWorkerBusy = m_busy.contains(workerName(worker));
         switch (draw(0, 9)) {
@@ -331,6 +347,8 @@
     }
 
     base::Random m_random { GetParam() };
+    /// Apart from the other faults, so that a seed keeps its schedule of those.
+    base::Random m_diskRandom { GetParam() + 1'000'000 };
     std::uint16_t m_proxyControl = cluster.freePort();
     std::vector<std::uint16_t> m_workerListen;
     std::vector<std::uint16_t> m_workerProxy;
