Look up the pools of announced VMs once in a round of maintenance

registerVms() and assignVms() each walked all announcements with a document lookup, five times a second. The round now does it once for both. The 3 tests of server pass.

--- a/src/crocuscove/server/maintenance_controller.cpp
+++ b/src/crocuscove/server/maintenance_controller.cpp
@@ -70,8 +70,9 @@
         return;
     }
     const auto announcements = m_backends.directory().announcements(now);
-    registerVms(announcements);
-    assignVms(announcements);
+    const auto pools = announcedPools(announcements);
+    registerVms(pools);
+    assignVms(pools);
     m_capacity.tick(now, buildView(announcements), m_plan);
     m_plan = maintenance::planMaintenance(buildView(announcements), {}, base::wallNow());
     std::ranges::for_each(
@@ -85,9 +86,8 @@
 
 // Registers new VMs and updates those whose location or capacity has changed. A new VM joins the pool of the service
 // that runs on it, or the spare pool if no service does.
-void MaintenanceController::registerVms(const std::vector<routing::Announcement>& announcements)
+void MaintenanceController::registerVms(const std::map<base::VmId, base::PoolId>& pools)
 {
-    const auto pools = announcedPools(announcements);
     const auto* fleet = m_replica.state().fleetDocument();
     for (const auto& [id, vm] : m_platform.vms()) {
         const auto record = m_replica.state().vms().find(id);
@@ -110,20 +110,20 @@
 }
 
 // Documents and backend servers may come after the VMs were registered.
-void MaintenanceController::assignVms(const std::vector<routing::Announcement>& announcements)
+void MaintenanceController::assignVms(const std::map<base::VmId, base::PoolId>& pools)
 {
     const auto& state = m_replica.state();
     const auto* fleet = state.fleetDocument();
     const VmPoolsView view { .vms = state.vms(),
         .documentPools = state.documentPools(),
         .sparePool = fleet == nullptr ? std::nullopt : std::optional(fleet->sparePool),
-        .announcedPools = announcedPools(announcements),
+        .announcedPools = pools,
         .hasHeardAll = m_observingSince + routing::announcementLease <= base::wallNow() };
     for (const state::AssignVm& assignment : planVmPools(view)) {
         if (!m_pendingCommands.contains(assignment.vm)) {
             m_log.info("vm_assigned",
                 { { "vm", assignment.vm.text() }, { "from", assignment.from.text() }, { "pool", assignment.to.text() },
-                    { "reason", view.announcedPools.contains(assignment.vm) ? "backend-announced" : "idle" } });
+                    { "reason", pools.contains(assignment.vm) ? "backend-announced" : "idle" } });
         }
         propose(assignment.vm, assignment);
     }
--- a/src/crocuscove/server/maintenance_controller.h
+++ b/src/crocuscove/server/maintenance_controller.h
@@ -33,8 +33,8 @@
 private:
     using BackendsByVm = std::map<base::VmId, const routing::Announcement*>;
 
-    void registerVms(const std::vector<routing::Announcement>& announcements);
-    void assignVms(const std::vector<routing::Announcement>& announcements);
+    void registerVms(const std::map<base::VmId, base::PoolId>& pools);
+    void assignVms(const std::map<base::VmId, base::PoolId>& pools);
     [[nodiscard]] std::map<base::VmId, base::PoolId> announcedPools(
         const std::vector<routing::Announcement>& announcements) const;
     maintenance::MaintenanceView buildView(const std::vector<routing::Announcement>& announcements) const;
