Drop an accessor that only a test used; correct a comment

ReplicatedLog::hasStorageFailed() had no caller in the product; its test follows onStorageChange, with the same assertions. The room that a folder needs after a failure is asked for beside what could not be written. The append of a test's file wrapped one call of a string.

--- a/include/crocuscove/replication/replicated_log.h
+++ b/include/crocuscove/replication/replicated_log.h
@@ -88,9 +88,6 @@
     /// The known leader, or an empty id, as while this node takes no part in consensus.
     [[nodiscard]] base::NodeId leader() const { return m_hasStorageFailed ? base::NodeId() : m_raft.leader(); }
 
-    /// Tells whether the disk failed to take a write, so that this node takes no part in consensus until it does.
-    [[nodiscard]] bool hasStorageFailed() const { return m_hasStorageFailed; }
-
     /// Index of the last entry that this node has applied.
     [[nodiscard]] consensus::Index appliedIndex() const { return m_applied; }
 
--- a/include/crocuscove/storage/data_folder.h
+++ b/include/crocuscove/storage/data_folder.h
@@ -18,8 +18,8 @@
     std::string path;
     /// A new segment is started once the current one has this many bytes.
     std::uint64_t segmentBytes = std::uint64_t { 16 } * 1024 * 1024;
-    /// Room that the disk must have before a folder is used again after a failure, in bytes. With less, the next batch
-    /// of entries would fail.
+    /// Room that the disk must have, beside what could not be written, before a folder is used again after a failure,
+    /// in bytes.
     std::size_t requiredRoomBytes = std::size_t { 256 } * 1024;
     /// Gives a new folder its id. By default the operating system's random device.
     std::function<std::uint64_t()> chooseFolderId = nullptr;
--- a/src/crocuscove/replication/replicated_log_test.cpp
+++ b/src/crocuscove/replication/replicated_log_test.cpp
@@ -73,6 +73,7 @@
             m_appliedBefore = m_applied;
         };
         result.onRoleChange = [](const consensus::RoleChange&) {};
+        result.onStorageChange = [this](bool isAvailable) { m_hasStorageFailed = !isAvailable; };
         return result;
     }
 
@@ -97,6 +98,7 @@
     std::atomic<bool> m_isDiskFull = false;
     std::atomic<bool> m_isSyncFailing = false;
     bool m_hasRoomForSnapshots = true;
+    bool m_hasStorageFailed = false;
     int m_applied = 0;
     int m_appliedBefore = 0;
     int m_mostAppliedAtOnce = 0;
@@ -140,7 +142,7 @@
     for (int time = 0; time < 3; ++time) {
         m_isDiskFull = true;
         EXPECT_NE(propose(100), ProposalOutcome::Applied);
-        ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->hasStorageFailed(); }));
+        ASSERT_TRUE(runUntil(m_loop, [&] { return m_hasStorageFailed; }));
         EXPECT_FALSE(m_log->isLeader());
         m_isDiskFull = false;
         ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); })) << "time " << time;
--- a/src/crocuscove/storage/memory_files_test.cpp
+++ b/src/crocuscove/storage/memory_files_test.cpp
@@ -138,14 +138,14 @@
         const int error = enter();
         if (error != 0) {
             // A failed write may have written a part.
-            inode.append({ data, below(written + 1) });
+            inode.content.append(data, below(written + 1));
             return error;
         }
     } catch (const SimulatedCrash&) {
-        inode.append({ data, below(written + 1) });
+        inode.content.append(data, below(written + 1));
         throw;
     }
-    inode.append({ data, written });
+    inode.content.append(data, written);
     return static_cast<std::int64_t>(written);
 }
 
--- a/src/crocuscove/storage/memory_files_test.h
+++ b/src/crocuscove/storage/memory_files_test.h
@@ -9,7 +9,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <utility>
 
 namespace crocuscove::storage {
@@ -66,7 +65,6 @@
         std::size_t lostEnd = 0;
         bool isLocked = false;
 
-        void append(std::string_view data) { content.append(data); }
         void resize(std::size_t size);
         void sync();
         void loseUnsynced();
