review: case 3, more machines of a wave are down than allowed after a restart of the leader (LIMIT)

A script with three control nodes, thirteen executors and a platform that carries out one order of each wave slowly. All control processes are killed after that order; when the same node leads again, it forgets the order.

--- a/review/support/cases.cpp
+++ b/review/support/cases.cpp
@@ -68,12 +68,196 @@
     return state == "done" ? held : broken;
 }
 
+/// The platform's machines: orders of upkeep are carried out by the thread of the case, since it starts executors.
+class Upkeep {
+public:
+    static constexpr std::int64_t slowMs = 3'000;
+    static constexpr std::int64_t upkeepMs = 2'000;
+
+    explicit Upkeep(System& system)
+        : m_system(system)
+    {
+        system.onMachineOrder
+            = [this](const std::string& path, const Json& order) { return handle(path, order.value("machine", "")); };
+    }
+
+    /// The next order is carried out slowly.
+    void slowDown()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isSlow = true;
+    }
+
+    /// Waits until that order has come.
+    void awaitSlowOrder()
+    {
+        for (const std::int64_t end = steadyMs() + 15'000; steadyMs() < end; work(10)) {
+            const std::lock_guard lock(m_mutex);
+            if (!m_isSlow) {
+                return;
+            }
+        }
+        throw CannotRun("no machine of the wave was ordered");
+    }
+
+    /// Carries out what is due, for a while.
+    void work(std::int64_t ms)
+    {
+        const std::int64_t end = steadyMs() + ms;
+        do {
+            carryOut();
+            sleepMs(5);
+        } while (steadyMs() < end);
+    }
+
+    [[nodiscard]] bool isOver(const std::set<std::string>& machines)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_down.empty() && std::includes(m_begun.begin(), m_begun.end(), machines.begin(), machines.end());
+    }
+
+    [[nodiscard]] std::size_t mostDown() const { return m_mostDown; }
+
+private:
+    Answer handle(const std::string& path, const std::string& machine)
+    {
+        if (path != "/api/machine-upkeep") {
+            return { 409, R"({"reason":"busy"})" };
+        }
+        std::unique_lock lock(m_mutex);
+        const std::int64_t delayMs = std::exchange(m_isSlow, false) ? slowMs : 0;
+        if (m_begun.count(machine) == 0) {
+            m_due.emplace(steadyMs() + delayMs, std::pair(machine, true));
+            m_changed.wait_for(
+                lock, std::chrono::milliseconds(delayMs + 500), [&] { return m_begun.count(machine) != 0; });
+        }
+        return { m_begun.count(machine) != 0 ? 200 : 409, R"({"reason":"busy"})" };
+    }
+
+    void carryOut()
+    {
+        while (true) {
+            std::string machine;
+            bool isBegin = false;
+            {
+                const std::lock_guard lock(m_mutex);
+                if (m_due.empty() || m_due.begin()->first > steadyMs()) {
+                    return;
+                }
+                std::tie(machine, isBegin) = m_due.begin()->second;
+                m_due.erase(m_due.begin());
+                if (isBegin && !m_begun.insert(machine).second) {
+                    continue;
+                }
+                if (isBegin) {
+                    m_down.insert(machine);
+                    m_mostDown = std::max(m_mostDown, m_down.size());
+                    m_due.emplace(steadyMs() + upkeepMs, std::pair(machine, false));
+                } else {
+                    m_down.erase(machine);
+                }
+                m_system.record().add("platform", isBegin ? "upkeep begins" : "upkeep ends",
+                    { { "machine", machine }, { "down", m_down.size() } });
+            }
+            if (isBegin) {
+                m_system.killProcess(machine);
+            }
+            m_system.withMachines([&](std::map<std::string, Machine>& machines) {
+                Machine& entry = machines.at(machine);
+                entry.state = isBegin ? "upkeep" : "up";
+                entry.worker += isBegin ? "" : "-next";
+            });
+            if (!isBegin) {
+                m_system.startExecutor(machine);
+            }
+            m_changed.notify_all();
+        }
+    }
+
+    System& m_system;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_isSlow = false;
+    std::set<std::string> m_begun;
+    std::set<std::string> m_down;
+    std::size_t m_mostDown = 0;
+    /// When an upkeep begins (true) or ends.
+    std::multimap<std::int64_t, std::pair<std::string, bool>> m_due;
+};
+
+/// All control nodes are killed right after an order of upkeep, which the platform carries out slowly. At most one
+/// machine of a wave may be down at a time. Repeated with further waves until the rule is broken.
+int limitAfterRestart(System& system, bool hasTrouble)
+{
+    constexpr int waves = 6;
+    // Of the two machines of a wave the first is at work for a while, so that the wave begins with the second.
+    const auto name = [](int wave, int machine) { return "m-" + std::to_string(wave) + std::to_string(machine); };
+    std::vector<std::string> machines { "m-9" };
+    system.addMachine("m-9", "i-9", "pool");
+    for (int wave = 1; wave <= waves; ++wave) {
+        for (int machine = 1; machine <= 2; ++machine) {
+            machines.push_back(name(wave, machine));
+            system.addMachine(machines.back(), "i-" + machines.back(), "pool", "r-" + machines.back());
+        }
+    }
+    Upkeep upkeep(system);
+    startFleet(system, machines);
+    warmUp(system, "00000000000000a1");
+    for (int wave = 1; wave <= waves && upkeep.mostDown() < 2; ++wave) {
+        upkeep.work(500);
+        const std::string id = "00000000000000b" + std::to_string(wave);
+        system.submit(id,
+            Json { { "spec", "1200" },
+                { "steps",
+                    { { { "count", 1 }, { "cpu", 3'500 }, { "memMb", 1024 }, { "estRuntimeMs", 800 },
+                        { "requires", "r-" + name(wave, 1) } } } } }
+                .dump());
+        if (!system.awaitStart(id + ".0.0.0", 1, 10'000)) {
+            throw CannotRun("the work item didn't start");
+        }
+        const int leader = system.leader();
+        if (leader == 0) {
+            throw CannotRun("no node leads");
+        }
+        upkeep.slowDown();
+        system.operate("POST", "/api/wave-start",
+            Json { { "wave", wave }, { "machines", { name(wave, 1), name(wave, 2) } }, { "completeByS", 25 },
+                { "maxCount", 1 } }
+                .dump());
+        upkeep.awaitSlowOrder();
+        if (hasTrouble) {
+            upkeep.work(50);
+            for (int number = 1; number <= 3; ++number) {
+                system.killProcess("core-" + std::to_string(number));
+            }
+            upkeep.work(100);
+            system.startControl(leader, false);
+            upkeep.work(300);
+            for (int number = 1; number <= 3; ++number) {
+                if (number != leader) {
+                    system.startControl(number, false);
+                }
+            }
+        }
+        const std::int64_t end = steadyMs() + 20'000;
+        while (steadyMs() < end && !upkeep.isOver({ name(wave, 1), name(wave, 2) })) {
+            upkeep.work(100);
+        }
+        if (steadyMs() >= end) {
+            throw CannotRun("a wave didn't end");
+        }
+    }
+    std::printf("most machines of a wave down at a time: %zu of 1\n", upkeep.mostDown());
+    return upkeep.mostDown() > 1 ? broken : held;
+}
+
 } // namespace
 
 const std::map<std::string, Case>& cases()
 {
     static const std::map<std::string, Case> result {
         { "lost-after-crashes", lostAfterCrashes },
+        { "limit-after-restart", limitAfterRestart },
     };
     return result;
 }
