--- a/review/support/cases.cpp
+++ b/review/support/cases.cpp
@@ -1,6 +1,8 @@
 #include "cases.h"
 
+#include <atomic>
 #include <cstdio>
+#include <limits>
 
 namespace review {
 
@@ -251,6 +253,156 @@
     return upkeep.mostDown() > 1 ? broken : held;
 }
 
+/// A proxy before an executor that can hold up one start: it is delivered late, and its answer is lost.
+class LatePath {
+public:
+    LatePath(System& system, const Address& listen)
+        : m_system(system)
+    {
+        const int listener = listenOn(listen);
+        std::thread([this, listener] {
+            while (true) {
+                const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+                std::thread([this, fd] { pass(fd); }).detach();
+            }
+        }).detach();
+    }
+
+    void setTarget(const Address& target) { m_target = target; }
+
+    void holdNextStart(std::int64_t ms) { m_holdMs = ms; }
+
+    [[nodiscard]] bool hasHeld() const { return m_hasHeld; }
+
+private:
+    void pass(int fd)
+    {
+        std::string buffer;
+        int out = -1;
+        std::string answers;
+        while (auto request = readMessage(fd, buffer, steadyMs() + 60'000, true)) {
+            const bool isStart = request->path == "/api/run-start";
+            const std::int64_t holdMs = isStart ? m_holdMs.exchange(0) : 0;
+            if (holdMs > 0) {
+                m_system.record().add("network", "start held up", { { "order", request->body } });
+                m_hasHeld = true;
+                sleepMs(holdMs);
+                m_system.record().add("network", "start delivered", { { "order", request->body } });
+                if (out >= 0) {
+                    close(std::exchange(out, -1));
+                }
+            }
+            if (out < 0) {
+                out = connectTo(m_target, 500);
+            }
+            const std::string text = request->method + " " + request->path + " HTTP/1.1\r\nHost: " + m_target.text()
+                + "\r\nContent-Type: application/json\r\nExpect-Instance: " + request->headers["expect-instance"]
+                + "\r\nContent-Length: " + std::to_string(request->body.size()) + "\r\n\r\n" + request->body;
+            const auto answer = out >= 0 && sendAll(out, text) ? readMessage(out, answers, steadyMs() + 5'000, false)
+                                                               : std::nullopt;
+            if (!answer
+                || !sendAll(fd,
+                    "HTTP/1.1 " + std::to_string(answer->status) + " X\r\nContent-Type: application/json\r\n"
+                        + "Content-Length: " + std::to_string(answer->body.size()) + "\r\n\r\n" + answer->body)) {
+                break;
+            }
+        }
+        if (out >= 0) {
+            close(out);
+        }
+        close(fd);
+    }
+
+    System& m_system;
+    Address m_target;
+    std::atomic<std::int64_t> m_holdMs = 0;
+    std::atomic<bool> m_hasHeld = false;
+};
+
+/// The longest time in milliseconds for which two runs of one work item were at work at the same time on executors that
+/// were up. `machineOf` names the machine of each executor.
+std::int64_t longestOverlap(const std::vector<Json>& lines, const std::map<std::string, std::string>& machineOf)
+{
+    struct Span {
+        std::string task;
+        std::string machine;
+        int run = 0;
+        std::int64_t begin = 0;
+        std::int64_t end = std::numeric_limits<std::int64_t>::max();
+    };
+    std::vector<Span> spans;
+    constexpr auto open = std::numeric_limits<std::int64_t>::max();
+    for (const Json& line : lines) {
+        const std::string event = line["event"];
+        const std::string who = line["who"];
+        const std::int64_t at = line["atMs"];
+        if (event == "start") {
+            spans.push_back({ line["task"], machineOf.at(who), line["run"], at, open });
+        }
+        for (Span& span : spans) {
+            const bool isEnd = event == "end" && span.machine == machineOf.at(who) && span.task == line["task"]
+                && span.run == line["run"];
+            if (span.end == open && (isEnd || (event == "killed" && span.machine == who))) {
+                span.end = at;
+            }
+        }
+    }
+    std::int64_t longest = 0;
+    for (const Span& one : spans) {
+        for (const Span& other : spans) {
+            if (&one != &other && one.task == other.task) {
+                longest = std::max(longest, std::min(one.end, other.end) - std::max(one.begin, other.begin));
+            }
+        }
+    }
+    return longest;
+}
+
+/// A start gets no answer and is delivered late; meanwhile its executor crashes and starts again under the same id.
+int twiceAfterRebirth(System& system, bool hasTrouble)
+{
+    const Address front { "127.0.3.1", system.freePort() };
+    LatePath path(system, front);
+    path.setTarget(system.addMachine("m-1", "i-m-1", "pool", "r1", front).listen);
+    system.addMachine("m-2", "i-m-2", "pool", "r2");
+    startFleet(system, { "m-1", "m-2" });
+    warmUp(system, "00000000000000a1");
+    // Work that stays on m-1 makes it the fuller of the two, which is chosen first.
+    system.submit("00000000000000a2",
+        Json { { "spec", "60000" },
+            { "steps",
+                { { { "count", 1 }, { "cpu", 10'000 }, { "memMb", 1024 }, { "estRuntimeMs", 60'000 },
+                    { "requires", "r1" } } } } }
+            .dump());
+    if (!system.awaitStart("00000000000000a2.0.0.0", 1, 10'000)) {
+        throw CannotRun("the work item didn't start");
+    }
+    sleepMs(5'000);
+    if (hasTrouble) {
+        path.holdNextStart(4'000);
+    }
+    const std::string id = "00000000000000b1";
+    system.submit(id, job("9000", 1, 3'500));
+    if (hasTrouble) {
+        for (const std::int64_t end = steadyMs() + 5'000; steadyMs() < end && !path.hasHeld(); sleepMs(10)) { }
+        if (!path.hasHeld()) {
+            throw CannotRun("no start came to the executor");
+        }
+        sleepMs(300);
+        system.killProcess("m-1");
+        sleepMs(500);
+        system.startExecutor("m-1");
+    }
+    const std::string state = system.awaitState(id, { "done" }, 40'000);
+    const std::int64_t overlap = longestOverlap(system.lines(), { { "i-m-1", "m-1" }, { "i-m-2", "m-2" } });
+    std::printf("two runs of one work item at the same time: for %lld ms; the job is %s\n",
+        static_cast<long long>(overlap), state.c_str());
+    if (state != "done") {
+        throw CannotRun("the job isn't done");
+    }
+    return overlap > 0 ? broken : held;
+}
+
 } // namespace
 
 const std::map<std::string, Case>& cases()
@@ -258,6 +410,7 @@
     static const std::map<std::string, Case> result {
         { "lost-after-crashes", lostAfterCrashes },
         { "limit-after-restart", limitAfterRestart },
+        { "twice-after-rebirth", twiceAfterRebirth },
     };
     return result;
 }
