--- a/review/support/cases.cpp
+++ b/review/support/cases.cpp
@@ -13,9 +13,10 @@
 
 std::string job(const std::string& spec, int count, int cpu)
 {
-    return Json { { "spec", spec },
-        { "steps", { { { "count", count }, { "cpu", cpu }, { "memMb", 1024 }, { "estRuntimeMs", 800 } } } } }
-        .dump();
+    return Json {
+        { "spec", spec },
+        { "steps", { { { "count", count }, { "cpu", cpu }, { "memMb", 1024 }, { "estRuntimeMs", 800 } } } }
+    }.dump();
 }
 
 void startFleet(System& system, const std::vector<std::string>& machines)
@@ -36,8 +37,8 @@
     }
 }
 
-/// A work item crashes each executor that starts it, a while after its start. After three crashes it must not be started
-/// three times more.
+/// A work item crashes each executor that starts it, a while after its start. After three crashes it must not be
+/// started three times more.
 int budgetAfterCrashes(System& system, bool hasTrouble)
 {
     constexpr std::int64_t crashAfterMs = 2'500;
@@ -87,8 +88,8 @@
         ++crashes;
         back.emplace(steadyMs() + backAfterMs, machine);
     }
-    std::printf("executors crashed under the work item: %d; starts after the third crash: %d of %d; the job is %s\n", crashes,
-        startsAfter, startsAllowed, state.c_str());
+    std::printf("executors crashed under the work item: %d; starts after the third crash: %d of %d; the job is %s\n",
+        crashes, startsAfter, startsAllowed, state.c_str());
     if (!hasTrouble && state != "done") {
         throw CannotRun("the job isn't done");
     }
@@ -323,8 +324,8 @@
             const std::string text = request->method + " " + request->path + " HTTP/1.1\r\nHost: " + m_target.text()
                 + "\r\nContent-Type: application/json\r\nExpect-Instance: " + request->headers["expect-instance"]
                 + "\r\nContent-Length: " + std::to_string(request->body.size()) + "\r\n\r\n" + request->body;
-            const auto answer = out >= 0 && sendAll(out, text) ? readMessage(out, answers, steadyMs() + 5'000, false)
-                                                               : std::nullopt;
+            const auto answer
+                = out >= 0 && sendAll(out, text) ? readMessage(out, answers, steadyMs() + 5'000, false) : std::nullopt;
             if (!answer
                 || !sendAll(fd,
                     "HTTP/1.1 " + std::to_string(answer->status) + " X\r\nContent-Type: application/json\r\n"
--- a/review/support/executor.h
+++ b/review/support/executor.h
@@ -129,8 +129,9 @@
         // The spec is the run time in milliseconds.
         const std::int64_t workMs = std::atoll(order.value("spec", "0").c_str());
         m_running[task] = { number, workMs > 0 ? clockMs() + workMs : 0, 0 };
-        m_record.add(m_options.id, "start", { { "task", task }, { "run", number }, { "fence", m_fence },
-            { "deadlineMs", order.value("deadlineMs", std::int64_t { 0 }) }, { "clockMs", clockMs() } });
+        m_record.add(m_options.id, "start",
+            { { "task", task }, { "run", number }, { "fence", m_fence },
+                { "deadlineMs", order.value("deadlineMs", std::int64_t { 0 }) }, { "clockMs", clockMs() } });
         return answer(200, Json::object());
     }
 
--- a/review/support/main.cpp
+++ b/review/support/main.cpp
@@ -1,6 +1,6 @@
 // The stand-ins and the cases of the review. `executor ...` runs one executor; `case NAME PROGRAM FOLDER RECORD` runs a
-// case against the program, with its files in the folder, and ends with 1 if the rule was broken, 0 if it held, and 2 if
-// the case couldn't run. With TROUBLE=0 a case leaves its disruption out.
+// case against the program, with its files in the folder, and ends with 1 if the rule was broken, 0 if it held, and 2
+// if the case couldn't run. With TROUBLE=0 a case leaves its disruption out.
 
 #include "cases.h"
 
--- a/review/support/system.h
+++ b/review/support/system.h
@@ -325,8 +325,7 @@
     /// Handles an order of upkeep or a move; set by a case that needs it.
     std::function<Answer(const std::string& path, const Json& order)> onMachineOrder;
 
-    template <typename Function>
-    void withMachines(const Function& function)
+    template <typename Function> void withMachines(const Function& function)
     {
         const std::lock_guard lock(m_mutex);
         function(m_machines);
@@ -354,8 +353,9 @@
             const auto found = request.headers.find(name);
             return found == request.headers.end() ? std::string() : found->second;
         };
-        m_record.add("platform", "order", { { "path", request.path }, { "machine", order.value("machine", "") },
-            { "holder", header("lease-holder") }, { "fence", header("fencing-token") } });
+        m_record.add("platform", "order",
+            { { "path", request.path }, { "machine", order.value("machine", "") }, { "holder", header("lease-holder") },
+                { "fence", header("fencing-token") } });
         return onMachineOrder(request.path, order);
     }
 
