--- a/review/support/cases.cpp
+++ b/review/support/cases.cpp
@@ -88,7 +88,8 @@
         ++crashes;
         back.emplace(steadyMs() + backAfterMs, machine);
     }
-    std::printf("executors crashed under the work item: %d; starts after the third crash: %d of %d; the job is %s\n",
+    std::printf("executors crashed under the work item: %d; starts after the third crash: %d, at most %d allowed; the "
+                "job is %s\n",
         crashes, startsAfter, startsAllowed, state.c_str());
     if (!hasTrouble && state != "done") {
         throw CannotRun("the job isn't done");
@@ -275,7 +276,7 @@
             throw CannotRun("a wave didn't end");
         }
     }
-    std::printf("most machines of a wave down at a time: %zu of 1\n", upkeep.mostDown());
+    std::printf("most machines of a wave down at a time: %zu, at most 1 allowed\n", upkeep.mostDown());
     return upkeep.mostDown() > 1 ? broken : held;
 }
 
