review: case 2, work that lasts isn't started again while its service is full (LOST)

Earlier cases 2 to 4 are now 3 to 5, the gravest first. Stand-ins: work items of one job take different times.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# LIMIT: all control nodes are killed after an order of upkeep that the platform carries out slowly.
+# BUDGET: a work item that crashes each executor 2.5 s after its start.
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
-name=limit-after-restart
+name=budget-after-crashes
 export TROUBLE="${TROUBLE:-1}"
 . "$(dirname "$0")/../support/run_case.sh"
--- a/review/support/cases.cpp
+++ b/review/support/cases.cpp
@@ -11,11 +11,11 @@
 constexpr int held = 0;
 constexpr int broken = 1;
 
-std::string job(const std::string& spec, int count, int cpu)
+std::string job(const std::string& spec, int count, int cpu, int memMb = 1024)
 {
     return Json {
         { "spec", spec },
-        { "steps", { { { "count", count }, { "cpu", cpu }, { "memMb", 1024 }, { "estRuntimeMs", 800 } } } }
+        { "steps", { { { "count", count }, { "cpu", cpu }, { "memMb", memMb }, { "estRuntimeMs", 800 } } } }
     }.dump();
 }
 
@@ -430,6 +430,66 @@
     return overlap > 0 ? broken : held;
 }
 
+/// Many jobs come at once and fill the service for a while. One of its executors, which runs a work item that lasts, is
+/// lost for good. The work item must run again, however full the service is.
+int lostWhileFull(System& system, bool hasTrouble)
+{
+    constexpr std::int64_t calmMs = 7'000;
+    constexpr std::int64_t patienceMs = 3'000;
+    constexpr int executors = 8;
+    std::vector<std::string> machines;
+    for (int number = 1; number <= executors; ++number) {
+        machines.push_back("m-" + std::to_string(number));
+        system.addMachine(machines.back(), "i-" + machines.back(), "pool", "r-" + machines.back());
+    }
+    startFleet(system, machines);
+    warmUp(system, "00000000000000a1");
+    const std::string id = "00000000000000b1";
+    system.submit(id,
+        Json { { "spec", "0" },
+            { "steps",
+                { { { "count", 1 }, { "cpu", 8'000 }, { "memMb", 100'000 }, { "estRuntimeMs", 900 },
+                    { "longRunning", true } } } } }
+            .dump());
+    const auto first = system.awaitStart(id + ".0.0.0", 1, 10'000);
+    if (!first) {
+        throw CannotRun("the work item that lasts didn't start");
+    }
+    sleepMs(2'000);
+    // For 4 s 17 jobs a second, each of 32 work items that take 0.6 to 1.6 s.
+    constexpr int jobs = 68;
+    const std::int64_t begin = steadyMs();
+    for (int number = 0; number < jobs; ++number) {
+        sleepMs(std::max<std::int64_t>(0, begin + number * 4'000 / jobs - steadyMs()));
+        system.submit("00000000000001" + std::to_string(10 + number), job("600~1000", 32, 4'000, 16'000));
+    }
+    const std::string machine = (*first)["who"].get<std::string>().substr(std::string("i-").size());
+    if (!hasTrouble) {
+        sleepMs(20'000);
+        const auto lines = system.lines();
+        const bool hasEnded = std::any_of(lines.begin(), lines.end(),
+            [&](const Json& line) { return line["event"] == "end" && line["task"] == id + ".0.0.0"; });
+        std::printf("the work item that lasts %s\n", hasEnded ? "has ended" : "runs on");
+        return hasEnded ? broken : held;
+    }
+    system.killProcess(machine);
+    system.removeMachine(machine);
+    const std::int64_t lostAt = unixMs();
+    const auto again = system.awaitStart(id + ".0.0.0", 2, 60'000);
+    const std::int64_t endAt = again ? (*again)["atMs"].get<std::int64_t>() : unixMs();
+    int startsBefore = 0;
+    for (const Json& line : system.lines()) {
+        const std::int64_t at = line["atMs"];
+        startsBefore += line["event"] == "start" && at > lostAt + calmMs && at < endAt ? 1 : 0;
+    }
+    const std::int64_t awayMs = endAt - lostAt;
+    std::printf(
+        "the work item that lasts was away for %lld ms, at most 10000 allowed; %d other work items were started "
+        "before it, later than 7 s after its executor was lost\n",
+        static_cast<long long>(awayMs), startsBefore);
+    return awayMs > calmMs + patienceMs ? broken : held;
+}
+
 } // namespace
 
 const std::map<std::string, Case>& cases()
@@ -438,6 +498,7 @@
         { "budget-after-crashes", budgetAfterCrashes },
         { "limit-after-restart", limitAfterRestart },
         { "twice-after-rebirth", twiceAfterRebirth },
+        { "lost-while-full", lostWhileFull },
     };
     return result;
 }
--- a/review/support/executor.h
+++ b/review/support/executor.h
@@ -109,6 +109,15 @@
         }
     }
 
+    /// The spec is the run time in milliseconds, with "~N" up to N more, by the work item.
+    static std::int64_t workTime(const std::string& task, const std::string& spec)
+    {
+        const auto spread = spec.find('~');
+        const std::int64_t more = spread == std::string::npos ? 0 : std::atoll(spec.c_str() + spread + 1);
+        return std::atoll(spec.c_str())
+            + (more > 0 ? static_cast<std::int64_t>(std::hash<std::string> {}(task) % more) : 0);
+    }
+
     Answer start(const Json& order)
     {
         const std::string task = order.at("task");
@@ -126,8 +135,7 @@
         if (isLate) {
             return refuse(order, "late");
         }
-        // The spec is the run time in milliseconds.
-        const std::int64_t workMs = std::atoll(order.value("spec", "0").c_str());
+        const std::int64_t workMs = workTime(task, order.value("spec", "0"));
         m_running[task] = { number, workMs > 0 ? clockMs() + workMs : 0, 0 };
         m_record.add(m_options.id, "start",
             { { "task", task }, { "run", number }, { "fence", m_fence },
--- a/review/support/system.h
+++ b/review/support/system.h
@@ -194,6 +194,13 @@
         return machine;
     }
 
+    /// Takes a machine that is lost for good from the platform's list.
+    void removeMachine(const std::string& name)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_machines.erase(name);
+    }
+
     void startExecutor(const std::string& machineName)
     {
         const std::lock_guard lock(m_mutex);
