--- a/review/support/cases.cpp
+++ b/review/support/cases.cpp
@@ -456,8 +456,8 @@
         throw CannotRun("the work item that lasts didn't start");
     }
     sleepMs(2'000);
-    // For 4 s 17 jobs a second, each of 32 work items that take 0.6 to 1.6 s.
-    constexpr int jobs = 68;
+    // For 4 s 16 jobs a second, each of 32 work items that take 0.6 to 1.6 s.
+    constexpr int jobs = 64;
     const std::int64_t begin = steadyMs();
     for (int number = 0; number < jobs; ++number) {
         sleepMs(std::max<std::int64_t>(0, begin + number * 4'000 / jobs - steadyMs()));
