Say why the task at the head of a service's queue isn't placed

Change: once a second, at most a hundredth of the time, queue_head_waits for each service whose head has waited for 1 s, with the reason, what it needs and what is free, and a counter by reason. findQueueHeads() is a query of the scheduling view; ranks moved to job_rank, as both use them. No decision changes.

--- a/include/crocuscove/jobs/scheduler.h
+++ b/include/crocuscove/jobs/scheduler.h
@@ -25,20 +25,6 @@
     std::function<std::int64_t(const Worker&, const TaskKey&)> unprovenMs;
 };
 
-/// Urgency of a job by its latency objective, most urgent first.
-enum class Urgency : std::uint8_t {
-    /// A long-running job, which earns its benefit as long as it runs.
-    LongRunning,
-    /// The job can still meet its objective.
-    OnTime,
-    /// The job can still finish within three times its objective.
-    Late,
-    Missed,
-};
-
-/// Returns the urgency of a job at `nowMs`.
-Urgency urgencyOf(const Job& job, const Queue& queue, const RunTimes& runTimes, std::int64_t nowMs);
-
 /// Assigns waiting tasks to workers, at most `maxTasks` in total. Each returned command is committed separately.
 std::vector<AssignTasks> planAssignments(const SchedulingView& view, std::size_t maxTasks);
 
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -1,6 +1,5 @@
 #include "leader.h"
 
-#include "crocuscove/jobs/scheduler.h"
 #include "platform/task_name.h"
 
 #include <algorithm>
@@ -77,12 +76,16 @@
               return session == m_sessions.end() ? nullptr : session->second.get();
           })
     , m_planPacer(planDelay, maxPlanShare)
+    , m_queueHeads(log, metrics)
 {
     syncSessions();
     m_tickTimer = loop.runEvery(tickInterval, [this, lastForget = base::monotonicNow()]() mutable {
         const auto now = base::monotonicNow();
         schedulePlan();
         m_pacer.adjust(m_cluster.state(), m_sessions, now);
+        if (m_cluster.hasLeadership(now)) {
+            m_queueHeads.report(schedulingView(now), now);
+        }
         if (now - lastForget >= forgetInterval) {
             lastForget = now;
             forgetJobs();
@@ -326,37 +329,41 @@
     });
 }
 
-// One plan at a time: the next one is made from the state that the one before has changed.
-void Leader::plan()
+jobs::SchedulingView Leader::schedulingView(base::MonotonicTime now) const
 {
-    const auto now = base::monotonicNow();
-    if (m_isPlanning || !m_cluster.hasLeadership(now)) {
-        return;
-    }
-    const jobs::SchedulingView view {
+    return {
         .state = m_cluster.state(),
         .runTimes = m_runTimes,
         .nowMs = unixNow(),
         .isUsable =
-            [&](const jobs::Worker& worker) {
+            [this, now](const jobs::Worker& worker) {
                 const auto session = m_sessions.find(worker.number);
                 return session != m_sessions.end() && session->second->isUsable(now)
                     && !m_fleet.isReserved(worker.report.id);
             },
         .penalty =
-            [&](const jobs::Worker& worker) {
+            [this](const jobs::Worker& worker) {
                 const WorkerHealth& health = m_sessions.at(worker.number)->health();
                 const double due = m_fleet.isDue(worker.report.id) ? duePenalty : 0;
                 return failurePenalty * health.failureShare + health.unanswered + due;
             },
         .unprovenMs =
-            [&](const jobs::Worker& worker, const jobs::TaskKey& task) {
+            [this, now](const jobs::Worker& worker, const jobs::TaskKey& task) {
                 const auto session = m_sessions.find(worker.number);
                 return session == m_sessions.end() ? jobs::crashProbation.count()
                                                    : session->second->unprovenMs(task, now);
             },
     };
-    auto assignments = jobs::planAssignments(view, maxTasksPerPlan);
+}
+
+// One plan at a time: the next one is made from the state that the one before has changed.
+void Leader::plan()
+{
+    const auto now = base::monotonicNow();
+    if (m_isPlanning || !m_cluster.hasLeadership(now)) {
+        return;
+    }
+    auto assignments = jobs::planAssignments(schedulingView(now), maxTasksPerPlan);
     if (assignments.empty()) {
         return;
     }
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -7,9 +7,11 @@
 #include "crocuscove/http/event_loop.h"
 #include "crocuscove/http/http_client.h"
 #include "crocuscove/jobs/run_times.h"
+#include "crocuscove/jobs/scheduler.h"
 #include "crocuscove/process/metrics.h"
 #include "fleet_manager.h"
 #include "pacer.h"
+#include "queue_head_reporter.h"
 #include "worker_session.h"
 
 #include <cstdint>
@@ -57,6 +59,7 @@
     void onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed);
     void schedulePlan();
     void plan();
+    [[nodiscard]] jobs::SchedulingView schedulingView(base::MonotonicTime now) const;
     void forgetJobs();
     SessionHooks sessionHooks();
     void proposeCommand(jobs::Command command, std::function<void(bool)> callback);
@@ -74,6 +77,7 @@
     FleetManager m_fleet;
     Pacer m_pacer;
     base::WorkPacer m_planPacer;
+    QueueHeadReporter m_queueHeads;
     bool m_isPlanning = false;
     bool m_isPlanWanted = false;
     http::Timer m_planTimer;
--- a/src/crocuscove/jobs/pool_plan.cpp
+++ b/src/crocuscove/jobs/pool_plan.cpp
@@ -1,6 +1,6 @@
 #include "crocuscove/jobs/pool_plan.h"
 
-#include "crocuscove/jobs/scheduler.h"
+#include "crocuscove/jobs/job_rank.h"
 
 #include <algorithm>
 #include <array>
--- /dev/null
+++ b/src/crocuscove/jobs/queue_head.cpp
@@ -0,0 +1,147 @@
+#include "crocuscove/jobs/queue_head.h"
+
+#include "crocuscove/base/enum_names.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace crocuscove::jobs {
+
+namespace {
+
+constexpr auto reasonNames = base::enumNames<WaitReason>({
+    { WaitReason::NoWorker, "no-worker" },
+    { WaitReason::NotAllowed, "not-allowed" },
+    { WaitReason::ExceedsWorkers, "exceeds-workers" },
+    { WaitReason::NoRoom, "no-room" },
+    { WaitReason::NotPlanned, "not-planned" },
+});
+
+/// Calls `visit` with the key of each waiting task of a job that may start now.
+template <typename Visitor> void visitStartable(const Job& job, std::int64_t nowMs, const Visitor& visit)
+{
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            const StepProgress& progress = job.occurrences[occurrence][step];
+            if (progress.waitingTasks == 0 || job.spec.dueMs(occurrence) > nowMs
+                || !job.isStepReady(occurrence, step)) {
+                continue;
+            }
+            for (std::uint32_t index = 0; index < progress.tasks.size(); ++index) {
+                if (progress.tasks[index].phase == TaskPhase::Waiting) {
+                    visit(TaskKey { job.id, occurrence, step, index });
+                }
+            }
+        }
+    }
+}
+
+std::optional<TaskKey> firstStartable(const Job& job, std::int64_t nowMs)
+{
+    std::optional<TaskKey> first;
+    visitStartable(job, nowMs, [&](const TaskKey& key) { first = first ? first : key; });
+    return first;
+}
+
+std::uint64_t countLongRunning(const Job& job, std::int64_t nowMs)
+{
+    std::uint64_t count = 0;
+    visitStartable(job, nowMs, [&](const TaskKey& key) { count += job.spec.steps[key.step].isLongRunning ? 1 : 0; });
+    return count;
+}
+
+bool isAllowed(const Worker& worker, const Job& job, const TaskKey& key)
+{
+    const StepSpec& spec = job.spec.steps[key.step];
+    const auto& tasks = job.occurrences[key.occurrence][key.step].tasks;
+    const auto running = std::ranges::count_if(
+        tasks, [&](const Task& task) { return task.phase == TaskPhase::Assigned && task.worker == worker.number; });
+    return (spec.requiredLabel.empty() || worker.hasLabel(spec.requiredLabel))
+        && (spec.maxPerWorker == 0 || running < static_cast<std::ptrdiff_t>(spec.maxPerWorker));
+}
+
+/// Returns what a worker has for tasks that end by themselves.
+Resources capacityBesideLongRunning(const FleetState& state, const Worker& worker)
+{
+    Resources result = worker.report.capacity;
+    for (const TaskKey& key : state.tasksOf(worker.number)) {
+        const StepSpec& spec = state.findJob(key.job)->spec.steps[key.step];
+        if (spec.isLongRunning) {
+            result -= spec.reservation();
+        }
+    }
+    return result;
+}
+
+void explain(QueueHead& head, const SchedulingView& view)
+{
+    const Job& job = *view.state.findJob(head.task.job);
+    const auto improve = [&](WaitReason reason) { head.reason = std::max(head.reason, reason); };
+    for (const auto& [number, worker] : view.state.workers()) {
+        if (worker.report.service != head.service || worker.report.isDraining || !view.isUsable(worker)) {
+            continue;
+        }
+        improve(WaitReason::NotAllowed);
+        if (!isAllowed(worker, job, head.task)) {
+            continue;
+        }
+        ++head.allowedWorkers;
+        head.largestFree = componentwiseMax(head.largestFree, worker.free());
+        improve(WaitReason::ExceedsWorkers);
+        if (head.required.fitsInto(worker.free())) {
+            improve(WaitReason::NotPlanned);
+        } else if (head.required.fitsInto(capacityBesideLongRunning(view.state, worker))) {
+            improve(WaitReason::NoRoom);
+        }
+    }
+}
+
+} // namespace
+
+std::string_view waitReasonName(WaitReason reason) { return reasonNames.name(reason); }
+
+std::vector<QueueHead> findQueueHeads(const SchedulingView& view)
+{
+    struct First {
+        JobRank rank;
+        TaskKey task;
+        std::uint64_t waitingLongRunning = 0;
+    };
+    std::map<std::string, First> firstByService;
+    for (const auto& [queueName, jobs] : view.state.readyJobs()) {
+        const Queue* queue = view.state.findQueue(queueName);
+        if (queue == nullptr) {
+            continue;
+        }
+        for (const JobId id : jobs) {
+            const Job& job = *view.state.findJob(id);
+            const auto task = firstStartable(job, view.nowMs);
+            if (!task) {
+                continue;
+            }
+            const JobRank rank = rankOf(job, *queue, view.runTimes, view.nowMs);
+            const auto [first, isNew] = firstByService.try_emplace(queue->service, First { rank, *task, 0 });
+            first->second.waitingLongRunning += countLongRunning(job, view.nowMs);
+            if (rank < first->second.rank) {
+                first->second.rank = rank;
+                first->second.task = *task;
+            }
+        }
+    }
+    std::vector<QueueHead> result;
+    for (const auto& [service, first] : firstByService) {
+        QueueHead head;
+        head.service = service;
+        head.task = first.task;
+        head.urgency = first.rank.urgency;
+        head.required = view.state.findJob(first.task.job)->spec.steps[first.task.step].reservation();
+        head.waitingLongRunning = first.waitingLongRunning;
+        explain(head, view);
+        result.push_back(std::move(head));
+    }
+    return result;
+}
+
+} // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -1,7 +1,8 @@
 #include "crocuscove/jobs/scheduler.h"
 
+#include "crocuscove/jobs/job_rank.h"
+
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <map>
 #include <optional>
@@ -13,8 +14,6 @@
 
 namespace {
 
-/// A job that takes longer than this multiple of its objective earns no benefit (RULES, benefit).
-constexpr std::int64_t lateFactor = 3;
 /// Cost of a worker outside the preferred rack of a task, in the unit of SchedulingView::penalty.
 constexpr double otherRackPenalty = 1.0;
 
@@ -46,43 +45,9 @@
 
 struct Waiting {
     const Job* job = nullptr;
-    Urgency urgency = Urgency::Missed;
-    std::uint32_t priority = 0;
-    /// Expected core-milliseconds that the job still needs.
-    double remainingWork = 0;
+    JobRank rank;
 };
 
-/// Returns the length of the critical path through the steps, in milliseconds. With `onlyRemaining`, finished steps
-/// count as 0.
-std::int64_t criticalPathMs(const Job& job, const RunTimes& runTimes, bool onlyRemaining)
-{
-    std::vector<std::int64_t> ends;
-    const auto& steps = job.occurrences.back();
-    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
-        const StepSpec& spec = job.spec.steps[step];
-        std::int64_t start = 0;
-        std::ranges::for_each(spec.dependencies, [&](std::uint32_t other) { start = std::max(start, ends[other]); });
-        const bool isDone = onlyRemaining && steps[step].doneTasks == steps[step].tasks.size();
-        ends.push_back(start + (isDone ? 0 : runTimes.expectedMs(job.queue, spec.estimateMs)));
-    }
-    return ends.empty() ? 0 : std::ranges::max(ends);
-}
-
-double remainingWork(const Job& job, const RunTimes& runTimes)
-{
-    double work = 0;
-    for (const auto& steps : job.occurrences) {
-        for (std::size_t step = 0; step < steps.size(); ++step) {
-            const StepSpec& spec = job.spec.steps[step];
-            const auto unfinished = static_cast<double>(steps[step].tasks.size() - steps[step].doneTasks);
-            const auto cpuMilli = static_cast<double>(std::max<std::int64_t>(1, spec.perTask.cpuMilli));
-            const auto expectedMs = static_cast<double>(runTimes.expectedMs(job.queue, spec.estimateMs));
-            work += std::floor(unfinished * cpuMilli * expectedMs / 1000);
-        }
-    }
-    return work;
-}
-
 /// Returns whether some waiting task of the job fits into `free`.
 bool hasFittingTask(const Job& job, const Resources& free)
 {
@@ -450,33 +415,15 @@
     std::vector<Waiting> result;
     for (const auto& [job, queue] : jobs) {
         if (hasFittingTask(*job, free)) {
-            result.push_back({ job, urgencyOf(*job, *queue, view.runTimes, view.nowMs), queue->priority,
-                remainingWork(*job, view.runTimes) });
+            result.push_back({ job, rankOf(*job, *queue, view.runTimes, view.nowMs) });
         }
     }
-    std::ranges::sort(result, {}, [](const Waiting& entry) {
-        return std::tuple(entry.urgency, entry.priority, entry.remainingWork, entry.job->id);
-    });
+    std::ranges::sort(result, {}, &Waiting::rank);
     return result;
 }
 
 } // namespace
 
-Urgency urgencyOf(const Job& job, const Queue& queue, const RunTimes& runTimes, std::int64_t nowMs)
-{
-    if (std::ranges::any_of(job.spec.steps, &StepSpec::isLongRunning)) {
-        return Urgency::LongRunning;
-    }
-    const std::int64_t start = std::max(job.acceptedMs, job.spec.dueMs(0));
-    const auto objective = static_cast<std::int64_t>(
-        queue.stretch * static_cast<double>(criticalPathMs(job, runTimes, false)) + queue.objectiveMarginMs);
-    const std::int64_t expectedEnd = nowMs + criticalPathMs(job, runTimes, true);
-    if (expectedEnd <= start + objective) {
-        return Urgency::OnTime;
-    }
-    return expectedEnd <= start + lateFactor * objective ? Urgency::Late : Urgency::Missed;
-}
-
 std::vector<AssignTasks> planAssignments(const SchedulingView& view, std::size_t maxTasks)
 {
     std::vector<AssignTasks> plan;
