Add a failing test: a long-running task finds no room while smaller tasks wait

Reproduced on the scheduler alone: three full workers, a task that needs most of one, one smaller task ends at a time. After all twelve runs that were there have ended, the long-running task still waits, since each place went to a smaller task.

--- a/src/crocuscove/jobs/scheduler_test.cpp
+++ b/src/crocuscove/jobs/scheduler_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <map>
 #include <set>
 
@@ -52,6 +53,25 @@
         ASSERT_EQ(m_state.crashes().at(key).crashes, crashes);
     }
 
+    /// Applies a plan and remembers what it started.
+    void applyPlan()
+    {
+        for (const Assignment& assignment : plan()) {
+            m_state.apply(AssignTasks { { assignment } });
+            m_running.push_back(assignment);
+        }
+    }
+
+    /// Lets the run that was started first end as done.
+    void endOldest()
+    {
+        const Assignment oldest = m_running.front();
+        m_running.pop_front();
+        m_state.apply(ended(oldest.worker, ++m_lastEnd[oldest.worker], oldest.task, oldest.run, TaskEndReason::Done));
+    }
+
+    [[nodiscard]] TaskPhase phaseOf(const TaskKey& key) const { return m_state.findJob(key.job)->find(key)->phase; }
+
     [[nodiscard]] WorkerNumber number(const std::string& id) const { return m_state.findWorker(id)->number; }
 
     /// Returns the worker that a plan chooses for a task, or 0.
@@ -72,6 +92,9 @@
     RunTimes m_runTimes;
     std::set<std::string> m_unusable;
     std::string m_slow;
+    /// Runs that applyPlan() started, the first one first.
+    std::deque<Assignment> m_running;
+    std::map<WorkerNumber, std::uint64_t> m_lastEnd;
     /// The last incarnation of the worker that crashUnder() uses; a removed one doesn't come back.
     std::int64_t m_incarnation = 0;
     /// How long the runs on a worker are still in their probation, by worker id.
@@ -206,6 +229,22 @@
     EXPECT_TRUE(std::ranges::all_of(perWorker, [](const auto& entry) { return entry.second == 4; }));
 }
 
+// Guards against a long-running task that never finds room, as smaller tasks take each place that becomes free.
+TEST_F(SchedulerTest, ALongRunningTaskGetsRoomWhileSmallerTasksWait)
+{
+    m_state.apply(accept(1, { step(100) }));
+    applyPlan();
+    ASSERT_EQ(m_running.size(), 12U) << "all workers are full";
+    StepSpec lasting = step(1, 3000);
+    lasting.isLongRunning = true;
+    m_state.apply(accept(2, { lasting }));
+    for (std::size_t left = m_running.size(); left > 0; --left) {
+        endOldest();
+        applyPlan();
+    }
+    EXPECT_EQ(phaseOf({ 2, 0, 0, 0 }), TaskPhase::Assigned) << "all that ran before it has ended";
+}
+
 // Guards against suspects of a crash that start together again, so that the next crash doesn't tell them apart.
 TEST_F(SchedulerTest, SuspectsOfACrashAreSpread)
 {
