Hold room for long-running tasks that fit nowhere

Cause: the task ranks first, but a plan places only what fits at that moment and goes on with smaller tasks, which take each place that becomes free; room for a larger task never comes together. Class: what ranks first gets no room, as room is given away piece by piece. Change: a long-running task that fits nowhere has room held on the worker where it is expected to fit first; tasks that rank after it use only what it leaves (a reservation with backfill). The forecast counts the soonest ends of what ends by itself, the longer a run has outlasted its expectation the later, and grows with the number of runs that must end, so that the choice stays where most has ended and does not wait for one that hangs. Bounded: half of the workers of a service, and nowhere for a task that would not fit beside the long-running tasks there. Why it works: nothing new starts in the held room, so that the task fits once enough of the runs there have ended, whatever waits. Remains: gangs and tasks that end by themselves have no room held for them.

--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -353,9 +353,31 @@
                 return session == m_sessions.end() ? jobs::crashProbation.count()
                                                    : session->second->unprovenMs(task, now);
             },
+        .ranMs =
+            [this, now](const jobs::Worker& worker, const jobs::TaskKey& task) {
+                const auto session = m_sessions.find(worker.number);
+                return session == m_sessions.end() ? std::int64_t { 0 } : session->second->ranMs(task, now);
+            },
     };
 }
 
+void Leader::recordHeldRooms(const std::vector<jobs::HeldRoom>& held)
+{
+    std::map<jobs::TaskKey, jobs::WorkerNumber> rooms;
+    for (const jobs::HeldRoom& room : held) {
+        rooms[room.task] = room.worker;
+        const auto known = m_heldRooms.find(room.task);
+        if (known == m_heldRooms.end() || known->second != room.worker) {
+            m_log.info("room_held",
+                { { "task", platform::taskName(room.task) },
+                    { "worker", m_cluster.state().findWorker(room.worker)->report.id },
+                    { "expected_ms", room.expectedMs } });
+        }
+    }
+    m_heldRooms = std::move(rooms);
+    m_metrics.setGauge("held_rooms", static_cast<double>(m_heldRooms.size()));
+}
+
 // One plan at a time: the next one is made from the state that the one before has changed.
 void Leader::plan()
 {
@@ -363,7 +385,9 @@
     if (m_isPlanning || !m_cluster.hasLeadership(now)) {
         return;
     }
-    auto assignments = jobs::planAssignments(schedulingView(now), maxTasksPerPlan);
+    jobs::AssignmentPlan plan = jobs::planAssignments(schedulingView(now), maxTasksPerPlan);
+    recordHeldRooms(plan.held);
+    std::vector<jobs::AssignTasks>& assignments = plan.commands;
     if (assignments.empty()) {
         return;
     }
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -59,6 +59,8 @@
     void onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed);
     void schedulePlan();
     void plan();
+    /// Remembers for which tasks room is held, and logs what is new.
+    void recordHeldRooms(const std::vector<jobs::HeldRoom>& held);
     [[nodiscard]] jobs::SchedulingView schedulingView(base::MonotonicTime now) const;
     void forgetJobs();
     SessionHooks sessionHooks();
@@ -78,6 +80,8 @@
     Pacer m_pacer;
     base::WorkPacer m_planPacer;
     QueueHeadReporter m_queueHeads;
+    /// The workers on which the last plan holds room, by the task that it is held for.
+    std::map<jobs::TaskKey, jobs::WorkerNumber> m_heldRooms;
     bool m_isPlanning = false;
     bool m_isPlanWanted = false;
     http::Timer m_planTimer;
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -370,6 +370,13 @@
     return std::max<std::int64_t>(0, left.count());
 }
 
+std::int64_t WorkerSession::ranMs(const jobs::TaskKey& task, base::MonotonicTime now) const
+{
+    const auto order = m_orders.find(task);
+    const bool isStarted = order != m_orders.end() && order->second.phase == OrderPhase::Started;
+    return isStarted ? std::chrono::duration_cast<base::Milliseconds>(now - order->second.since).count() : 0;
+}
+
 void WorkerSession::release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason)
 {
     m_log.info("task_released",
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -77,6 +77,9 @@
     /// time; 0 if it has, or executes no more.
     [[nodiscard]] std::int64_t unprovenMs(const jobs::TaskKey& task, base::MonotonicTime now) const;
 
+    /// Returns for how long, in milliseconds, the run of an assigned task has executed as far as this leader knows.
+    [[nodiscard]] std::int64_t ranMs(const jobs::TaskKey& task, base::MonotonicTime now) const;
+
     /// Tells whether a run works at full pace by the worker's last answer, and was not told to stop since.
     [[nodiscard]] bool isAtWork(const jobs::TaskKey& task, std::uint32_t run) const;
 
--- a/src/crocuscove/jobs/queue_head_test.cpp
+++ b/src/crocuscove/jobs/queue_head_test.cpp
@@ -24,7 +24,8 @@
     {
         const SchedulingView view { m_state, m_runTimes, 1000,
             [this](const Worker& worker) { return !m_unusable.contains(worker.report.id); },
-            [](const Worker&) { return 0.0; }, [](const Worker&, const TaskKey&) { return std::int64_t { 0 }; } };
+            [](const Worker&) { return 0.0; }, [](const Worker&, const TaskKey&) { return std::int64_t { 0 }; },
+            [](const Worker&, const TaskKey&) { return std::int64_t { 0 }; } };
         const auto heads = findQueueHeads(view);
         EXPECT_EQ(heads.size(), 1U);
         return heads.empty() ? QueueHead {} : heads.front();
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "crocuscove/jobs/scheduler.h"
 
 #include "crocuscove/jobs/job_rank.h"
+#include "crocuscove/jobs/room_forecast.h"
 
 #include <algorithm>
 #include <limits>
@@ -27,6 +28,9 @@
 /// Tasks of one service that one plan places alone, since each looks at all workers.
 constexpr std::size_t maxIsolatedPerPlan = 32;
 
+/// Share of a service's workers, at least one worker, on which room may be held for long-running tasks.
+constexpr double maxHeldShare = 0.5;
+
 /// Runs in their probation that are suspected of crashes, on one worker.
 struct Suspects {
     std::uint32_t count = 0;
@@ -41,6 +45,10 @@
     /// Thousandths of a core used by long-running tasks on the worker, including tasks that reserve no processor time.
     std::int64_t longRunningCpuMilli = 0;
     Suspects suspects;
+    /// Room is held here for a long-running task.
+    bool isHeld = false;
+    /// Sorted by the expected rest; loaded when first needed.
+    std::optional<std::vector<EndingRun>> endingRuns;
 };
 
 struct Waiting {
@@ -69,6 +77,23 @@
     return cpu;
 }
 
+std::vector<EndingRun> endingRuns(const SchedulingView& view, const Worker& worker)
+{
+    std::vector<EndingRun> result;
+    for (const TaskKey& key : view.state.tasksOf(worker.number)) {
+        const Job& job = *view.state.findJob(key.job);
+        const StepSpec& spec = job.spec.steps[key.step];
+        if (!job.isActive()) {
+            result.push_back({ spec.reservation(), 0 });
+        } else if (!spec.isLongRunning) {
+            const std::int64_t expectedMs = view.runTimes.expectedMs(job.queue, spec.estimateMs);
+            result.push_back({ spec.reservation(), expectedRestMs(expectedMs, view.ranMs(worker, key)) });
+        }
+    }
+    std::ranges::sort(result, {}, &EndingRun::restMs);
+    return result;
+}
+
 /// Assigns tasks to the workers of one service.
 class ServicePlanner {
 public:
@@ -84,6 +109,8 @@
     /// Returns an upper bound of the free resources of any worker, per resource.
     [[nodiscard]] const Resources& largestFree() const { return m_largestFree; }
 
+    [[nodiscard]] const std::vector<HeldRoom>& heldRooms() const { return m_held; }
+
     /// Places the tasks of this service that must start alone, or keeps workers free for them: their runs end their
     /// probation before another task's turn could be missed. Tasks for which no further worker may be kept are placed
     /// like all others.
@@ -155,6 +182,9 @@
             if (isSuspect || !isStillBest(spec, last, perWorker)) {
                 last = selectWorker(key, spec, perWorker, rack, isSuspect);
             }
+            if (last == nullptr && spec.isLongRunning && !spec.isGang && holdRoom(key, spec, perWorker)) {
+                continue;
+            }
             if (last == nullptr) {
                 break;
             }
@@ -249,10 +279,7 @@
         for (Candidate& candidate : m_candidates) {
             const Worker& worker = *candidate.worker;
             largestFree = componentwiseMax(largestFree, candidate.free);
-            const auto existing = perWorker.find(worker.number);
-            const std::uint32_t count = existing == perWorker.end() ? 0 : existing->second;
-            if (!required.fitsInto(candidate.free) || (spec.maxPerWorker != 0 && count >= spec.maxPerWorker)
-                || (!spec.requiredLabel.empty() && !worker.hasLabel(spec.requiredLabel))
+            if (!required.fitsInto(candidate.free) || !isAllowed(spec, candidate, perWorker)
                 || isKeptForOther(candidate, key.job)) {
                 continue;
             }
@@ -270,6 +297,50 @@
         return best;
     }
 
+    /// Holds room for a task on the worker where it is expected to fit first. Returns false if there is none, or room
+    /// is held on too many already.
+    bool holdRoom(const TaskKey& key, const StepSpec& spec, std::map<WorkerNumber, std::uint32_t>& perWorker)
+    {
+        const auto allowed = std::max<std::ptrdiff_t>(
+            1, static_cast<std::ptrdiff_t>(maxHeldShare * static_cast<double>(m_candidates.size())));
+        const bool mayHoldMore = std::ranges::count_if(m_candidates, &Candidate::isHeld) < allowed;
+        Candidate* best = nullptr;
+        std::tuple<std::int64_t, double> bestCost;
+        for (Candidate& candidate : m_candidates) {
+            if ((!mayHoldMore && !candidate.isHeld) || !isAllowed(spec, candidate, perWorker)
+                || isKeptForOther(candidate, key.job)) {
+                continue;
+            }
+            if (!candidate.endingRuns) {
+                candidate.endingRuns = endingRuns(m_view, *candidate.worker);
+            }
+            const auto fitsInMs = forecastFit(spec.reservation(), candidate.free, *candidate.endingRuns);
+            const std::tuple cost { fitsInMs.value_or(0), candidate.penalty };
+            if (fitsInMs && (best == nullptr || cost < bestCost)) {
+                best = &candidate;
+                bestCost = cost;
+            }
+        }
+        if (best == nullptr) {
+            return false;
+        }
+        best->isHeld = true;
+        best->free -= spec.reservation();
+        ++perWorker[best->worker->number];
+        m_held.push_back({ key, best->worker->number, std::get<0>(bestCost) });
+        return true;
+    }
+
+    /// Returns whether a worker has the label that a step requires and may run another of its tasks.
+    static bool isAllowed(
+        const StepSpec& spec, const Candidate& candidate, const std::map<WorkerNumber, std::uint32_t>& perWorker)
+    {
+        const auto existing = perWorker.find(candidate.worker->number);
+        const std::uint32_t count = existing == perWorker.end() ? 0 : existing->second;
+        return (spec.maxPerWorker == 0 || count < spec.maxPerWorker)
+            && (spec.requiredLabel.empty() || candidate.worker->hasLabel(spec.requiredLabel));
+    }
+
     static bool isKeptForOther(const Candidate& candidate, JobId job)
     {
         return candidate.suspects.isolatedJob && *candidate.suspects.isolatedJob != job;
@@ -308,14 +379,12 @@
     {
         const Job& job = *m_view.state.findJob(key.job);
         const StepSpec& spec = job.spec.steps[key.step];
-        auto perWorker = countPerWorker(job, key.occurrence, key.step);
+        const auto perWorker = countPerWorker(job, key.occurrence, key.step);
         Candidate* best = nullptr;
         std::tuple<std::int64_t, double> bestCost;
         for (Candidate& candidate : m_candidates) {
-            const Worker& worker = *candidate.worker;
             if (!spec.reservation().fitsInto(candidate.free) || isKeptForOther(candidate, key.job)
-                || (spec.maxPerWorker != 0 && perWorker[worker.number] >= spec.maxPerWorker)
-                || (!spec.requiredLabel.empty() && !worker.hasLabel(spec.requiredLabel))) {
+                || !isAllowed(spec, candidate, perWorker)) {
                 continue;
             }
             const std::tuple cost { unprovenMs(candidate, key.job), candidate.penalty };
@@ -331,6 +400,7 @@
     std::vector<Candidate> m_candidates;
     /// The workers of tasks that were placed alone; 0 for a task that waits for the worker that is kept free for it.
     std::map<TaskKey, WorkerNumber> m_isolated;
+    std::vector<HeldRoom> m_held;
     /// Upper bound per resource: a task that does not fit into it fits no worker.
     Resources m_largestFree;
     bool m_hasLongRunningCpu = false;
@@ -388,8 +458,11 @@
         const Worker& worker = entry.second;
         if (!worker.report.isDraining && waiting.contains(worker.report.service) && view.isUsable(worker)) {
             const auto suspects = crashes.suspects.find(worker.number);
-            result[worker.report.service].push_back({ &worker, worker.free(), view.penalty(worker), 0,
-                suspects == crashes.suspects.end() ? Suspects {} : suspects->second });
+            Candidate& candidate = result[worker.report.service].emplace_back();
+            candidate.worker = &worker;
+            candidate.free = worker.free();
+            candidate.penalty = view.penalty(worker);
+            candidate.suspects = suspects == crashes.suspects.end() ? Suspects {} : suspects->second;
         }
     }
     return result;
@@ -409,12 +482,12 @@
     return result;
 }
 
-/// Returns the jobs with a task that fits into `free`, the most urgent first.
+/// Returns the jobs with a task that fits into `free` or for which room may be held, the most urgent first.
 std::vector<Waiting> rankJobs(const SchedulingView& view, const std::vector<QueuedJob>& jobs, const Resources& free)
 {
     std::vector<Waiting> result;
     for (const auto& [job, queue] : jobs) {
-        if (hasFittingTask(*job, free)) {
+        if (std::ranges::any_of(job->spec.steps, &StepSpec::isLongRunning) || hasFittingTask(*job, free)) {
             result.push_back({ job, rankOf(*job, *queue, view.runTimes, view.nowMs) });
         }
     }
@@ -424,22 +497,23 @@
 
 } // namespace
 
-std::vector<AssignTasks> planAssignments(const SchedulingView& view, std::size_t maxTasks)
+AssignmentPlan planAssignments(const SchedulingView& view, std::size_t maxTasks)
 {
-    std::vector<AssignTasks> plan;
+    AssignmentPlan plan;
     std::size_t budget = maxTasks;
     const JobsByService waitingJobs = waitingJobsByService(view);
     CrashView crashes = crashView(view);
     auto candidates = candidatesByService(view, waitingJobs, crashes);
     for (auto& [service, workers] : candidates) {
         ServicePlanner planner(view, std::move(workers), budget);
-        planner.planIsolated(crashes.isolatedByService[service], plan);
+        planner.planIsolated(crashes.isolatedByService[service], plan.commands);
         for (const Waiting& entry : rankJobs(view, waitingJobs.at(service), planner.largestFree())) {
             if (budget == 0) {
                 break;
             }
-            planner.planJob(*entry.job, plan);
+            planner.planJob(*entry.job, plan.commands);
         }
+        std::ranges::copy(planner.heldRooms(), std::back_inserter(plan.held));
     }
     return plan;
 }
--- a/src/crocuscove/jobs/scheduler_test.cpp
+++ b/src/crocuscove/jobs/scheduler_test.cpp
@@ -23,7 +23,8 @@
         }
     }
 
-    [[nodiscard]] std::vector<Assignment> plan(std::int64_t nowMs = 1000)
+    /// Returns what a plan assigns; m_held is what it holds room for.
+    std::vector<Assignment> plan(std::int64_t nowMs = 1000)
     {
         const SchedulingView view { m_state, m_runTimes, nowMs,
             [this](const Worker& worker) { return !m_unusable.contains(worker.report.id); },
@@ -31,9 +32,15 @@
             [this](const Worker& worker, const TaskKey&) {
                 const auto left = m_unprovenMs.find(worker.report.id);
                 return left == m_unprovenMs.end() ? std::int64_t { 0 } : left->second;
+            },
+            [this](const Worker&, const TaskKey& key) {
+                const auto ran = m_ranMs.find(key);
+                return ran == m_ranMs.end() ? std::int64_t { 0 } : ran->second;
             } };
         std::vector<Assignment> result;
-        for (const AssignTasks& command : planAssignments(view, 100)) {
+        const AssignmentPlan assignments = planAssignments(view, 100);
+        m_held = assignments.held;
+        for (const AssignTasks& command : assignments.commands) {
             result.insert(result.end(), command.assignments.begin(), command.assignments.end());
         }
         return result;
@@ -92,6 +99,9 @@
     RunTimes m_runTimes;
     std::set<std::string> m_unusable;
     std::string m_slow;
+    std::vector<HeldRoom> m_held;
+    /// How long runs have executed, in milliseconds.
+    std::map<TaskKey, std::int64_t> m_ranMs;
     /// Runs that applyPlan() started, the first one first.
     std::deque<Assignment> m_running;
     std::map<WorkerNumber, std::uint64_t> m_lastEnd;
@@ -243,6 +253,63 @@
         applyPlan();
     }
     EXPECT_EQ(phaseOf({ 2, 0, 0, 0 }), TaskPhase::Assigned) << "all that ran before it has ended";
+    EXPECT_GE(m_running.size(), 9U) << "the other workers go on";
+}
+
+// Guards against room that is held where it is never used, and against tasks that stay out of what is left beside it.
+TEST_F(SchedulerTest, SmallerTasksUseWhatHeldRoomLeaves)
+{
+    m_state.apply(accept(1, { step(3, 2000) }));
+    for (const std::uint32_t index : { 0, 1, 2 }) {
+        m_state.apply(assign({ 1, 0, 0, index }, 1, number("w" + std::to_string(index + 1))));
+    }
+    m_ranMs[{ 1, 0, 0, 1 }] = 400;
+    StepSpec lasting = step(1, 3000);
+    lasting.isLongRunning = true;
+    m_state.apply(accept(2, { lasting }));
+    m_state.apply(accept(3, { step(20) }));
+    const auto assignments = plan();
+    ASSERT_EQ(m_held.size(), 1U);
+    EXPECT_EQ(m_held.front().worker, number("w2")) << "its run has executed for longest";
+    EXPECT_EQ(assignments.size(), 4U);
+    EXPECT_FALSE(workersOf(assignments).contains(number("w2")));
+    m_state.apply(accept(4, { step(1, 10) }));
+    EXPECT_FALSE(workersOf(plan()).contains(number("w2"))) << "2 of 4 cores are free, and 3 are needed";
+}
+
+// Guards against a step that waits for room on all workers, so that nothing else of its service starts.
+TEST_F(SchedulerTest, RoomIsHeldOnAtMostHalfOfTheWorkers)
+{
+    m_state.apply(accept(1, { step(3) }));
+    for (const std::uint32_t index : { 0, 1, 2 }) {
+        m_state.apply(assign({ 1, 0, 0, index }, 1, number("w" + std::to_string(index + 1))));
+    }
+    StepSpec lasting = step(9, 4000);
+    lasting.isLongRunning = true;
+    m_state.apply(accept(2, { lasting }));
+    m_state.apply(accept(3, { step(20) }));
+    EXPECT_EQ(plan().size(), 6U) << "two workers with three free cores each";
+    EXPECT_EQ(m_held.size(), 1U);
+}
+
+// Guards against room that is held for a task that fits into no worker beside its long-running tasks, or is allowed on
+// none.
+TEST_F(SchedulerTest, NoRoomIsHeldForWhatCantBePlaced)
+{
+    StepSpec lasting = step(3, 2000);
+    lasting.isLongRunning = true;
+    lasting.maxPerWorker = 1;
+    m_state.apply(accept(1, { lasting }));
+    applyPlan();
+    StepSpec wide = step(1, 3000);
+    wide.isLongRunning = true;
+    StepSpec labelled = step(1);
+    labelled.isLongRunning = true;
+    labelled.requiredLabel = "a";
+    m_state.apply(accept(2, { wide, labelled }));
+    m_state.apply(accept(3, { step(20) }));
+    EXPECT_EQ(plan().size(), 6U);
+    EXPECT_TRUE(m_held.empty());
 }
 
 // Guards against suspects of a crash that start together again, so that the next crash doesn't tell them apart.
