Leave places for long-running tasks when VMs are closed for maintenance

Cause: a VM of a wave takes no new tasks until it is ordered, and it is ordered once its long-running tasks may be interrupted, which they may not while others of their step are away; these wait for room on the VMs that are closed. Change: a VM is closed only if the long-running tasks of its service have places on the open ones (countWithoutPlace(), a packing by size, label and limit per worker), or if no other VM of the service is closed and nothing waits, so that they come back with it; a VM that is closed is opened again when tasks wait that have a place only there. Long-running tasks are stopped last, when all else on the VM has ended and its order can follow. A worker on which room is held is not the next to be closed. VMs with the fewest long-running tasks come first. Remains: a service whose VMs are all needed has one VM at a time maintained, so that a wave may be late.

--- a/src/crocuscove/control/fleet_manager.cpp
+++ b/src/crocuscove/control/fleet_manager.cpp
@@ -11,22 +11,22 @@
 } // namespace
 
 FleetManager::Parts::Parts(http::HttpClient& client, const ControlOptions& options, const base::Log& log,
-    Cluster& cluster, const SessionFinder& findSession)
+    Cluster& cluster, const SessionFinder& findSession, const WorkerPredicate& isHeld)
     : directory(client, *options.vmInterface, log)
-    , waves(client, directory, options, log, cluster, findSession)
+    , waves(client, directory, options, log, cluster, findSession, isHeld)
     , moves(client, directory, options, log, cluster, findSession)
 {
 }
 
 FleetManager::FleetManager(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster,
-    const jobs::RunTimes& runTimes, const SessionFinder& findSession)
+    const jobs::RunTimes& runTimes, const SessionFinder& findSession, const WorkerPredicate& isHeld)
     : m_cluster(cluster)
     , m_runTimes(runTimes)
     , m_client(loop, http::HttpClientOptions {})
     , m_pacer(tickInterval / 2, maxTickShare)
 {
     if (options.vmInterface) {
-        m_parts = std::make_unique<Parts>(m_client, options, log, cluster, findSession);
+        m_parts = std::make_unique<Parts>(m_client, options, log, cluster, findSession, isHeld);
         m_timer = loop.runEvery(tickInterval, [this] { tick(); });
     }
 }
--- a/src/crocuscove/control/fleet_manager.h
+++ b/src/crocuscove/control/fleet_manager.h
@@ -18,8 +18,9 @@
 /// What the leader does with VMs: maintenance waves, and moves between pools.
 class FleetManager {
 public:
+    /// `isHeld` tells whether room is held on a worker for a long-running task.
     FleetManager(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster,
-        const jobs::RunTimes& runTimes, const SessionFinder& findSession);
+        const jobs::RunTimes& runTimes, const SessionFinder& findSession, const WorkerPredicate& isHeld);
 
     /// Tells whether the VM of a worker is about to be taken away, so that nothing new starts there.
     [[nodiscard]] bool isReserved(const std::string& workerId) const;
@@ -32,7 +33,7 @@
     /// There only with an interface of the platform.
     struct Parts {
         Parts(http::HttpClient& client, const ControlOptions& options, const base::Log& log, Cluster& cluster,
-            const SessionFinder& findSession);
+            const SessionFinder& findSession, const WorkerPredicate& isHeld);
 
         VmDirectory directory;
         WaveRunner waves;
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -70,10 +70,16 @@
     , m_metrics(metrics)
     , m_cluster(cluster)
     , m_client(loop, workerClientOptions(options.maxDescriptors))
-    , m_fleet(loop, options, log, cluster, m_runTimes,
+    , m_fleet(
+          loop, options, log, cluster, m_runTimes,
           [this](jobs::WorkerNumber number) -> WorkerSession* {
               const auto session = m_sessions.find(number);
               return session == m_sessions.end() ? nullptr : session->second.get();
+          },
+          [this](const std::string& workerId) {
+              const jobs::Worker* worker = m_cluster.state().findWorker(workerId);
+              return worker != nullptr
+                  && std::ranges::any_of(m_heldRooms, [&](const auto& room) { return room.second == worker->number; });
           })
     , m_planPacer(planDelay, maxPlanShare)
     , m_queueHeads(log, metrics)
--- a/src/crocuscove/control/pool_mover.h
+++ b/src/crocuscove/control/pool_mover.h
@@ -18,6 +18,8 @@
 namespace crocuscove::control {
 
 using SessionFinder = std::function<WorkerSession*(jobs::WorkerNumber)>;
+/// Tells whether something holds for the worker with an id.
+using WorkerPredicate = std::function<bool(const std::string& workerId)>;
 
 /// Carries out the moves between pools that the planner chooses.
 class PoolMover {
--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -4,6 +4,7 @@
 #include "platform/json_fields.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace crocuscove::control {
@@ -17,17 +18,23 @@
 constexpr std::uint32_t absentListings = 3;
 /// Tasks that end by themselves get this long before the VM is taken.
 constexpr base::Milliseconds drainPatience { 2'500 };
+/// A VM whose long-running tasks have no place elsewhere is opened for them again unless it was ordered by then. Longer
+/// than drainPatience, and so short that they run again within 6 s (RULES, LOST).
+constexpr base::Milliseconds returnPatience { 4'000 };
+/// A VM whose drain was given up stays open for so long.
+constexpr base::Milliseconds reopenedTime { 5'000 };
 
 } // namespace
 
 WaveRunner::WaveRunner(http::HttpClient& client, const VmDirectory& directory, const ControlOptions& options,
-    const base::Log& log, Cluster& cluster, SessionFinder findSession)
+    const base::Log& log, Cluster& cluster, SessionFinder findSession, WorkerPredicate isHeld)
     : m_client(client)
     , m_directory(directory)
     , m_options(options)
     , m_log(log)
     , m_cluster(cluster)
     , m_findSession(std::move(findSession))
+    , m_isHeld(std::move(isHeld))
 {
 }
 
@@ -36,6 +43,7 @@
     settleOrdered();
     followWorkers(now);
     countListings();
+    reopenNeeded(now);
     m_dueWorkers.clear();
     for (const auto& [id, wave] : m_cluster.state().waves()) {
         if (!wave.isDone()) {
@@ -158,6 +166,7 @@
     if (emptying >= static_cast<std::ptrdiff_t>(wave.maxConcurrent)) {
         return;
     }
+    std::set<std::string> fullServices;
     for (const std::string& id : drainCandidates(wave, isMoving)) {
         if (emptying >= static_cast<std::ptrdiff_t>(wave.maxConcurrent)) {
             return;
@@ -166,33 +175,54 @@
         Drain drain;
         drain.wave = wave.id;
         drain.workerId = listed == m_directory.vms().end() ? m_absences.at(id).lastWorkerId : listed->second.workerId;
+        const std::string service = serviceOf(drain);
+        const Closing closing = fullServices.contains(service) ? Closing::No : mayClose(drain.workerId, now);
+        if (closing == Closing::No) {
+            // The next candidates of the service have as many long-running tasks, or more.
+            fullServices.insert(service);
+            continue;
+        }
         drain.startedAt = now;
+        drain.isWithoutPlace = closing == Closing::WithoutPlaces;
         m_drains.emplace(id, drain);
         ++emptying;
         m_log.info("vm_drain",
             { { "wave", wave.id }, { "vm", id }, { "worker", drain.workerId },
-                { "listed", listed != m_directory.vms().end() } });
+                { "listed", listed != m_directory.vms().end() }, { "has_places", !drain.isWithoutPlace } });
     }
 }
 
+std::ptrdiff_t WaveRunner::countLongRunning(const jobs::Worker& worker) const
+{
+    const jobs::FleetState& state = m_cluster.state();
+    return std::ranges::count_if(state.tasksOf(worker.number),
+        [&](const jobs::TaskKey& key) { return state.findJob(key.job)->spec.steps[key.step].isLongRunning; });
+}
+
 std::vector<std::string> WaveRunner::drainCandidates(
     const jobs::Wave& wave, const std::function<bool(const std::string& vm)>& isMoving) const
 {
-    std::vector<std::pair<std::uint64_t, std::string>> candidates;
+    std::vector<std::tuple<std::ptrdiff_t, std::uint64_t, std::string>> candidates;
     for (const auto& [id, phase] : wave.vms) {
         const auto vm = m_directory.vms().find(id);
         const bool isListed = vm != m_directory.vms().end();
         const bool isCandidate = isListed ? vm->second.isUp : isLongAbsent(id);
-        if (phase == jobs::WaveVmPhase::Done || !isCandidate || m_drains.contains(id) || isMoving(id)) {
+        if (phase == jobs::WaveVmPhase::Done || !isCandidate || m_drains.contains(id) || m_openUntil.contains(id)
+            || isMoving(id)) {
             continue;
         }
         const jobs::Worker* worker
             = m_cluster.state().findWorker(isListed ? vm->second.workerId : m_absences.at(id).lastWorkerId);
-        candidates.emplace_back(worker == nullptr ? 0 : worker->assignedTasks, id);
+        if (worker == nullptr) {
+            candidates.emplace_back(0, 0, id);
+        } else if (!m_isHeld(worker->report.id)) {
+            candidates.emplace_back(countLongRunning(*worker), worker->assignedTasks, id);
+        }
     }
     std::ranges::sort(candidates);
     std::vector<std::string> ids;
-    std::ranges::transform(candidates, std::back_inserter(ids), &std::pair<std::uint64_t, std::string>::second);
+    std::ranges::transform(
+        candidates, std::back_inserter(ids), [](const auto& candidate) { return std::get<2>(candidate); });
     return ids;
 }
 
@@ -203,13 +233,14 @@
         return;
     }
     const bool isCounted = drain.mayBeDown();
-    if (empty(drain, now) && down - (isCounted ? 1 : 0) < wave.maxConcurrent) {
+    const bool mayOrder = down - (isCounted ? 1 : 0) < wave.maxConcurrent;
+    if (empty(drain, mayOrder, now) && mayOrder) {
         order(wave, vm, drain);
         down += drain.isCalling && !isCounted ? 1 : 0;
     }
 }
 
-bool WaveRunner::empty(const Drain& drain, base::MonotonicTime now)
+bool WaveRunner::empty(const Drain& drain, bool mayOrder, base::MonotonicTime now)
 {
     const jobs::FleetState& state = m_cluster.state();
     const jobs::Worker* worker = state.findWorker(drain.workerId);
@@ -219,14 +250,12 @@
     }
     const bool isPatient = now - drain.startedAt < drainPatience;
     bool isEmpty = true;
+    std::vector<jobs::TaskKey> longRunning;
     for (const jobs::TaskKey& key : state.tasksOf(worker->number)) {
         const jobs::Job& job = *state.findJob(key.job);
         const jobs::StepSpec& step = job.spec.steps[key.step];
         if (step.isLongRunning) {
-            isEmpty = false;
-            if (mayInterrupt(key)) {
-                session->stop(key, job.find(key)->run, "vm-drain");
-            }
+            longRunning.push_back(key);
         } else if (isPatient) {
             isEmpty = false;
         } else if (step.hasCheckpoints) {
@@ -234,7 +263,82 @@
             session->stop(key, job.find(key)->run, "vm-drain");
         }
     }
-    return isEmpty;
+    if (isEmpty && mayOrder) {
+        for (const jobs::TaskKey& key : longRunning) {
+            if (mayInterrupt(key)) {
+                session->stop(key, state.findJob(key.job)->find(key)->run, "vm-drain");
+            }
+        }
+    }
+    return isEmpty && longRunning.empty();
+}
+
+std::string WaveRunner::serviceOf(const Drain& drain) const
+{
+    const jobs::Worker* worker = m_cluster.state().findWorker(drain.workerId);
+    return worker == nullptr ? std::string() : worker->report.service;
+}
+
+jobs::WithoutPlace WaveRunner::countWithoutPlace(
+    const std::string& service, base::MonotonicTime now, const Change& change) const
+{
+    const auto isOpen = [&](const jobs::Worker& worker) {
+        const std::string& id = worker.report.id;
+        const WorkerSession* session = m_findSession(worker.number);
+        const bool isDrained = id != change.reopened
+            && std::ranges::any_of(m_drains, [&](const auto& entry) { return entry.second.workerId == id; });
+        return id != change.closed && !isDrained && session != nullptr && session->isUsable(now);
+    };
+    return jobs::countWithoutPlace({ m_cluster.state(), service, base::wallNow().time_since_epoch().count(), isOpen });
+}
+
+WaveRunner::Closing WaveRunner::mayClose(const std::string& workerId, base::MonotonicTime now) const
+{
+    const jobs::Worker* worker = m_cluster.state().findWorker(workerId);
+    if (worker == nullptr) {
+        return Closing::WithPlaces;
+    }
+    const std::string& service = worker->report.service;
+    const std::size_t before = countWithoutPlace(service, now).total();
+    if (countWithoutPlace(service, now, { workerId, {} }).total() <= before) {
+        return Closing::WithPlaces;
+    }
+    const bool isOnlyOne
+        = std::ranges::none_of(m_drains, [&](const auto& entry) { return serviceOf(entry.second) == service; });
+    return isOnlyOne && before == 0 ? Closing::WithoutPlaces : Closing::No;
+}
+
+// Otherwise a VM could stay closed for a task there that may not be interrupted while others of its step are away, and
+// these could wait for room on that VM.
+void WaveRunner::reopenNeeded(base::MonotonicTime now)
+{
+    std::erase_if(m_openUntil, [now](const auto& entry) { return entry.second <= now; });
+    std::map<std::string, std::size_t> waitingByService;
+    for (auto entry = m_drains.begin(); entry != m_drains.end();) {
+        const Drain& drain = entry->second;
+        const std::string service = serviceOf(drain);
+        const bool isAwaited = drain.isWithoutPlace && now - drain.startedAt < returnPatience;
+        if (drain.mayBeDown() || isAwaited || service.empty()) {
+            ++entry;
+            continue;
+        }
+        const auto [waiting, isNew] = waitingByService.try_emplace(service, 0);
+        if (isNew) {
+            waiting->second = countWithoutPlace(service, now).waiting;
+        }
+        const std::size_t reopened
+            = waiting->second == 0 ? 0 : countWithoutPlace(service, now, { {}, drain.workerId }).waiting;
+        if (reopened == waiting->second) {
+            ++entry;
+            continue;
+        }
+        m_log.info("vm_drain_given_up",
+            { { "wave", drain.wave }, { "vm", entry->first }, { "worker", drain.workerId },
+                { "without_place", waiting->second } });
+        waiting->second = reopened;
+        m_openUntil[entry->first] = now + reopenedTime;
+        entry = m_drains.erase(entry);
+    }
 }
 
 bool WaveRunner::mayInterrupt(const jobs::TaskKey& key) const
--- a/src/crocuscove/control/wave_runner.h
+++ b/src/crocuscove/control/wave_runner.h
@@ -4,6 +4,7 @@
 #include "crocuscove/base/log.h"
 #include "crocuscove/control/control_options.h"
 #include "crocuscove/http/http_client.h"
+#include "crocuscove/jobs/long_running_places.h"
 #include "platform/vm_codec.h"
 #include "pool_mover.h"
 #include "vm_directory.h"
@@ -22,7 +23,7 @@
 class WaveRunner {
 public:
     WaveRunner(http::HttpClient& client, const VmDirectory& directory, const ControlOptions& options,
-        const base::Log& log, Cluster& cluster, SessionFinder findSession);
+        const base::Log& log, Cluster& cluster, SessionFinder findSession, WorkerPredicate isHeld);
     ~WaveRunner() { *m_isAlive = false; }
     WaveRunner(const WaveRunner&) = delete;
     WaveRunner& operator=(const WaveRunner&) = delete;
@@ -43,6 +44,8 @@
         std::uint64_t wave = 0;
         std::string workerId;
         base::MonotonicTime startedAt;
+        /// Its long-running tasks have no place elsewhere and come back with the VM.
+        bool isWithoutPlace = false;
         bool isCalling = false;
         /// An order got no answer, and may have been carried out.
         bool isUncertain = false;
@@ -61,6 +64,28 @@
         std::uint32_t listings = 0;
     };
 
+    /// A change of the workers that take new tasks, by worker id; empty for none.
+    struct Change {
+        std::string closed;
+        std::string reopened;
+    };
+
+    /// Returns the service of the worker on a VM that is emptied; empty if there is none.
+    [[nodiscard]] std::string serviceOf(const Drain& drain) const;
+    /// Counts the long-running tasks of a service that have no place on the workers that take new tasks.
+    [[nodiscard]] jobs::WithoutPlace countWithoutPlace(
+        const std::string& service, base::MonotonicTime now, const Change& change = {}) const;
+    enum class Closing {
+        /// The long-running tasks of the service have places elsewhere.
+        WithPlaces,
+        /// Some haven't, but no other VM of the service is closed, so that they can come back with this one.
+        WithoutPlaces,
+        No,
+    };
+    /// Tells whether a worker may be closed for new tasks.
+    [[nodiscard]] Closing mayClose(const std::string& workerId, base::MonotonicTime now) const;
+    /// Gives up drains whose VMs are needed by long-running tasks that wait.
+    void reopenNeeded(base::MonotonicTime now);
     /// Removes the workers of VMs whose maintenance has begun by the list, and drops what is back.
     void settleOrdered();
     /// Gives up drains of VMs that now run another worker, or empties that one where an order may be carried out yet.
@@ -70,7 +95,8 @@
     /// Counts the lists that left out VMs of open waves.
     void countListings();
     [[nodiscard]] bool isLongAbsent(const std::string& vm) const;
-    /// Returns the VMs that may be emptied next, the idlest first.
+    [[nodiscard]] std::ptrdiff_t countLongRunning(const jobs::Worker& worker) const;
+    /// Returns the VMs that may be emptied next: those with the fewest long-running tasks first, then the idlest.
     [[nodiscard]] std::vector<std::string> drainCandidates(
         const jobs::Wave& wave, const std::function<bool(const std::string& vm)>& isMoving) const;
     void startDrains(
@@ -80,8 +106,9 @@
         const jobs::Wave& wave, const std::string& vm, Drain& drain, std::size_t& down, base::MonotonicTime now);
     /// Counts the VMs of a wave that are down, or may be soon by an order that was sent.
     [[nodiscard]] std::size_t downVms(const jobs::Wave& wave, base::MonotonicTime now) const;
-    /// Stops what may be stopped; returns true when nothing is left that must be kept.
-    bool empty(const Drain& drain, base::MonotonicTime now);
+    /// Stops what may be stopped; returns true when nothing is left that must be kept. Long-running tasks are stopped
+    /// last, once the VM can be ordered and all else has ended, so that they are away as briefly as possible.
+    bool empty(const Drain& drain, bool mayOrder, base::MonotonicTime now);
     [[nodiscard]] bool mayInterrupt(const jobs::TaskKey& key) const;
     void order(const jobs::Wave& wave, const std::string& vm, Drain& drain);
     void sendOrder(std::uint64_t wave, const std::string& vm, bool mayOrder);
@@ -95,7 +122,11 @@
     const base::Log& m_log;
     Cluster& m_cluster;
     SessionFinder m_findSession;
+    /// Tells whether room is held on a worker for a long-running task.
+    WorkerPredicate m_isHeld;
     std::map<std::string, Drain> m_drains;
+    /// Until when VMs whose drain was given up stay open.
+    std::map<std::string, base::MonotonicTime> m_openUntil;
     std::map<std::string, Absence> m_absences;
     std::optional<base::MonotonicTime> m_countedListing;
     std::set<std::string> m_reservedWorkers;
--- a/tests/support/standin_vms.cpp
+++ b/tests/support/standin_vms.cpp
@@ -121,7 +121,7 @@
 
 void StandinVms::record(const std::string& event, const std::string& vm)
 {
-    m_records.append({ { "event", event }, { "vm", vm } });
+    m_records.append({ { "event", event }, { "vm", vm }, { "atMs", base::wallNow().time_since_epoch().count() } });
 }
 
 } // namespace crocuscove::testing
