Find long-running jobs that wait by an index

Class: a query whose cost grows with the backlog on the loop that sends heartbeats. Change: FleetState keeps the ready jobs with a long-running step in an index of its own; places are counted from it, and the heads of queues are looked for in it, then among at most 256 other jobs of a queue.

--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -39,6 +39,11 @@
     [[nodiscard]] const std::map<std::string, std::set<JobId>>& activeJobs() const { return m_activeJobs; }
     /// Active jobs with a waiting task whose dependencies are done, by queue. Due times are not considered.
     [[nodiscard]] const std::map<std::string, std::set<JobId>>& readyJobs() const { return m_readyJobs; }
+    /// Those of readyJobs() that have a long-running step, by queue. They are few where the others may be many.
+    [[nodiscard]] const std::map<std::string, std::set<JobId>>& readyLongRunningJobs() const
+    {
+        return m_readyLongRunningJobs;
+    }
     /// The tasks assigned to each worker.
     [[nodiscard]] const std::set<TaskKey>& tasksOf(WorkerNumber worker) const;
     /// Crashes of workers that stand against tasks. Those of a job that was given up stay until it is pruned.
@@ -130,6 +135,7 @@
     std::map<std::string, WorkerNumber> m_workerById;
     std::map<std::string, std::set<JobId>> m_activeJobs;
     std::map<std::string, std::set<JobId>> m_readyJobs;
+    std::map<std::string, std::set<JobId>> m_readyLongRunningJobs;
     std::map<WorkerNumber, std::set<TaskKey>> m_tasksByWorker;
     /// Ids by RemovedWorker::order.
     std::map<std::uint64_t, std::string> m_removalOrder;
--- a/include/crocuscove/jobs/queue_head.h
+++ b/include/crocuscove/jobs/queue_head.h
@@ -41,8 +41,8 @@
     std::uint64_t waitingLongRunning = 0;
 };
 
-/// Returns the head of the queue of each service that has a task that may start. Ranks all jobs with such a task, so
-/// that it costs more than a plan while nothing fits.
+/// Returns the head of the queue of each service that has a task that may start: the first one of its long-running
+/// jobs, which rank before all others, or else the first one of the jobs that it looks at, at most 256 of a queue.
 std::vector<QueueHead> findQueueHeads(const SchedulingView& view);
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -442,10 +442,16 @@
         return;
     }
     job.hasReadyTask = hasReadyTask;
-    if (hasReadyTask) {
-        m_readyJobs[job.queue].insert(job.id);
-    } else {
-        m_readyJobs[job.queue].erase(job.id);
+    const auto update = [&](std::map<std::string, std::set<JobId>>& index) {
+        if (hasReadyTask) {
+            index[job.queue].insert(job.id);
+        } else {
+            index[job.queue].erase(job.id);
+        }
+    };
+    update(m_readyJobs);
+    if (std::ranges::any_of(job.spec.steps, &StepSpec::isLongRunning)) {
+        update(m_readyLongRunningJobs);
     }
 }
 
@@ -492,6 +498,7 @@
     m_removalOrder.clear();
     m_activeJobs.clear();
     m_readyJobs.clear();
+    m_readyLongRunningJobs.clear();
     m_tasksByWorker.clear();
     for (const auto& [number, worker] : m_workers) {
         m_workerById[worker.report.id] = number;
--- a/src/crocuscove/jobs/long_running_places.cpp
+++ b/src/crocuscove/jobs/long_running_places.cpp
@@ -64,7 +64,7 @@
 private:
     void collectWaiting()
     {
-        for (const auto& [queueName, jobs] : m_view.state.readyJobs()) {
+        for (const auto& [queueName, jobs] : m_view.state.readyLongRunningJobs()) {
             const Queue* queue = m_view.state.findQueue(queueName);
             if (queue == nullptr || queue->service != m_view.service) {
                 continue;
--- a/src/crocuscove/jobs/queue_head.cpp
+++ b/src/crocuscove/jobs/queue_head.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <ranges>
+#include <set>
 #include <utility>
 
 namespace crocuscove::jobs {
@@ -19,6 +21,9 @@
     { WaitReason::NotPlanned, "not-planned" },
 });
 
+/// Jobs of a queue that are ranked, since a backlog can be tens of thousands.
+constexpr std::size_t maxJobsPerQueue = 256;
+
 /// Calls `visit` with the key of each waiting task of a job that may start now.
 template <typename Visitor> void visitStartable(const Job& job, std::int64_t nowMs, const Visitor& visit)
 {
@@ -52,6 +57,19 @@
     return count;
 }
 
+/// Calls `visit` with the first jobs of each queue in an index, and with the queue.
+template <typename Visitor>
+void visitJobs(const FleetState& state, const std::map<std::string, std::set<JobId>>& index, const Visitor& visit)
+{
+    for (const auto& [queueName, jobs] : index) {
+        const Queue* queue = state.findQueue(queueName);
+        if (queue != nullptr) {
+            std::ranges::for_each(
+                jobs | std::views::take(maxJobsPerQueue), [&](JobId id) { visit(*queue, *state.findJob(id)); });
+        }
+    }
+}
+
 bool isAllowed(const Worker& worker, const Job& job, const TaskKey& key)
 {
     const StepSpec& spec = job.spec.steps[key.step];
@@ -110,26 +128,27 @@
         std::uint64_t waitingLongRunning = 0;
     };
     std::map<std::string, First> firstByService;
-    for (const auto& [queueName, jobs] : view.state.readyJobs()) {
-        const Queue* queue = view.state.findQueue(queueName);
-        if (queue == nullptr) {
-            continue;
+    const auto consider = [&](const Queue& queue, const Job& job) {
+        const auto task = firstStartable(job, view.nowMs);
+        if (!task) {
+            return;
         }
-        for (const JobId id : jobs) {
-            const Job& job = *view.state.findJob(id);
-            const auto task = firstStartable(job, view.nowMs);
-            if (!task) {
-                continue;
-            }
-            const JobRank rank = rankOf(job, *queue, view.runTimes, view.nowMs);
-            const auto [first, isNew] = firstByService.try_emplace(queue->service, First { rank, *task, 0 });
-            first->second.waitingLongRunning += countLongRunning(job, view.nowMs);
-            if (rank < first->second.rank) {
-                first->second.rank = rank;
-                first->second.task = *task;
-            }
+        const JobRank rank = rankOf(job, queue, view.runTimes, view.nowMs);
+        const auto [first, isNew] = firstByService.try_emplace(queue.service, First { rank, *task, 0 });
+        first->second.waitingLongRunning += countLongRunning(job, view.nowMs);
+        if (rank < first->second.rank) {
+            first->second.rank = rank;
+            first->second.task = *task;
         }
-    }
+    };
+    visitJobs(view.state, view.state.readyLongRunningJobs(), consider);
+    // Long-running jobs rank before all others.
+    const auto withLongRunning = firstByService;
+    visitJobs(view.state, view.state.readyJobs(), [&](const Queue& queue, const Job& job) {
+        if (!withLongRunning.contains(queue.service)) {
+            consider(queue, job);
+        }
+    });
     std::vector<QueueHead> result;
     for (const auto& [service, first] : firstByService) {
         QueueHead head;
--- a/src/crocuscove/jobs/room_forecast_test.cpp
+++ b/src/crocuscove/jobs/room_forecast_test.cpp
@@ -2,15 +2,18 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace crocuscove::jobs {
 namespace {
 
 std::vector<EndingRun> runs(const std::vector<std::int64_t>& restsMs)
 {
     std::vector<EndingRun> result;
-    for (const std::int64_t restMs : restsMs) {
-        result.push_back({ { 1000, 100, 0 }, restMs });
-    }
+    std::ranges::transform(restsMs, std::back_inserter(result), [](std::int64_t restMs) {
+        return EndingRun { { 1000, 100, 0 }, restMs };
+    });
     return result;
 }
 
