Keep a stop that comes during the start of a process

Cause: runProcess and runServer handled SIGTERM, SIGINT and SIGHUP only after the node was made, so that its recovery ran with the default effect of signals. Class: a handler that is installed after the work that it is to guard. Change: runWork handles the signals, then runs the start, then the loop; a signal during the start is delivered once the loop runs. control, entry and serve use it. serve still ends at SIGHUP, as before. The handlers of fatal signals, which load a library, come after it. Twins: the stand-ins of the tests handle signals first; the event loop and the log's output are made before the handlers, without I/O. A second signal after the loop has ended still ends the process.

--- a/include/crocuscove/process/run_process.h
+++ b/include/crocuscove/process/run_process.h
@@ -35,8 +35,12 @@
 /// Setting of the log lines of one event in one second.
 base::Setting logLinesSetting(std::uint32_t& target);
 
-/// Runs the work that `start` returns until SIGTERM or SIGINT has stopped it, and logs to standard output. Logs a
-/// base::Error and rethrows it.
+/// Runs the work that `start` returns until SIGTERM or SIGINT has stopped it. A signal that comes during `start` is
+/// kept until it returns. Runs `reload`, if there is one, at each SIGHUP.
+void runWork(http::EventLoop& loop, const std::function<Work()>& start, const std::function<void()>& reload = nullptr);
+
+/// Runs the work that `start` returns as runWork() does, and logs to standard output. Logs a base::Error and rethrows
+/// it.
 void runProcess(
     const ProcessOptions& options, const std::function<Work(http::EventLoop& loop, const base::Log& log)>& start);
 
--- a/src/crocuscove/process/run_process.cpp
+++ b/src/crocuscove/process/run_process.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <exception>
+#include <optional>
 
 namespace crocuscove::process {
 
@@ -32,26 +33,38 @@
         } };
 }
 
-void runProcess(
-    const ProcessOptions& options, const std::function<Work(http::EventLoop& loop, const base::Log& log)>& start)
+void runWork(http::EventLoop& loop, const std::function<Work()>& start, const std::function<void()>& reload)
 {
     // Writing to a connection that the peer has closed must not terminate the process.
     static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
     // A write beyond the limit of file size must fail with EFBIG.
     static_cast<void>(std::signal(SIGXFSZ, SIG_IGN));
+    Work work;
+    // The callbacks run on the loop, and so after the start.
+    const auto terminate = loop.onSignal(SIGTERM, [&work] { work.beginStop(); });
+    const auto interrupt = loop.onSignal(SIGINT, [&work] { work.beginStop(); });
+    const auto hangUp = reload ? loop.onSignal(SIGHUP, reload) : http::Watch();
+    work = start();
+    loop.run();
+}
+
+void runProcess(
+    const ProcessOptions& options, const std::function<Work(http::EventLoop& loop, const base::Log& log)>& start)
+{
     http::EventLoop loop;
     http::LogOutput output(loop);
     const base::Log log(options.logLevel, { { "node", options.name }, { "role", std::string(options.role) } },
         output.sink(), options.logLimits);
-    const FatalSignals fatalSignals(output, options.name, std::string(options.role));
-    log.info("fatal_signals", { { "handled", fatalSignals.handled() }, { "left_alone", fatalSignals.leftAlone() } });
+    std::optional<FatalSignals> fatalSignals;
     const http::Timer leftOut = loop.runEvery(leftOutInterval, [&log] { log.writeLeftOut(); });
+    const auto startLogged = [&] {
+        fatalSignals.emplace(output, options.name, std::string(options.role));
+        log.info(
+            "fatal_signals", { { "handled", fatalSignals->handled() }, { "left_alone", fatalSignals->leftAlone() } });
+        return start(loop, log);
+    };
     try {
-        const Work work = start(loop, log);
-        const auto terminate = loop.onSignal(SIGTERM, [&work] { work.beginStop(); });
-        const auto interrupt = loop.onSignal(SIGINT, [&work] { work.beginStop(); });
-        const auto reload = loop.onSignal(SIGHUP, [&log] { log.info("reload", { { "changed", 0 } }); });
-        loop.run();
+        runWork(loop, startLogged, [&log] { log.info("reload", { { "changed", 0 } }); });
         log.info("stopped");
     } catch (const base::Error& error) {
         log.error("node_failed", { { "cause", error.what() } });
--- a/src/crocuscove/process/run_process_test.cpp
+++ b/src/crocuscove/process/run_process_test.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
+#include <memory>
 #include <string>
 
 namespace crocuscove::process {
@@ -28,6 +29,42 @@
     });
 }
 
+/// Gets a signal during the start of a process, and exits with what its work has counted.
+void signalDuringStart(int number)
+{
+    auto stops = std::make_shared<int>(0);
+    runProcess({ "n1", "control", base::LogLevel::Error, {} }, [&](http::EventLoop& loop, const base::Log&) -> Work {
+        EXPECT_EQ(raise(number), 0);
+        return { stops, [&loop, stops] {
+                    ++*stops;
+                    loop.stop();
+                } };
+    });
+    _exit(*stops);
+}
+
+// Guards against a process that a signal during its start ends without a graceful stop.
+TEST(RunProcessDeathTest, ASignalDuringTheStartStopsTheProcessAfterIt)
+{
+    EXPECT_EXIT(signalDuringStart(SIGTERM), testing::ExitedWithCode(1), "");
+    EXPECT_EXIT(signalDuringStart(SIGINT), testing::ExitedWithCode(1), "");
+}
+
+// Guards against a process that a reload during its start ends.
+TEST(RunProcessDeathTest, AReloadDuringTheStartIsKept)
+{
+    const auto reloadDuringStart = [] {
+        http::EventLoop loop;
+        const auto start = []() -> Work {
+            EXPECT_EQ(raise(SIGHUP), 0);
+            return { nullptr, [] {} };
+        };
+        runWork(loop, start, [&loop] { loop.stop(); });
+        _exit(EXIT_SUCCESS);
+    };
+    EXPECT_EXIT(reloadDuringStart(), testing::ExitedWithCode(EXIT_SUCCESS), "");
+}
+
 // Guards against a process that a full file ends by a signal instead of by a failed write.
 TEST(RunProcessDeathTest, AWriteBeyondTheLimitOfFileSizeFailsInsteadOfEndingTheProcess)
 {
--- a/src/crocuscove/server/run_server.cpp
+++ b/src/crocuscove/server/run_server.cpp
@@ -3,29 +3,45 @@
 #include "crocuscove/base/error.h"
 #include "crocuscove/base/log.h"
 #include "crocuscove/http/event_loop.h"
+#include "crocuscove/process/run_process.h"
 #include "crocuscove/replication/storage_start.h"
 #include "node.h"
 
-#include <csignal>
+#include <memory>
 #include <optional>
 
 namespace crocuscove::server {
 
+namespace {
+
+/// A node that starts once its data folder can be opened.
+class DelayedNode {
+public:
+    DelayedNode(http::EventLoop& loop, const ServerOptions& options, const base::Log& log)
+        : m_loop(loop)
+        , m_start(loop, log, [this, &options, &log] { m_node.emplace(m_loop, options, log); })
+    {
+    }
+
+    void beginStop() { m_node ? m_node->beginShutdown() : m_loop.stop(); }
+
+private:
+    http::EventLoop& m_loop;
+    std::optional<Node> m_node;
+    replication::StorageStart m_start;
+};
+
+} // namespace
+
 void runServer(const ServerOptions& options)
 {
     const base::Log log(options.logLevel, { { "node", options.node.text() } });
-    // Writing to a connection that the peer has closed raises SIGPIPE, which would end the process.
-    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
-    // A write over the limit of file size fails instead.
-    static_cast<void>(std::signal(SIGXFSZ, SIG_IGN));
     try {
         http::EventLoop loop;
-        std::optional<Node> node;
-        const replication::StorageStart start(loop, log, [&] { node.emplace(loop, options, log); });
-        const auto stop = [&] { node ? node->beginShutdown() : loop.stop(); };
-        const auto terminate = loop.onSignal(SIGTERM, stop);
-        const auto interrupt = loop.onSignal(SIGINT, stop);
-        loop.run();
+        process::runWork(loop, [&] {
+            const auto delayed = std::make_shared<DelayedNode>(loop, options, log);
+            return process::Work { delayed, [delayed] { delayed->beginStop(); } };
+        });
     } catch (const base::Error& error) {
         log.error("node_failed", { { "cause", error.what() } });
         throw;
