Keep the entries that a member which catches up still needs

Cause: compactIfLarge kept 1,024 entries, whatever the members had acknowledged. Class: a bound on what is kept that doesn't look at who still needs it. Change: the leader keeps what a member has not acknowledged, at most 8,192 entries and 4 MiB (the bound of bytes there was), and only for members that have acknowledged something in the last 3 s. If that is too large, the members that lag most are given up first. log_compacted tells what was kept. Tests: EntriesAreKeptForAMemberThatCatchesUp failed before ("compactedIndex <= match, actual: 10778 vs 8602"). AMemberThatIsFarBehind... and AMemberThatAnswersNoMore... guard the bounds; the latter fails without the 3 s (tried).

--- a/include/crocuscove/replication/replicated_log.h
+++ b/include/crocuscove/replication/replicated_log.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace crocuscove::replication {
 
@@ -134,6 +135,9 @@
     void completeReads();
     void expirePending();
     void compactIfLarge();
+    /// Returns the indexes through which the log may be compacted, those that keep most entries first: for members that
+    /// catch up, as usual, and through the snapshot.
+    [[nodiscard]] std::vector<consensus::Index> compactionChoices(consensus::Index snapshotIndex) const;
     /// Returns nothing when the disk has no room for the snapshot.
     std::optional<consensus::SnapshotMeta> saveSnapshot(consensus::SnapshotMeta meta);
     void armTimer();
--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -21,8 +21,12 @@
 constexpr std::size_t compactionBytes = std::size_t { 8 } * 1024 * 1024;
 /// Entries kept before a snapshot, so that a follower that lags a little needs no snapshot.
 constexpr consensus::Index entriesKept = 1024;
-/// Bytes of the entries kept; beyond this, none are.
+/// Entries kept at most for a member that catches up.
+constexpr consensus::Index mostEntriesKept = 8192;
+/// Bytes of the entries kept at most.
 constexpr std::size_t maxKeptBytes = compactionBytes / 2;
+/// No entries are kept for a member that has acknowledged nothing for this long. Longer than an election.
+constexpr base::Milliseconds catchUpContact { 3'000 };
 /// Entries applied in one turn of the loop before others get theirs; some milliseconds on a small VM.
 constexpr std::size_t maxAppliedPerTurn = 256;
 constexpr base::Milliseconds pendingCheckInterval { 50 };
@@ -468,16 +472,39 @@
     }
     const consensus::SnapshotMeta& meta = *saved;
     m_snapshotIndex = meta.index;
-    const auto keepAfter = meta.index > entriesKept ? meta.index - entriesKept : 0;
-    m_log.info("log_compacted", { { "index", meta.index }, { "snapshot_bytes", meta.size } });
-    m_raft.compact(std::max(keepAfter, m_raft.compactedIndex()), meta);
-    if (m_raft.logBytes() > maxKeptBytes) {
-        // Large entries: those kept would soon fill the log again.
-        m_raft.compact(meta.index, meta);
+    // Fewer entries are kept if those for the members that lag most are too large.
+    for (const consensus::Index keptAfter : compactionChoices(meta.index)) {
+        m_raft.compact(keptAfter, meta);
+        if (m_raft.logBytes() <= maxKeptBytes) {
+            break;
+        }
     }
+    m_log.info("log_compacted",
+        { { "index", meta.index }, { "snapshot_bytes", meta.size },
+            { "kept_entries", meta.index - m_raft.compactedIndex() }, { "kept_bytes", m_raft.logBytes() } });
     scheduleFlush();
 }
 
+std::vector<consensus::Index> ReplicatedLog::compactionChoices(consensus::Index snapshotIndex) const
+{
+    const auto before = [&](consensus::Index entries) { return snapshotIndex - std::min(snapshotIndex, entries); };
+    const auto first = std::max(before(mostEntriesKept), m_raft.compactedIndex());
+    const auto usual = std::max(before(entriesKept), first);
+    const auto now = base::monotonicNow();
+    std::vector<consensus::Index> choices { usual, snapshotIndex };
+    const auto keepFor = [&](const base::NodeId& member) {
+        const auto contact = m_raft.lastContact(member);
+        const auto match = m_raft.matchIndex(member);
+        if (contact && match && now - *contact <= catchUpContact && *match >= first && *match < usual) {
+            choices.push_back(*match);
+        }
+    };
+    std::ranges::for_each(m_raft.membership().voters, keepFor);
+    std::ranges::for_each(m_raft.membership().learners, keepFor);
+    std::ranges::sort(choices);
+    return choices;
+}
+
 std::optional<consensus::SnapshotMeta> ReplicatedLog::saveSnapshot(consensus::SnapshotMeta meta)
 {
     if (!m_folder) {
--- a/src/crocuscove/replication/replicated_log_test.cpp
+++ b/src/crocuscove/replication/replicated_log_test.cpp
@@ -9,6 +9,8 @@
 #include <atomic>
 #include <cerrno>
 #include <filesystem>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -202,7 +204,7 @@
     }
 }
 
-/// One of three voters, whose peers grant every vote and acknowledge nothing.
+/// One of three voters, whose peers grant every vote and acknowledge what the test says.
 class ReplicatedLogOfThreeTest : public ReplicatedLogTest {
 protected:
     ReplicatedLogOfThreeTest()
@@ -221,6 +223,16 @@
                         consensus::VoteAnswer { request.preVote, request.electionTerm, true } });
                 });
             }
+            const auto* append = std::get_if<consensus::AppendRequest>(&message.body);
+            const auto reach = m_reach.find(message.to.text());
+            if (append != nullptr && reach != m_reach.end()) {
+                const consensus::AppendAnswer answer { true, append->previousIndex,
+                    std::min(append->previousIndex + append->entries.size(), reach->second), append->round };
+                m_loop.post([this, message, answer] {
+                    m_log->step({ message.to, message.from, message.term, answer });
+                });
+            }
+            m_snapshotChunks += std::holds_alternative<consensus::SnapshotChunk>(message.body) ? 1 : 0;
         };
         m_log.emplace(m_loop, three, m_logLines, m_random, voting);
     }
@@ -231,6 +243,50 @@
             [&outcomes](ProposalOutcome outcome) { outcomes.push_back(outcome); });
         return outcomes;
     }
+
+    /// Applies entries of 1,000 bytes until `done`, and runs `onPart` before each part of them.
+    void fill(
+        const std::function<bool()>& done, const std::function<void()>& onPart = [] {})
+    {
+        constexpr std::size_t entryBytes = 1'000;
+        constexpr int mostParts = 100;
+        for (int part = 0; part < mostParts && !done(); ++part) {
+            onPart();
+            for (consensus::Index entry = 0; entry < partEntries; ++entry) {
+                m_log->propose(std::string(entryBytes, 'x'), base::monotonicNow() + std::chrono::seconds(60),
+                    [](ProposalOutcome) {});
+            }
+            const consensus::Index last = m_log->raft().lastIndex();
+            ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->appliedIndex() >= last; }));
+        }
+        EXPECT_TRUE(done());
+    }
+
+    /// Fills the log until it is compacted. Returns the bytes of entries that it had.
+    std::size_t fillUntilCompacted(const std::function<void()>& onPart = [] {})
+    {
+        const consensus::Index before = m_log->raft().compactedIndex();
+        std::size_t bytes = 0;
+        fill(
+            [&] {
+                bytes = std::max(bytes, m_log->raft().logBytes());
+                return m_log->raft().compactedIndex() > before;
+            },
+            onPart);
+        return bytes;
+    }
+
+    [[nodiscard]] consensus::Index matchOf(const std::string& peer) const
+    {
+        return m_log->raft().matchIndex(base::NodeId(peer)).value_or(0);
+    }
+
+    /// Entries that fill() adds at a time.
+    static constexpr consensus::Index partEntries = 200;
+    static constexpr consensus::Index everything = ~consensus::Index { 0 };
+    /// The last index that a peer acknowledges. A peer that isn't here answers no append.
+    std::map<std::string, consensus::Index> m_reach;
+    int m_snapshotChunks = 0;
 };
 
 // Guards against a caller that is never answered, because its node led again and gave another proposal the same place
@@ -256,5 +312,43 @@
     EXPECT_TRUE(third.empty());
 }
 
+// Guards against a member that is a few thousand entries behind and is sent a snapshot of megabytes.
+TEST_F(ReplicatedLogOfThreeTest, EntriesAreKeptForAMemberThatCatchesUp)
+{
+    constexpr consensus::Index lag = 3'000;
+    m_reach = { { "n2", everything }, { "n3", 0 } };
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); }));
+    fillUntilCompacted([&] { m_reach["n3"] = std::max(m_log->raft().lastIndex(), lag) - lag; });
+    EXPECT_LE(m_log->raft().compactedIndex(), matchOf("n3"));
+    m_reach["n3"] = everything;
+    ASSERT_TRUE(runUntil(m_loop, [&] { return matchOf("n3") == m_log->raft().lastIndex(); }));
+    EXPECT_EQ(m_snapshotChunks, 0);
+}
+
+TEST_F(ReplicatedLogOfThreeTest, AMemberThatIsFarBehindKeepsNoEntries)
+{
+    m_reach = { { "n2", everything }, { "n3", 100 } };
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); }));
+    fillUntilCompacted();
+    EXPECT_LE(m_log->raft().logBytes(), 4UL * 1024 * 1024);
+}
+
+// Guards against a dead member for whom the log is kept.
+TEST_F(ReplicatedLogOfThreeTest, AMemberThatAnswersNoMoreKeepsNoEntries)
+{
+    constexpr std::size_t lagBytes = 2UL * 1024 * 1024;
+    constexpr consensus::Index entriesKeptInAnyCase = 1'024;
+    m_reach = { { "n2", everything }, { "n3", everything } };
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); }));
+    const std::size_t bytes = fillUntilCompacted();
+    fill([&] { return m_log->raft().logBytes() + lagBytes > bytes; });
+    m_reach.erase("n3");
+    const auto silentUntil = base::monotonicNow() + std::chrono::milliseconds(3'200);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return base::monotonicNow() >= silentUntil; }));
+    fillUntilCompacted();
+    EXPECT_GT(m_log->raft().compactedIndex(), matchOf("n3"));
+    EXPECT_GE(m_log->raft().compactedIndex() + entriesKeptInAnyCase + partEntries, m_log->appliedIndex());
+}
+
 } // namespace
 } // namespace crocuscove::replication
