Let a cancelling wait for a leader instead of refusing it at once

What callers saw: the one cancelling of PlatformDiskTest.ChangesAreAcceptedAgainAfterDisksWereFullOneAfterAnother is now and then answered 503 though all control nodes know the leader, and the job runs on. Traced: the disks of three leaders in a row fill up within 2 s; the entry node finds none of them in time and, 1.5 s after the first was lost, refuses at once, also right before it finds the next. Cause and class: a refusal meant for requests that come again is taken for all kinds of request. Change: a cancelling waits for a leader for 0.5 s, however long none has been known. Twins: JobApi::refuse during a commit stall, up to 200 ms longer than the stall; not changed. Submissions are refused as before. Remains: without a leader within 0.5 s a cancelling is refused.

--- a/src/crocuscove/entry/entry_node.cpp
+++ b/src/crocuscove/entry/entry_node.cpp
@@ -20,7 +20,8 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 /// How long a request waits for a leader to be found before it is refused: most elections are over by then, and the
-/// client still has time to come back. Without a leader for longer than an election, LeaderLink refuses at once.
+/// client still has time to come back. Without a leader for longer than an election, LeaderLink refuses all but
+/// cancellings at once.
 constexpr base::Milliseconds refuseAfter { 500 };
 /// A request that a leader was given is answered as unknown after this time; clients wait for 3 s.
 constexpr base::Milliseconds answerTimeout { 2'500 };
--- a/src/crocuscove/entry/leader_link.cpp
+++ b/src/crocuscove/entry/leader_link.cpp
@@ -18,7 +18,8 @@
 constexpr base::Milliseconds firstAnswerTimeout { 500 };
 /// A leader that answered within this time counts as reachable.
 constexpr base::Milliseconds readyWindow { 1'500 };
-/// Once no leader has been known for this long, requests are refused at once: most elections take half of it.
+/// Once no leader has been known for this long, requests other than cancellings are refused at once: most elections
+/// take half of it.
 constexpr base::Milliseconds electionPatience { 1'500 };
 /// A request that a lost leader can't have carried out waits this long for the next one.
 constexpr base::Milliseconds nextLeaderPatience { 500 };
@@ -37,6 +38,9 @@
         && (status == statusNotFound || status == statusTooManyRequests || status == statusUnavailable);
 }
 
+/// Clients need not send a cancelling again after a refusal, and the job would then run on.
+bool isCancelling(const control::ForwardedRequest& request) { return request.method == "DELETE"; }
+
 } // namespace
 
 LeaderLink::LeaderLink(http::EventLoop& loop, const EntryOptions& options, const base::Log& log)
@@ -61,7 +65,7 @@
     control::ForwardedRequest request, base::MonotonicTime refuseAt, base::MonotonicTime deadline, Callback callback)
 {
     const auto now = base::monotonicNow();
-    if (!m_isLeader && !mayFindLeader(now)) {
+    if (!m_isLeader && !mayFindLeader(now) && !isCancelling(request)) {
         ++m_refused;
         callback({ RequestFailure::NotExecuted, 0, {} });
         return;
--- a/src/crocuscove/entry/leader_link.h
+++ b/src/crocuscove/entry/leader_link.h
@@ -41,8 +41,8 @@
     LeaderLink& operator=(const LeaderLink&) = delete;
 
     /// Forwards a request until it is answered or `deadline` has passed. A request that no leader was given by
-    /// `refuseAt` is given up, and at once when the last leader was lost longer ago than an election takes. `callback`
-    /// runs exactly once, perhaps before this returns.
+    /// `refuseAt` is given up; one that cancels nothing at once when the last leader was lost longer ago than an
+    /// election takes. `callback` runs exactly once, perhaps before this returns.
     void request(control::ForwardedRequest request, base::MonotonicTime refuseAt, base::MonotonicTime deadline,
         Callback callback);
 
--- a/src/crocuscove/entry/leader_link_test.cpp
+++ b/src/crocuscove/entry/leader_link_test.cpp
@@ -267,6 +267,32 @@
     EXPECT_FALSE(answer->failure);
 }
 
+// Guards against a cancelling that is lost because it comes right before the next leader is found.
+TEST_F(LeaderLinkTest, ACancellingWaitsForALeaderHoweverLongThereHasBeenNone)
+{
+    FakeControlNode& node = addNode("127.0.0.1", "");
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    const auto refused = askUntilAnswered(leaderLink);
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->failure, RequestFailure::NotExecuted);
+    node.setLeader("127.0.0.1");
+    const auto answer = ask(leaderLink, 15s, 15s, "DELETE");
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(answer->failure);
+}
+
+TEST_F(LeaderLinkTest, ACancellingIsRefusedInTheEndWhileThereIsNoLeader)
+{
+    addNode("127.0.0.1", "");
+    LeaderLink leaderLink(m_loop, m_options, m_log);
+    ASSERT_TRUE(askUntilAnswered(leaderLink));
+    const auto start = base::monotonicNow();
+    const auto answer = ask(leaderLink, 300ms, 15s, "DELETE");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->failure, RequestFailure::NotExecuted);
+    EXPECT_GE(base::monotonicNow() - start, 300ms);
+}
+
 // Guards against a read that waits to its end for a leader although it has no outcome that could be open.
 TEST_F(LeaderLinkTest, AReadThatALostLeaderWasGivenIsRefused)
 {
