Let a node's orders of an earlier term arrive before it orders the VM again

Cause: Cluster::mayOrderVm() let all orders of the own name pass, of whatever term. Class: a holder is told by its name instead of by its term. Change: what this node ordered waits until 0.5 s (vmOrderMargin) after it last stopped to serve, or started. No order of an earlier term is sent later than that. The platform's lease is still waited for other names only. Test: ClusterConnectionTest.AVmIsOrderedAgainOnceTheOrderOfAnEarlierTermHasArrived failed with the old line ("Actual: true, Expected: false"), passes now (200 repetitions without a failure). Not measured: what it costs; an election takes most of the 0.5 s.

--- a/src/crocuscove/control/cluster.cpp
+++ b/src/crocuscove/control/cluster.cpp
@@ -24,7 +24,7 @@
 constexpr base::Milliseconds electionTimeoutMax { 700 };
 /// Below the shortest election timeout, with room for the clocks' drift.
 constexpr base::Milliseconds leadershipValidity { 300 };
-/// Added to the lease of another leader's order, for an order that was on its way.
+/// How long an order may be on its way. Added to the lease of another leader's order.
 constexpr base::Milliseconds vmOrderMargin { 500 };
 /// An address that belongs to no member and doesn't answer is forgotten after this time.
 constexpr base::Milliseconds strangerMemory { 30'000 };
@@ -425,9 +425,12 @@
 bool Cluster::mayOrderVm(const std::string& vm, base::Milliseconds lease, base::MonotonicTime now) const
 {
     const auto order = m_state.vmOrderHolders().find(vm);
-    if (order == m_state.vmOrderHolders().end() || order->second == m_options.name) {
+    if (order == m_state.vmOrderHolders().end()) {
         return true;
     }
+    if (order->second == m_options.name) {
+        return now - m_earlierTermEndedAt >= vmOrderMargin;
+    }
     const auto seen = m_vmOrderSeenAt.find(vm);
     return seen != m_vmOrderSeenAt.end() && now - seen->second >= lease + vmOrderMargin;
 }
@@ -476,6 +479,9 @@
     }
     m_isServing = isServing;
     m_servingTerm = m_log.raft().term();
+    if (!isServing) {
+        m_earlierTermEndedAt = base::monotonicNow();
+    }
     m_logLines.info(isServing ? "serving_started" : "serving_stopped",
         { { "term", m_log.raft().term() }, { "applied", m_log.appliedIndex() } });
     m_hooks.onServing(isServing);
--- a/src/crocuscove/control/cluster.h
+++ b/src/crocuscove/control/cluster.h
@@ -77,7 +77,8 @@
 
     /// Records an order for a VM. Runs `callback` once that is committed, and tells whether this node still leads.
     void recordVmOrder(const std::string& vm, std::function<void(bool mayOrder)> callback);
-    /// Tells whether no other leader has ordered something for the VM within `lease`.
+    /// Tells whether an order for the VM may be sent at `now`: no other leader has ordered something for it within
+    /// `lease`, and what this node sent in an earlier term is no longer on its way (RULES, ONE).
     [[nodiscard]] bool mayOrderVm(const std::string& vm, base::Milliseconds lease, base::MonotonicTime now) const;
 
     /// Runs `callback` once the state is known to be current, or with false.
@@ -165,6 +166,8 @@
     bool m_isServing = false;
     std::uint64_t m_servingTerm = 0;
     bool m_isConfirming = false;
+    /// When this node last stopped to serve, or started: it sent no order in an earlier term after that.
+    base::MonotonicTime m_earlierTermEndedAt = base::monotonicNow();
     /// When this node last became the leader.
     base::MonotonicTime m_leaderSince;
     std::unique_ptr<link::FrameListener> m_listener;
--- a/src/crocuscove/control/cluster_test.cpp
+++ b/src/crocuscove/control/cluster_test.cpp
@@ -145,6 +145,28 @@
     EXPECT_EQ(answer->status, 500U);
 }
 
+// Guards against a node that leads again and whose order overtakes one that it sent in an earlier term.
+TEST_F(ClusterConnectionTest, AVmIsOrderedAgainOnceTheOrderOfAnEarlierTermHasArrived)
+{
+    constexpr base::Milliseconds lease { 3'000 };
+    constexpr base::Milliseconds onItsWay { 500 };
+    m_options.seeds = { { ownAddress, 1 } };
+    m_options.name = "control-1";
+    start();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_cluster->isServing(); }));
+    bool isRecorded = false;
+    m_cluster->recordVmOrder("vm-1", [&](bool mayOrder) { isRecorded = mayOrder; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return isRecorded; }));
+    m_cluster.reset();
+    m_options.isFirstStart = false;
+    const auto restartedAt = base::monotonicNow();
+    start();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_cluster->isServing(); }));
+    EXPECT_FALSE(m_cluster->mayOrderVm("vm-1", lease, restartedAt + onItsWay / 2));
+    EXPECT_TRUE(m_cluster->mayOrderVm("vm-1", lease, base::monotonicNow() + onItsWay));
+    EXPECT_TRUE(m_cluster->mayOrderVm("vm-2", lease, restartedAt));
+}
+
 // Guards against a large command, such as one from a large message, that has the commands of the same turn refused.
 TEST_F(ClusterConnectionTest, ACommandThatIsTooLargeDoesNotHaveTheOthersRefused)
 {
