Keep unsettled maintenance orders for the next leader, whoever it is

Cause: that an order had no answer was known to the leader's WaveRunner alone, which ends with its term. Class: what an earlier leader ordered is forgotten. Change: a wave's VM is recorded as Ordered in the entry that records the order, before it is sent; as Waiting again when it was refused or never written. A new leader takes over the VMs that are Ordered as drains without an answer: they count as down, are reserved, and are ordered again until that is answered. downVms() goes by that instead of names and time, so that VMs that another leader moved lately no longer count as down. Test: PlatformHandOverTest.AWaveKeepsToItsNumberWhenTheSameNodeLeadsAgain failed before ("Expected: (down) <= (most), actual: 2 vs 1"), passes now; the five other wave and order tests of PlatformHandOverTest and PlatformTest pass. The stand-in for VMs records a late order as it arrives; expectMostDown() therefore counts "up" and "down" and no other event. Remains: moves of an earlier leader that are carried out late.

--- a/include/crocuscove/jobs/wave.h
+++ b/include/crocuscove/jobs/wave.h
@@ -12,6 +12,8 @@
     Waiting,
     /// The platform has confirmed the maintenance order.
     Done,
+    /// An order was committed to be sent, and may be carried out until the platform has answered it.
+    Ordered,
 };
 
 /// A batch of VMs that are due for maintenance.
--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -43,6 +43,9 @@
     settleOrdered();
     followWorkers(now);
     countListings();
+    if (!std::exchange(m_hasAdopted, true)) {
+        adoptOrdered(now);
+    }
     reopenNeeded(now);
     m_dueWorkers.clear();
     for (const auto& [id, wave] : m_cluster.state().waves()) {
@@ -74,16 +77,38 @@
     });
 }
 
-// An order of an earlier leader may be carried out yet, though the list still shows the VM as up.
-std::size_t WaveRunner::downVms(const jobs::Wave& wave, base::MonotonicTime now) const
+// Only the answer to a repeated order tells that none of them may still be carried out.
+void WaveRunner::adoptOrdered(base::MonotonicTime now)
+{
+    for (const auto& [id, wave] : m_cluster.state().waves()) {
+        for (const auto& [vm, phase] : wave.vms) {
+            if (phase != jobs::WaveVmPhase::Ordered || m_drains.contains(vm)) {
+                continue;
+            }
+            Drain drain;
+            drain.wave = id;
+            drain.workerId = lastWorkerId(vm);
+            drain.startedAt = now;
+            drain.isUncertain = true;
+            m_log.info("vm_order_unsettled", { { "wave", id }, { "vm", vm }, { "worker", drain.workerId } });
+            m_drains.emplace(vm, std::move(drain));
+        }
+    }
+}
+
+std::string WaveRunner::lastWorkerId(const std::string& vm) const
+{
+    const auto listed = m_directory.vms().find(vm);
+    return listed == m_directory.vms().end() ? m_absences.at(vm).lastWorkerId : listed->second.workerId;
+}
+
+std::size_t WaveRunner::downVms(const jobs::Wave& wave) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(wave.vms, [&](const auto& entry) {
         const auto vm = m_directory.vms().find(entry.first);
         const auto drain = m_drains.find(entry.first);
         const bool isOrdered = drain != m_drains.end() && drain->second.mayBeDown();
-        const bool mayBeOrdered
-            = entry.second != jobs::WaveVmPhase::Done && !m_cluster.mayOrderVm(entry.first, m_options.vmLease, now);
-        return isOrdered || mayBeOrdered || (vm != m_directory.vms().end() && !vm->second.isUp);
+        return isOrdered || (vm != m_directory.vms().end() && !vm->second.isUp);
     }));
 }
 
@@ -148,7 +173,7 @@
             m_dueWorkers.insert(listed->second.workerId);
         }
     }
-    std::size_t down = downVms(wave, now);
+    std::size_t down = downVms(wave);
     for (auto& [vm, drain] : m_drains) {
         if (drain.wave == wave.id) {
             advanceDrain(wave, vm, drain, down, now);
@@ -174,7 +199,7 @@
         const auto listed = m_directory.vms().find(id);
         Drain drain;
         drain.wave = wave.id;
-        drain.workerId = listed == m_directory.vms().end() ? m_absences.at(id).lastWorkerId : listed->second.workerId;
+        drain.workerId = lastWorkerId(id);
         const std::string service = serviceOf(drain);
         const Closing closing = fullServices.contains(service) ? Closing::No : mayClose(drain.workerId, now);
         if (closing == Closing::No) {
@@ -211,8 +236,7 @@
             || isMoving(id)) {
             continue;
         }
-        const jobs::Worker* worker
-            = m_cluster.state().findWorker(isListed ? vm->second.workerId : m_absences.at(id).lastWorkerId);
+        const jobs::Worker* worker = m_cluster.state().findWorker(lastWorkerId(id));
         if (worker == nullptr) {
             candidates.emplace_back(0, 0, id);
         } else if (!m_isHeld(worker->report.id)) {
@@ -229,7 +253,9 @@
 void WaveRunner::advanceDrain(
     const jobs::Wave& wave, const std::string& vm, Drain& drain, std::size_t& down, base::MonotonicTime now)
 {
-    if (drain.orderedAt || drain.isCalling || drain.callAgainAt > now) {
+    const bool isListed = m_directory.vms().contains(vm);
+    if (drain.orderedAt || drain.isCalling || drain.callAgainAt > now
+        || (drain.workerId.empty() && !isListed && !isLongAbsent(vm))) {
         return;
     }
     const bool isCounted = drain.mayBeDown();
@@ -357,6 +383,7 @@
         return;
     }
     drain.isCalling = true;
+    recordStep(wave.id, vm, jobs::WaveVmPhase::Ordered);
     m_cluster.recordVmOrder(vm, [this, wave = wave.id, vm, alive = m_isAlive](bool mayOrder) {
         if (*alive) {
             sendOrder(wave, vm, mayOrder);
@@ -371,8 +398,9 @@
         return;
     }
     Drain& drain = found->second;
-    if (!mayOrder) {
+    if (!mayOrder || !isOrdered(wave, vm)) {
         drain.isCalling = false;
+        withdrawOrder(wave, vm, drain);
         return;
     }
     m_log.info("vm_maintenance",
@@ -409,6 +437,21 @@
         // Also without an answer: the platform answers that it is done when it was carried out after all.
         drain.isUncertain = drain.isUncertain || (!result.response && result.mayHaveStarted);
         drain.callAgainAt = base::monotonicNow() + callPause;
+        withdrawOrder(wave, vm, drain);
+    }
+}
+
+bool WaveRunner::isOrdered(std::uint64_t wave, const std::string& vm) const
+{
+    const auto& waves = m_cluster.state().waves();
+    const auto found = waves.find(wave);
+    return found != waves.end() && found->second.vms.at(vm) == jobs::WaveVmPhase::Ordered;
+}
+
+void WaveRunner::withdrawOrder(std::uint64_t wave, const std::string& vm, const Drain& drain)
+{
+    if (!drain.isUncertain) {
+        recordStep(wave, vm, jobs::WaveVmPhase::Waiting);
     }
 }
 
--- a/src/crocuscove/control/wave_runner.h
+++ b/src/crocuscove/control/wave_runner.h
@@ -104,8 +104,12 @@
     /// Empties a VM and orders its maintenance while fewer than the wave allows are `down`, which it then counts.
     void advanceDrain(
         const jobs::Wave& wave, const std::string& vm, Drain& drain, std::size_t& down, base::MonotonicTime now);
+    /// Takes over VMs whose order was committed in an earlier term and has no recorded answer.
+    void adoptOrdered(base::MonotonicTime now);
+    /// Returns the worker that a listed or absent VM of an open wave runs or ran last; empty if none is known.
+    [[nodiscard]] std::string lastWorkerId(const std::string& vm) const;
     /// Counts the VMs of a wave that are down, or may be soon by an order that was sent.
-    [[nodiscard]] std::size_t downVms(const jobs::Wave& wave, base::MonotonicTime now) const;
+    [[nodiscard]] std::size_t downVms(const jobs::Wave& wave) const;
     /// Stops what may be stopped; returns true when nothing is left that must be kept. Long-running tasks are stopped
     /// last, once the VM can be ordered and all else has ended, so that they are away as briefly as possible.
     bool empty(const Drain& drain, bool mayOrder, base::MonotonicTime now);
@@ -113,6 +117,9 @@
     void order(const jobs::Wave& wave, const std::string& vm, Drain& drain);
     void sendOrder(std::uint64_t wave, const std::string& vm, bool mayOrder);
     void onOrdered(std::uint64_t wave, const std::string& vm, const http::ExchangeResult& result);
+    [[nodiscard]] bool isOrdered(std::uint64_t wave, const std::string& vm) const;
+    /// Records that an order won't be carried out, unless an earlier one still may be.
+    void withdrawOrder(std::uint64_t wave, const std::string& vm, const Drain& drain);
     void recordStep(std::uint64_t wave, const std::string& vm, jobs::WaveVmPhase phase);
     void updateReserved();
 
@@ -129,6 +136,7 @@
     std::map<std::string, base::MonotonicTime> m_openUntil;
     std::map<std::string, Absence> m_absences;
     std::optional<base::MonotonicTime> m_countedListing;
+    bool m_hasAdopted = false;
     std::set<std::string> m_reservedWorkers;
     std::set<std::string> m_dueWorkers;
     /// Cleared at the end, for callbacks that come later.
--- a/tests/integration/platform_handover_test.cpp
+++ b/tests/integration/platform_handover_test.cpp
@@ -83,7 +83,11 @@
     {
         std::size_t down = 0;
         for (const nlohmann::json& line : readJsonLines(cluster.path("vms.records"))) {
-            down += line.at("event") == "down" ? 1 : -1;
+            if (line.at("event") == "down") {
+                ++down;
+            } else if (line.at("event") == "up") {
+                --down;
+            }
             EXPECT_LE(down, most) << line;
         }
     }
@@ -127,6 +131,34 @@
     expectMostDown(2);
 }
 
+// Guards against a node that leads again and forgets the order that it sent before, which may be carried out yet.
+TEST_F(PlatformHandOverTest, AWaveKeepsToItsNumberWhenTheSameNodeLeadsAgain)
+{
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first), 200);
+    const int second = first % 3 + 1;
+    const int third = second % 3 + 1;
+    startWorker("w1");
+    submit("00000000000000aa", R"({"spec":"60000","steps":[{"count":1,"cpu":8000,"memMb":64,"estRuntimeMs":100}]})");
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000aa.0.0.0") == 1; }));
+    startWorker("w2");
+    startVms({ flag("maintenance-ms", 6'000), flag("late-vm", "vm-w2"), flag("late-ms", 8'000) });
+    // What it doesn't store keeps this node from being elected below.
+    cluster.process(controlName(third)).kill();
+    ASSERT_EQ(startWave(R"({"wave":1,"machines":["vm-w1","vm-w2"],"completeByS":20,"maxCount":1})"), 200);
+    ASSERT_TRUE(waitUntil([&] { return !readJsonLines(cluster.path("vms.records")).empty(); }));
+    // Work that only the next leader can place makes the VM of the first order the busier one.
+    submit("00000000000000bb", R"({"spec":"60000","steps":[{"count":2,"cpu":4000,"memMb":64,"estRuntimeMs":100}]})");
+    cluster.process(controlName(first)).kill();
+    cluster.process(controlName(second)).kill();
+    startControl(first, false);
+    startControl(third, false);
+    EXPECT_TRUE(waitUntil([&] { return isWaveDoneAtSomeNode(); }));
+    EXPECT_EQ(leader(), first);
+    EXPECT_EQ(readJsonLines(cluster.path("vms.records")).front().at("vm"), "vm-w2");
+    expectMostDown(1);
+}
+
 /// A listener whose queue of connections is full, so that callers wait until it is opened.
 class BusyListener {
 public:
--- a/tests/support/standin_vms.cpp
+++ b/tests/support/standin_vms.cpp
@@ -95,6 +95,7 @@
         return;
     }
     if (id == m_options.lateVm && !std::exchange(m_wasLate, true)) {
+        record("late", id);
         m_lateOrder = m_loop.runAt(base::monotonicNow() + base::Milliseconds(m_options.lateMs),
             [this, body, responder] { maintain(body, responder); });
         return;
