Blame no long-running task, and no task for its rack's crash

Cause: a run in its first second when its worker crashed counted as the cause. A task that a crash has just moved is in its first second again. Class: blame for a crash by time alone.

A task of a long-running step is no longer given up (PROTOCOL: restarted however it ends). A rack has crashed if all workers of a service on it, at least two, fell silent within a second and no end was planned; that counts only against tasks with a crash on record, and is never attributed. No format of the replicated state changes.

--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -4,10 +4,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <span>
 #include <string>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 namespace crocuscove::control {
 
@@ -30,6 +32,10 @@
 /// Penalty of a worker whose VM is still to be maintained, so that tasks aren't interrupted twice.
 constexpr double duePenalty = 0.5;
 
+/// The last contact with a worker that is gone is remembered for this long, so that the crash of a rack is known also
+/// when its workers come back one after the other.
+constexpr base::Milliseconds pastContactAge { 60'000 };
+constexpr std::size_t maxPastContacts = 2'000;
 /// Suspects that the log line of a crash names.
 constexpr std::size_t maxLoggedSuspects = 16;
 
@@ -136,7 +142,13 @@
 void Leader::syncSessions()
 {
     const auto& workers = m_cluster.state().workers();
-    std::erase_if(m_sessions, [&](const auto& session) { return !workers.contains(session.first); });
+    std::erase_if(m_sessions, [&](const auto& session) {
+        const bool isGone = !workers.contains(session.first);
+        if (isGone) {
+            rememberContact(*session.second);
+        }
+        return isGone;
+    });
     std::erase_if(m_loggedCrashes, [&](const auto& crash) { return !workers.contains(crash.first); });
     for (const auto& [number, worker] : workers) {
         if (!m_sessions.contains(number)) {
@@ -227,12 +239,61 @@
 {
     const jobs::Worker* worker = m_cluster.state().findWorker(crash.worker);
     const bool isPresent = worker != nullptr && worker->report.incarnation == crash.incarnation;
+    const auto session = isPresent ? m_sessions.find(worker->number) : m_sessions.end();
+    const bool isRack = session != m_sessions.end() && isRackCrash(*session->second);
+    if (isRack) {
+        // A task under which a worker crashed before may have been one of several causes.
+        std::erase_if(
+            crash.runs, [&](const jobs::CrashedRun& run) { return !m_cluster.state().crashes().contains(run.task); });
+        std::ranges::for_each(crash.runs, [](jobs::CrashedRun& run) { run.isAttributed = false; });
+    }
+    if (isRack && crash.runs.empty()) {
+        if (m_loggedCrashes.emplace(worker->number, crash.isConfirmed).second) {
+            m_metrics.count("worker_crash", "rack");
+            m_log.warning("rack_crash",
+                { { "worker", crash.worker }, { "incarnation", crash.incarnation },
+                    { "rack", jobs::rackOf(worker->report) }, { "confirmed", crash.isConfirmed } });
+        }
+        return;
+    }
     if (!isPresent || m_loggedCrashes.emplace(worker->number, crash.isConfirmed).second) {
         logCrash(crash);
     }
     proposeCommand(std::move(crash), nullptr);
 }
 
+bool Leader::isRackCrash(const WorkerSession& session) const
+{
+    const std::optional<jobs::WorkerContact> crashed = session.contact();
+    if (!crashed) {
+        return false;
+    }
+    std::vector<jobs::WorkerContact> others;
+    std::ranges::transform(m_pastContacts, std::back_inserter(others), &PastContact::contact);
+    for (const auto& [number, other] : m_sessions) {
+        if (auto contact = other->contact()) {
+            others.push_back(std::move(*contact));
+        }
+    }
+    return jobs::isRackCrash(*crashed, others);
+}
+
+void Leader::rememberContact(const WorkerSession& session)
+{
+    const auto now = base::monotonicNow();
+    while (!m_pastContacts.empty() && m_pastContacts.front().endedAt + pastContactAge < now) {
+        m_pastContacts.pop_front();
+    }
+    auto contact = session.contact();
+    if (!contact) {
+        return;
+    }
+    m_pastContacts.push_back({ std::move(*contact), now });
+    if (m_pastContacts.size() > maxPastContacts) {
+        m_pastContacts.pop_front();
+    }
+}
+
 void Leader::logCrash(const jobs::RecordCrash& crash)
 {
     const bool isAttributed = crash.runs.front().isAttributed;
@@ -251,7 +312,7 @@
         const jobs::Job* job = state.findJob(run.task.job);
         const auto crashes = state.crashes().find(run.task);
         if (job == nullptr || job->isActive() || crashes == state.crashes().end() || !crashes->second.isDeadly()
-            || job->finishedMs != crash.nowMs) {
+            || job->finishedMs != crash.nowMs || job->spec.steps[run.task.step].isLongRunning) {
             continue;
         }
         m_metrics.count("job_given_up", "worker-crashes");
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -15,6 +15,7 @@
 #include "worker_session.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,12 +50,21 @@
     void recordCrashBefore(const jobs::WorkerReport& report);
 
 private:
+    struct PastContact {
+        jobs::WorkerContact contact;
+        base::MonotonicTime endedAt;
+    };
+
     [[nodiscard]] bool hasStarted(const jobs::Job& job) const;
     void syncSessions();
     /// Adds the workers whose orders may have changed with an applied command.
     void collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed);
     void collectTasksOfEndedJob(jobs::JobId job, std::set<jobs::WorkerNumber>& changed) const;
     void proposeCrash(jobs::RecordCrash crash);
+    /// Tells whether the worker of a session crashed with its rack.
+    [[nodiscard]] bool isRackCrash(const WorkerSession& session) const;
+    /// Remembers when a worker was last there whose session ends.
+    void rememberContact(const WorkerSession& session);
     void logCrash(const jobs::RecordCrash& crash);
     void onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed);
     void schedulePlan();
@@ -75,6 +85,8 @@
     std::map<jobs::WorkerNumber, std::unique_ptr<WorkerSession>> m_sessions;
     /// Workers whose crash was logged and counted, as confirmed or not: the session and a report may both tell of it.
     std::set<std::pair<jobs::WorkerNumber, bool>> m_loggedCrashes;
+    /// The last contacts with workers that are no longer there and had not left, the earliest first.
+    std::deque<PastContact> m_pastContacts;
     jobs::RunTimes m_runTimes;
     FleetManager m_fleet;
     Pacer m_pacer;
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -188,7 +188,7 @@
     }
     if (!result.response) {
         // The same run may be sent again: a worker that has it already answers that it does.
-        ++m_health.unanswered;
+        countUnanswered();
         order.phase = OrderPhase::Unsent;
         order.sendAgainAt = now + retryPause;
         m_log.warning("start_unanswered",
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -32,6 +32,9 @@
     , m_number(worker.number)
     , m_id(worker.report.id)
     , m_incarnation(worker.report.incarnation)
+    , m_service(worker.report.service)
+    , m_rack(jobs::rackOf(worker.report))
+    , m_knownSince(base::monotonicNow())
     , m_endpoint(base::parseEndpoint(worker.report.address))
     , m_fencingToken(fencingToken)
 {
@@ -106,7 +109,7 @@
         return;
     }
     if (!result.response) {
-        ++m_health.unanswered;
+        countUnanswered();
         onSilence();
         return;
     }
@@ -190,6 +193,14 @@
     update();
 }
 
+void WorkerSession::countUnanswered()
+{
+    ++m_health.unanswered;
+    if (!m_silentSince) {
+        m_silentSince = base::monotonicNow();
+    }
+}
+
 // The worker's tasks may run until their lease has certainly ended; only then may they start elsewhere.
 void WorkerSession::onSilence()
 {
@@ -207,6 +218,7 @@
 void WorkerSession::remove(std::string_view reason, RemovalCause cause)
 {
     m_isRemoving = true;
+    m_hasLeft = cause == RemovalCause::Left;
     auto record = m_laterIncarnation ? std::nullopt : crash(cause == RemovalCause::Restarted);
     if (record && cause != RemovalCause::Left) {
         m_hooks.onCrash(std::move(*record));
@@ -219,6 +231,7 @@
     m_hooks.propose(command, [this, alive = m_isAlive](bool isApplied) {
         if (*alive && !isApplied) {
             m_isRemoving = false;
+            m_hasLeft = false;
             scheduleRenew(retryPause);
         }
     });
@@ -240,6 +253,7 @@
     m_answeredAt = now;
     m_aliveAt = now;
     m_health.unanswered = 0;
+    m_silentSince.reset();
     m_mayHaveLeft = m_mayHaveLeft && sentAt < m_leaveProbeAt;
     m_running = status.running;
     reconcile(status, sentAt);
@@ -477,6 +491,14 @@
     return record;
 }
 
+std::optional<jobs::WorkerContact> WorkerSession::contact() const
+{
+    if (m_hasLeft || m_hooks.isReserved(m_id)) {
+        return std::nullopt;
+    }
+    return jobs::WorkerContact { m_number, m_service, m_rack, m_knownSince, m_silentSince };
+}
+
 std::int64_t WorkerSession::unprovenMs(const jobs::TaskKey& task, base::MonotonicTime now) const
 {
     const auto order = m_orders.find(task);
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -7,6 +7,7 @@
 #include "crocuscove/http/http_client.h"
 #include "crocuscove/jobs/fleet_state.h"
 #include "crocuscove/jobs/lease_clock.h"
+#include "crocuscove/jobs/rack_crash.h"
 #include "crocuscove/jobs/start_plan.h"
 #include "platform/worker_codec.h"
 
@@ -78,6 +79,8 @@
     /// Returns what the end of this incarnation without notice counts against, or nothing if the end was planned or
     /// nothing in its probation can have been executing.
     [[nodiscard]] std::optional<jobs::RecordCrash> crash(bool isConfirmed) const;
+    /// Returns since when the worker is silent, or nothing if its end was planned.
+    [[nodiscard]] std::optional<jobs::WorkerContact> contact() const;
     /// Returns how long it takes, in milliseconds, until the run of an assigned task has executed for the probation
     /// time; 0 if it has, or executes no more.
     [[nodiscard]] std::int64_t unprovenMs(const jobs::TaskKey& task, base::MonotonicTime now) const;
@@ -154,6 +157,8 @@
     /// The incarnation that orders are meant for.
     [[nodiscard]] std::int64_t intendedIncarnation() const { return m_laterIncarnation.value_or(m_incarnation); }
     void onSilence();
+    /// Counts an order that got no answer.
+    void countUnanswered();
     void probeLeave();
     void onLeaveProbed(const http::ExchangeResult& result);
     void remove(std::string_view reason, RemovalCause cause);
@@ -185,6 +190,9 @@
     jobs::WorkerNumber m_number;
     std::string m_id;
     std::int64_t m_incarnation;
+    std::string m_service;
+    std::string m_rack;
+    base::MonotonicTime m_knownSince;
     /// The latest incarnation of the same id that has answered or reported.
     std::optional<std::int64_t> m_laterIncarnation;
     bool m_isRecordingUnsettled = false;
@@ -197,9 +205,12 @@
     std::optional<base::MonotonicTime> m_answeredAt;
     /// The last answer to a renewal or a start.
     std::optional<base::MonotonicTime> m_aliveAt;
+    /// The first order without an answer since the last answer to a renewal.
+    std::optional<base::MonotonicTime> m_silentSince;
     bool m_isRenewing = false;
     bool m_isRecording = false;
     bool m_isRemoving = false;
+    bool m_hasLeft = false;
     /// The worker may have left; it gets no starts until it has answered what was sent after `m_leaveProbeAt`.
     bool m_mayHaveLeft = false;
     base::MonotonicTime m_leaveProbeAt;
--- a/src/crocuscove/jobs/fleet_state_crashes.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes.cpp
@@ -77,7 +77,8 @@
     ++crashes.crashes;
     crashes.attributed += run.isAttributed ? 1 : 0;
     crashes.lastRun = std::max(crashes.lastRun, run.run);
-    if (crashes.isDeadly()) {
+    // A long-running task is restarted however it ends (PROTOCOL).
+    if (crashes.isDeadly() && !job->second.spec.steps[run.task.step].isLongRunning) {
         finishJob(job->second, JobPhase::Failed, nowMs);
     }
 }
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "crocuscove/jobs/scheduler.h"
 
 #include "crocuscove/jobs/job_rank.h"
+#include "crocuscove/jobs/rack_crash.h"
 #include "crocuscove/jobs/room_forecast.h"
 
 #include <algorithm>
@@ -197,7 +198,7 @@
             candidate->longRunningCpuMilli += spec.isLongRunning ? spec.perTask.cpuMilli : 0;
             ++perWorker[candidate->worker->number];
             if (spec.prefersOneRack && rack.empty()) {
-                rack = rackOf(*candidate->worker);
+                rack = rackOf(candidate->worker->report);
             }
             const std::uint32_t run = spec.isGang ? lastRun + 1 : task.run + 1;
             chosen.push_back({ key, run, candidate->worker->number });
@@ -226,12 +227,6 @@
             [](const Assignment& assignment) { return AssignTasks { { assignment } }; });
     }
 
-    /// Returns the rack of a worker, which is its last label; the first label is the kind of machine.
-    static std::string rackOf(const Worker& worker)
-    {
-        return worker.report.labels.empty() ? std::string() : worker.report.labels.back();
-    }
-
     /// Packs long-running tasks onto few VMs, but only up to a share of each VM, since they slow each other down.
     static std::int64_t longRunningCost(const StepSpec& spec, const Candidate& candidate)
     {
--- a/tests/commands/standin_executor.cpp
+++ b/tests/commands/standin_executor.cpp
@@ -12,6 +12,7 @@
     return {
         textSetting("id", "id of the worker", options.id),
         textSetting("service", "pool that it belongs to", options.service),
+        textSetting("rack", "rack that it is in", options.rack),
         endpointSetting("listen", "address to serve on; port 0 takes a free one", options.listen),
         endpointSetting("advertise", "address to report, its own for port 0", options.advertise),
         endpointListSetting("controls", "control nodes to report to", options.controls),
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -1,4 +1,5 @@
 #include "crocuscove/http/socket_address.h"
+#include "crocuscove/jobs/crash.h"
 #include "integration/platform_fixture.h"
 
 #include <gtest/gtest.h>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace crocuscove::testing {
@@ -205,6 +207,38 @@
     expectNoTaskTwice();
 }
 
+/// A rack that crashes is away for this long.
+constexpr auto rackAway = 1'500ms;
+
+// Guards against a task that is given up because the racks that it ran on crashed as a whole, one after the other.
+TEST_F(PlatformTest, ARackThatCrashesAsAWholeBlamesNoTask)
+{
+    ASSERT_TRUE(configure());
+    const std::map<std::string, std::vector<std::string>> racks { { "r1", { "w1", "w2" } }, { "r2", { "w3", "w4" } } };
+    const auto startRack = [&](const std::string& rack) {
+        std::ranges::for_each(
+            racks.at(rack), [&](const std::string& worker) { startWorker(worker, { flag("rack", rack) }); });
+    };
+    startRack("r1");
+    startRack("r2");
+    submit("00000000000000ee",
+        R"({"spec":"10","steps":[{"count":4,"cpu":1000,"memMb":64,"maxPerServer":1,"estRuntimeMs":10}]})");
+    ASSERT_TRUE(waitUntil([&] { return state("00000000000000ee") == "done"; })) << "all workers are known";
+    const std::string task = "00000000000000aa.0.0.0";
+    submit("00000000000000aa", R"({"spec":"2000","steps":[{"count":1,"cpu":1000,"memMb":64}]})");
+    for (std::size_t crashes = 1; crashes <= jobs::maxCrashes + 1; ++crashes) {
+        ASSERT_TRUE(waitUntil([&] { return starts(task) == crashes; })) << "crash " << crashes;
+        const auto lines = records();
+        const auto start = std::ranges::find_if(lines.rbegin(), lines.rend(),
+            [&](const nlohmann::json& line) { return line.at("event") == "start" && line.at("task") == task; });
+        const std::string rack = start->at("worker") <= "w2" ? "r1" : "r2";
+        std::ranges::for_each(racks.at(rack), [&](const std::string& other) { cluster.process(other).kill(); });
+        std::this_thread::sleep_for(rackAway);
+        startRack(rack);
+    }
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000aa") == "done"; })) << state("00000000000000aa");
+}
+
 // Guards against crashes that are forgotten when the leader is killed between them, and when all control nodes start
 // anew.
 TEST_F(PlatformTest, CrashesOfATaskAreCountedAcrossLeadersAndRestarts)
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -20,6 +20,7 @@
 struct StandinExecutorOptions {
     std::string id = "i-1";
     std::string service = "pool";
+    std::string rack = "r1";
     base::Endpoint listen { "127.0.0.1", 0 };
     /// Address that it reports, such as that of a proxy; its own for port 0.
     base::Endpoint advertise { "127.0.0.1", 0 };
