Count crashes of workers against runs of any age

Cause: only runs in their first second were suspected of a crash. Class: a bound that holds in a window only.

Each run that may have been executing is a suspect (jobs::suspectsOf), except long-running ones past their first second, which are never given up. A late crash counts but is never attributed, so that four give a task up, as before for tasks that never ran alone. A new run is no longer attributed a crash beside an older one of another job that has a crash on record. Suspects are spread for as long as they run. No format of the replicated state changes.

Twins: isolation, which holds in the first second only; attempts and refusals have no window. What remains: in a pool with one worker a late deadly task and its neighbour can't be told apart, and both may be given up after four crashes.

--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -21,27 +21,44 @@
 /// A task with this many crashes starts where no run of another job is in its probation, and nothing else starts there
 /// during its own.
 inline constexpr std::uint32_t isolationCrashes = 2;
-/// A run that has executed for this long, counted from its accepted start, is not suspected of a crash.
+/// A run that has executed for this long, counted from its accepted start, is not the certain cause of a crash, though
+/// it may be the cause.
 inline constexpr base::Milliseconds crashProbation { 1'000 };
 /// Tasks whose crashes are counted at the same time.
 inline constexpr std::size_t maxCrashRecords = 20'000;
 /// Workers whose crash is not proven yet; beyond that the oldest is forgotten.
 inline constexpr std::size_t maxUnconfirmedCrashes = 1'000;
 
-/// A run that may have been executing, in its probation, when its worker crashed.
+/// A run that may have been executing when its worker crashed.
 struct CrashedRun {
     TaskKey task;
     std::uint32_t run = 0;
-    /// Whether no run of another job can have caused the crash.
+    /// Whether it was in its probation, and nothing points to a run of another job.
     bool isAttributed = false;
 
     bool operator==(const CrashedRun&) const = default;
 };
 
+/// What is known of a run that may have been executing when its worker crashed.
+struct RunAtCrash {
+    TaskKey task;
+    std::uint32_t run = 0;
+    bool mayBeInProbation = false;
+    /// Whether this leader saw its start accepted, so that its age is known.
+    bool isStartKnown = false;
+    /// Whether crashes stand against its task already.
+    bool hasCrashes = false;
+};
+
+/// Returns the suspects of a crash. Each run may be the cause, whatever its age. The runs in their probation are
+/// attributed the crash if all are of one job, with starts that are known, and no other run there has a task with
+/// crashes.
+std::vector<CrashedRun> suspectsOf(const std::vector<RunAtCrash>& runs);
+
 /// The crashes of workers that stand against a task.
 struct TaskCrashes {
     std::uint32_t crashes = 0;
-    /// Those that no run of another job can have caused.
+    /// Those that were attributed to it.
     std::uint32_t attributed = 0;
     /// The run that was counted last.
     std::uint32_t lastRun = 0;
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -296,7 +296,7 @@
 
 void Leader::logCrash(const jobs::RecordCrash& crash)
 {
-    const bool isAttributed = crash.runs.front().isAttributed;
+    const bool isAttributed = std::ranges::any_of(crash.runs, &jobs::CrashedRun::isAttributed);
     m_log.warning("worker_crash",
         { { "worker", crash.worker }, { "incarnation", crash.incarnation }, { "confirmed", crash.isConfirmed },
             { "suspects", crash.runs.size() }, { "tasks", suspectNames(crash.runs) }, { "attributed", isAttributed } });
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace crocuscove::control {
 
@@ -450,7 +451,7 @@
     }
 }
 
-bool WorkerSession::isSuspect(const jobs::TaskKey& key) const
+bool WorkerSession::mayHaveExecuted(const jobs::TaskKey& key) const
 {
     if (!m_answeredAt) {
         // An earlier leader may have started what is assigned.
@@ -460,10 +461,14 @@
     if (order == m_orders.end() || order->second.phase == OrderPhase::Settled) {
         return false;
     }
-    if (order->second.phase == OrderPhase::Started) {
-        return *m_aliveAt - order->second.since < jobs::crashProbation;
-    }
-    return order->second.wasSent;
+    return order->second.phase == OrderPhase::Started || order->second.wasSent;
+}
+
+bool WorkerSession::mayBeInProbation(const jobs::TaskKey& key) const
+{
+    const auto order = m_orders.find(key);
+    const bool isStarted = order != m_orders.end() && order->second.phase == OrderPhase::Started;
+    return !isStarted || !m_aliveAt || *m_aliveAt - order->second.since < jobs::crashProbation;
 }
 
 std::optional<jobs::RecordCrash> WorkerSession::crash(bool isConfirmed) const
@@ -472,23 +477,23 @@
     if (current == nullptr || current->report.isDraining || m_hooks.isReserved(m_id)) {
         return std::nullopt;
     }
-    jobs::RecordCrash record { m_id, m_incarnation, {}, isConfirmed, base::wallNow().time_since_epoch().count() };
+    std::vector<jobs::RunAtCrash> runs;
     for (const jobs::TaskKey& key : m_state.tasksOf(m_number)) {
         const jobs::Job& job = *m_state.findJob(key.job);
-        if (job.isActive() && isSuspect(key)) {
-            record.runs.push_back({ key, job.find(key)->run, false });
+        const bool isYoung = mayBeInProbation(key);
+        // A long-running task is not given up, so that one that has proven itself needs no count.
+        if (!job.isActive() || !mayHaveExecuted(key) || (!isYoung && job.spec.steps[key.step].isLongRunning)) {
+            continue;
         }
+        const auto order = m_orders.find(key);
+        const bool isStartKnown = order != m_orders.end() && order->second.wasAccepted;
+        runs.push_back({ key, job.find(key)->run, isYoung, isStartKnown, m_state.crashes().contains(key) });
     }
-    if (record.runs.empty()) {
+    if (runs.empty()) {
         return std::nullopt;
     }
-    const bool isAttributed = std::ranges::all_of(record.runs, [&](const jobs::CrashedRun& run) {
-        const auto order = m_orders.find(run.task);
-        // Whether a start that got no answer has run isn't known, nor how long a run of an earlier leader has.
-        return run.task.job == record.runs.front().task.job && order != m_orders.end() && order->second.wasAccepted;
-    });
-    std::ranges::for_each(record.runs, [&](jobs::CrashedRun& run) { run.isAttributed = isAttributed; });
-    return record;
+    const std::int64_t nowMs = base::wallNow().time_since_epoch().count();
+    return jobs::RecordCrash { m_id, m_incarnation, jobs::suspectsOf(runs), isConfirmed, nowMs };
 }
 
 std::optional<jobs::WorkerContact> WorkerSession::contact() const
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -77,7 +77,7 @@
     /// Tells whether an assigned task is known to have started here.
     [[nodiscard]] bool hasStarted(const jobs::TaskKey& task) const;
     /// Returns what the end of this incarnation without notice counts against, or nothing if the end was planned or
-    /// nothing in its probation can have been executing.
+    /// nothing can have been executing that may be given up.
     [[nodiscard]] std::optional<jobs::RecordCrash> crash(bool isConfirmed) const;
     /// Returns since when the worker is silent, or nothing if its end was planned.
     [[nodiscard]] std::optional<jobs::WorkerContact> contact() const;
@@ -162,8 +162,10 @@
     void probeLeave();
     void onLeaveProbed(const http::ExchangeResult& result);
     void remove(std::string_view reason, RemovalCause cause);
-    /// Tells whether a run may have been executing, for less than the probation time, when the worker crashed.
-    [[nodiscard]] bool isSuspect(const jobs::TaskKey& key) const;
+    /// Tells whether a run may have been executing when the worker crashed.
+    [[nodiscard]] bool mayHaveExecuted(const jobs::TaskKey& key) const;
+    /// Tells whether a run that may have been executing may have done so for less than the probation time.
+    [[nodiscard]] bool mayBeInProbation(const jobs::TaskKey& key) const;
     void release(const jobs::TaskKey& key, std::uint32_t run, std::string_view reason);
     [[nodiscard]] jobs::ClaimPhase claimPhase(const jobs::TaskKey& key, std::uint32_t run) const;
     /// Returns the starts that still fit, if what is assigned exceeds the worker's capacity.
--- /dev/null
+++ b/src/crocuscove/jobs/crash.cpp
@@ -0,0 +1,22 @@
+#include "crocuscove/jobs/crash.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace crocuscove::jobs {
+
+std::vector<CrashedRun> suspectsOf(const std::vector<RunAtCrash>& runs)
+{
+    const auto newest = std::ranges::find_if(runs, &RunAtCrash::mayBeInProbation);
+    const bool isOnlySuspect = newest != runs.end() && std::ranges::all_of(runs, [&](const RunAtCrash& run) {
+        const bool isOfJob = run.task.job == newest->task.job;
+        return run.mayBeInProbation ? isOfJob && run.isStartKnown : isOfJob || !run.hasCrashes;
+    });
+    std::vector<CrashedRun> result;
+    std::ranges::transform(runs, std::back_inserter(result), [&](const RunAtCrash& run) {
+        return CrashedRun { run.task, run.run, isOnlySuspect && run.mayBeInProbation };
+    });
+    return result;
+}
+
+} // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -22,7 +22,7 @@
 /// Share of a worker's processor that long-running tasks may use before another worker is preferred.
 constexpr double maxLongRunningUtilisation = 0.5;
 
-/// Cost of each run on a worker that is suspected of crashes and in its probation, for another such run.
+/// Cost of each run on a worker that is suspected of crashes, for another such run.
 constexpr double suspectPenalty = 2.0;
 /// Share of a service's workers, at least one worker, that may be kept free for tasks that must start alone.
 constexpr double maxKeptShare = 0.25;
@@ -32,7 +32,7 @@
 /// Share of a service's workers, at least one worker, on which room may be held for long-running tasks.
 constexpr double maxHeldShare = 0.5;
 
-/// Runs in their probation that are suspected of crashes, on one worker.
+/// Runs that are suspected of crashes, on one worker: those in their probation, and all that don't last.
 struct Suspects {
     std::uint32_t count = 0;
     /// The job whose run must be alone there, if one does.
@@ -382,7 +382,8 @@
                 || !isAllowed(spec, candidate, perWorker)) {
                 continue;
             }
-            const std::tuple cost { unprovenMs(candidate, key.job), candidate.penalty };
+            const std::tuple cost { unprovenMs(candidate, key.job),
+                candidate.penalty + suspectPenalty * candidate.suspects.count };
             if (best == nullptr || cost < bestCost) {
                 best = &candidate;
                 bestCost = cost;
@@ -428,10 +429,11 @@
         }
         const Worker* worker = task->phase == TaskPhase::Assigned ? view.state.findWorker(task->worker) : nullptr;
         const Queue* queue = view.state.findQueue(job->queue);
-        if (worker != nullptr && view.unprovenMs(*worker, key) > 0) {
+        if (worker != nullptr) {
+            const bool isUnproven = view.unprovenMs(*worker, key) > 0;
             Suspects& suspects = result.suspects[worker->number];
-            ++suspects.count;
-            suspects.isolatedJob = isIsolated ? key.job : suspects.isolatedJob;
+            suspects.count += isUnproven || !job->spec.steps[key.step].isLongRunning ? 1 : 0;
+            suspects.isolatedJob = isIsolated && isUnproven ? key.job : suspects.isolatedJob;
         } else if (isIsolated && task->phase == TaskPhase::Waiting && queue != nullptr
             && !job->spec.steps[key.step].isGang && job->isStepReady(key.occurrence, key.step)
             && job->spec.dueMs(key.occurrence) <= view.nowMs) {
--- a/src/crocuscove/jobs/scheduler_test.cpp
+++ b/src/crocuscove/jobs/scheduler_test.cpp
@@ -327,6 +327,29 @@
     EXPECT_EQ(plan().size(), 2U) << "a task with one crash does not wait";
 }
 
+// Guards against suspects of a late crash that start beside each other, so that both are on the next worker that it
+// takes down.
+TEST_F(SchedulerTest, SuspectsAreSpreadForAsLongAsTheyRun)
+{
+    for (const JobId job : { 1, 2, 3 }) {
+        m_state.apply(accept(job, { step(1) }));
+    }
+    crashUnder({ 1, 0, 0, 0 }, 1);
+    crashUnder({ 2, 0, 0, 0 }, 1);
+    crashUnder({ 3, 0, 0, 0 }, 2);
+    m_state.apply(assign({ 1, 0, 0, 0 }, 2, number("w1")));
+    const auto assignments = plan();
+    EXPECT_EQ(workersOf(assignments).size(), 2U);
+    EXPECT_FALSE(workersOf(assignments).contains(number("w1"))) << "its probation has ended";
+    StepSpec lasting = step(1);
+    lasting.isLongRunning = true;
+    m_state.apply(accept(4, { lasting }));
+    crashUnder({ 4, 0, 0, 0 }, 1);
+    m_state.apply(assign({ 4, 0, 0, 0 }, 2, number("w2")));
+    m_unusable = { "w1" };
+    EXPECT_EQ(workerOf(plan(), { 3, 0, 0, 0 }), number("w2")) << "one that lasts and has proven itself is no neighbour";
+}
+
 // Guards against a task with two crashes that starts where another job's run is in its probation, or another's that
 // starts beside it.
 TEST_F(SchedulerTest, ATaskWithTwoCrashesStartsAlone)
--- a/tests/commands/standin_executor.cpp
+++ b/tests/commands/standin_executor.cpp
@@ -31,6 +31,8 @@
         integerSetting("late-order-delay-ms", "delay of such orders", 0, 60'000, options.lateOrderDelayMs),
         integerSetting("crash-after-late-order-ms", "time from the first such order to a crash, 0 for none", 0, 60'000,
             options.crashAfterLateOrderMs),
+        integerSetting("crash-delay-ms", "time from the start of a task until it crashes the worker", 0, 60'000,
+            options.crashDelayMs),
         integerSetting("crash-ms", "time away after a crash", 1, 60'000, options.crashMs),
         switchSetting("renames-after-crash", "come back under another id after a crash", options.renamesAfterCrash),
         switchSetting("odd-rows", "list rows of another writer among its runs", options.hasOddRows),
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -179,6 +179,25 @@
     expectNoTaskTwice();
 }
 
+// Guards against a task without a bound because it crashes its workers long after its start, and against a job that is
+// given up because it ran beside it.
+TEST_F(PlatformTest, ATaskThatCrashesItsWorkersLateIsGivenUp)
+{
+    ASSERT_TRUE(configure());
+    for (const char* worker : { "w1", "w2", "w3" }) {
+        startWorker(worker, { flag("crash-delay-ms", 2'500) });
+    }
+    submit("00000000000000bb", lasting);
+    submit("0000000000000001", R"({"spec":"6000","steps":[{"count":2,"cpu":1000,"memMb":64}]})");
+    ASSERT_TRUE(waitUntil([&] { return starts("00000000000000bb.0.0.1") == 1; }));
+    submit("00000000000000dd", deadly);
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000dd") == "failed"; }));
+    EXPECT_LE(startsAfterCrashes("00000000000000dd.0.0.1", 3), maxStartsAfterThreeCrashes);
+    EXPECT_TRUE(waitUntil([&] { return state("0000000000000001") == "done"; })) << state("0000000000000001");
+    EXPECT_EQ(state("00000000000000bb"), "running");
+    expectNoTaskTwice();
+}
+
 // Guards against crashes that are not counted because each worker comes back under another id, at its address.
 TEST_F(PlatformTest, ATaskIsGivenUpAlsoWhenCrashedWorkersComeBackUnderOtherIds)
 {
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -11,8 +11,6 @@
 
 constexpr base::Milliseconds leaseCheckInterval { 50 };
 constexpr base::Milliseconds reportTimeout { 1'000 };
-/// A task that crashes its worker does so this long after its start.
-constexpr base::Milliseconds crashDelay { 10 };
 /// Starts that were on their way when a smaller capacity was noted arrive within this time.
 constexpr base::Milliseconds capacityGrace { 300 };
 
@@ -206,7 +204,8 @@
     Run& entry = m_running[task];
     entry.number = run;
     if (isDeadly(payload, task)) {
-        m_crashTimer = m_loop.runAt(base::monotonicNow() + crashDelay, [this, task, run] { crash(task, run); });
+        m_crashTimer = m_loop.runAt(
+            base::monotonicNow() + base::Milliseconds(m_options.crashDelayMs), [this, task, run] { crash(task, run); });
     } else if (runMs > 0) {
         entry.end = m_loop.runAt(base::monotonicNow() + base::Milliseconds(runMs), [this, task] { end(task, "done"); });
     }
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -50,6 +50,8 @@
     std::int64_t lateOrderDelayMs = 0;
     /// It crashes this long after the first such order, which its next life carries out; 0 for a worker that doesn't.
     std::int64_t crashAfterLateOrderMs = 0;
+    /// A task that crashes its worker does so this long after its start.
+    std::int64_t crashDelayMs = 10;
     /// How long it neither answers nor reports after a task has crashed it.
     std::int64_t crashMs = 500;
     /// It comes back from a crash under another id.
