Let no task that can't be placed hold up a wave

Change: decideClosing() and mayAllBeInterrupted(), pure, beside the count: what waits must not lose a place, and only tasks that may all be away come back with their VM. The service of a drained VM is kept with the drain. A run time below 100 ms counts as 100 ms in the forecast. Tests: LongRunningPlacesTest.ATaskWithoutAnyPlaceHoldsUpNoMaintenance, ...ATaskThatWaitsKeepsItsPlace, ...OnlyTasksThatMayAllBeAwayAreInterrupted (new functions, so that they had no earlier code to fail on); PlatformMaintenanceTest and the four other tests of waves pass.

--- a/include/crocuscove/jobs/long_running_places.h
+++ b/include/crocuscove/jobs/long_running_places.h
@@ -34,4 +34,21 @@
 /// Packs the tasks by first fit, the largest first, so that it may count a task too many.
 WithoutPlace countWithoutPlace(const PlacesView& view);
 
+/// Whether a worker may be closed for new tasks, so that its VM can be maintained.
+enum class Closing : std::uint8_t {
+    /// The long-running tasks of the service have places elsewhere.
+    WithPlaces,
+    /// Some haven't, and come back with the VM.
+    WithoutPlaces,
+    No,
+};
+
+/// Decides from what has no place with the worker open and with it closed. `mayReturn` tells whether its tasks may all
+/// be away until the VM is back, without another VM of the service away. A task that waits never loses a place; one
+/// that has none either way holds up nothing.
+Closing decideClosing(const WithoutPlace& open, const WithoutPlace& closed, bool mayReturn);
+
+/// Returns whether all long-running tasks on a worker may be interrupted at the same time.
+bool mayAllBeInterrupted(const FleetState& state, WorkerNumber worker);
+
 } // namespace crocuscove::jobs
--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -88,6 +88,7 @@
             Drain drain;
             drain.wave = id;
             drain.workerId = lastWorkerId(vm);
+            drain.service = serviceOf(drain.workerId);
             drain.startedAt = now;
             drain.isUncertain = true;
             m_log.info("vm_order_unsettled", { { "wave", id }, { "vm", vm }, { "worker", drain.workerId } });
@@ -99,7 +100,11 @@
 std::string WaveRunner::lastWorkerId(const std::string& vm) const
 {
     const auto listed = m_directory.vms().find(vm);
-    return listed == m_directory.vms().end() ? m_absences.at(vm).lastWorkerId : listed->second.workerId;
+    if (listed != m_directory.vms().end()) {
+        return listed->second.workerId;
+    }
+    const auto absence = m_absences.find(vm);
+    return absence == m_absences.end() ? std::string() : absence->second.lastWorkerId;
 }
 
 std::size_t WaveRunner::downVms(const jobs::Wave& wave) const
@@ -200,15 +205,16 @@
         Drain drain;
         drain.wave = wave.id;
         drain.workerId = lastWorkerId(id);
-        const std::string service = serviceOf(drain);
-        const Closing closing = fullServices.contains(service) ? Closing::No : mayClose(drain.workerId, now);
-        if (closing == Closing::No) {
+        drain.service = serviceOf(drain.workerId);
+        const jobs::Closing closing
+            = fullServices.contains(drain.service) ? jobs::Closing::No : mayClose(drain.workerId, now);
+        if (closing == jobs::Closing::No) {
             // The next candidates of the service have as many long-running tasks, or more.
-            fullServices.insert(service);
+            fullServices.insert(drain.service);
             continue;
         }
         drain.startedAt = now;
-        drain.isWithoutPlace = closing == Closing::WithoutPlaces;
+        drain.isWithoutPlace = closing == jobs::Closing::WithoutPlaces;
         m_drains.emplace(id, drain);
         ++emptying;
         m_log.info("vm_drain",
@@ -299,9 +305,9 @@
     return isEmpty && longRunning.empty();
 }
 
-std::string WaveRunner::serviceOf(const Drain& drain) const
+std::string WaveRunner::serviceOf(const std::string& workerId) const
 {
-    const jobs::Worker* worker = m_cluster.state().findWorker(drain.workerId);
+    const jobs::Worker* worker = m_cluster.state().findWorker(workerId);
     return worker == nullptr ? std::string() : worker->report.service;
 }
 
@@ -318,20 +324,17 @@
     return jobs::countWithoutPlace({ m_cluster.state(), service, base::wallNow().time_since_epoch().count(), isOpen });
 }
 
-WaveRunner::Closing WaveRunner::mayClose(const std::string& workerId, base::MonotonicTime now) const
+jobs::Closing WaveRunner::mayClose(const std::string& workerId, base::MonotonicTime now) const
 {
     const jobs::Worker* worker = m_cluster.state().findWorker(workerId);
     if (worker == nullptr) {
-        return Closing::WithPlaces;
+        return jobs::Closing::WithPlaces;
     }
     const std::string& service = worker->report.service;
-    const std::size_t before = countWithoutPlace(service, now).total();
-    if (countWithoutPlace(service, now, { workerId, {} }).total() <= before) {
-        return Closing::WithPlaces;
-    }
     const bool isOnlyOne
-        = std::ranges::none_of(m_drains, [&](const auto& entry) { return serviceOf(entry.second) == service; });
-    return isOnlyOne && before == 0 ? Closing::WithoutPlaces : Closing::No;
+        = std::ranges::none_of(m_drains, [&](const auto& entry) { return entry.second.service == service; });
+    return jobs::decideClosing(countWithoutPlace(service, now), countWithoutPlace(service, now, { workerId, {} }),
+        isOnlyOne && jobs::mayAllBeInterrupted(m_cluster.state(), worker->number));
 }
 
 // Otherwise a VM could stay closed for a task there that may not be interrupted while others of its step are away, and
@@ -342,7 +345,7 @@
     std::map<std::string, std::size_t> waitingByService;
     for (auto entry = m_drains.begin(); entry != m_drains.end();) {
         const Drain& drain = entry->second;
-        const std::string service = serviceOf(drain);
+        const std::string& service = drain.service;
         const bool isAwaited = drain.isWithoutPlace && now - drain.startedAt < returnPatience;
         if (drain.mayBeDown() || isAwaited || service.empty()) {
             ++entry;
@@ -354,7 +357,7 @@
         }
         const std::size_t reopened
             = waiting->second == 0 ? 0 : countWithoutPlace(service, now, { {}, drain.workerId }).waiting;
-        if (reopened == waiting->second) {
+        if (reopened >= waiting->second) {
             ++entry;
             continue;
         }
--- a/src/crocuscove/control/wave_runner.h
+++ b/src/crocuscove/control/wave_runner.h
@@ -43,6 +43,8 @@
     struct Drain {
         std::uint64_t wave = 0;
         std::string workerId;
+        /// The service of its worker; empty if there was none.
+        std::string service;
         base::MonotonicTime startedAt;
         /// Its long-running tasks have no place elsewhere and come back with the VM.
         bool isWithoutPlace = false;
@@ -70,20 +72,13 @@
         std::string reopened;
     };
 
-    /// Returns the service of the worker on a VM that is emptied; empty if there is none.
-    [[nodiscard]] std::string serviceOf(const Drain& drain) const;
+    /// Returns the service of a worker; empty if there is no such worker.
+    [[nodiscard]] std::string serviceOf(const std::string& workerId) const;
     /// Counts the long-running tasks of a service that have no place on the workers that take new tasks.
     [[nodiscard]] jobs::WithoutPlace countWithoutPlace(
         const std::string& service, base::MonotonicTime now, const Change& change = {}) const;
-    enum class Closing {
-        /// The long-running tasks of the service have places elsewhere.
-        WithPlaces,
-        /// Some haven't, but no other VM of the service is closed, so that they can come back with this one.
-        WithoutPlaces,
-        No,
-    };
     /// Tells whether a worker may be closed for new tasks.
-    [[nodiscard]] Closing mayClose(const std::string& workerId, base::MonotonicTime now) const;
+    [[nodiscard]] jobs::Closing mayClose(const std::string& workerId, base::MonotonicTime now) const;
     /// Gives up drains whose VMs are needed by long-running tasks that wait.
     void reopenNeeded(base::MonotonicTime now);
     /// Removes the workers of VMs whose maintenance has begun by the list, and drops what is back.
--- a/src/crocuscove/jobs/long_running_places.cpp
+++ b/src/crocuscove/jobs/long_running_places.cpp
@@ -127,4 +127,21 @@
 
 WithoutPlace countWithoutPlace(const PlacesView& view) { return Packer(view).pack(); }
 
+Closing decideClosing(const WithoutPlace& open, const WithoutPlace& closed, bool mayReturn)
+{
+    if (closed.total() <= open.total()) {
+        return Closing::WithPlaces;
+    }
+    return mayReturn && closed.waiting <= open.waiting ? Closing::WithoutPlaces : Closing::No;
+}
+
+bool mayAllBeInterrupted(const FleetState& state, WorkerNumber worker)
+{
+    std::map<StepKey, std::uint32_t> perStep;
+    return std::ranges::all_of(state.tasksOf(worker), [&](const TaskKey& key) {
+        const StepSpec& spec = state.findJob(key.job)->spec.steps[key.step];
+        return !spec.isLongRunning || ++perStep[stepOf(key)] <= std::max(1U, spec.mayInterrupt);
+    });
+}
+
 } // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/long_running_places_test.cpp
+++ b/src/crocuscove/jobs/long_running_places_test.cpp
@@ -86,5 +86,44 @@
     EXPECT_EQ(count({ "w3" }).waiting, 2U) << "one more of the limited step fits on w2";
 }
 
+// Guards against a wave that never goes on because a task waits that no worker could hold.
+TEST_F(LongRunningPlacesTest, ATaskWithoutAnyPlaceHoldsUpNoMaintenance)
+{
+    m_state.apply(accept(1, { lasting(3, 3000) }));
+    start({ 1, 0, 0, 0 }, "w1");
+    start({ 1, 0, 0, 1 }, "w2");
+    start({ 1, 0, 0, 2 }, "w3");
+    m_state.apply(accept(2, { lasting(1, 5000) }));
+    EXPECT_EQ(decideClosing(count({}), count({ "w1" }), true), Closing::WithoutPlaces);
+    EXPECT_EQ(decideClosing(count({}), count({ "w1" }), false), Closing::No);
+}
+
+// Guards against maintenance that takes the place of a task that waits.
+TEST_F(LongRunningPlacesTest, ATaskThatWaitsKeepsItsPlace)
+{
+    m_state.apply(accept(1, { lasting(3, 3000) }));
+    start({ 1, 0, 0, 0 }, "w1");
+    start({ 1, 0, 0, 1 }, "w2");
+    EXPECT_EQ(decideClosing(count({}), count({ "w3" }), true), Closing::No);
+    m_state.apply(CancelJob { 1, 1000 });
+    EXPECT_EQ(decideClosing(count({}), count({ "w3" }), false), Closing::WithPlaces);
+}
+
+// Guards against a VM that is closed and opened in turn, as one of its tasks may not be away while the other is.
+TEST_F(LongRunningPlacesTest, OnlyTasksThatMayAllBeAwayAreInterrupted)
+{
+    StepSpec pair = lasting(2, 1000);
+    m_state.apply(accept(1, { pair }));
+    start({ 1, 0, 0, 0 }, "w1");
+    EXPECT_TRUE(mayAllBeInterrupted(m_state, m_state.findWorker("w1")->number));
+    start({ 1, 0, 0, 1 }, "w1");
+    EXPECT_FALSE(mayAllBeInterrupted(m_state, m_state.findWorker("w1")->number));
+    pair.mayInterrupt = 2;
+    m_state.apply(accept(2, { pair }));
+    start({ 2, 0, 0, 0 }, "w2");
+    start({ 2, 0, 0, 1 }, "w2");
+    EXPECT_TRUE(mayAllBeInterrupted(m_state, m_state.findWorker("w2")->number));
+}
+
 } // namespace
 } // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/queue_head.cpp
+++ b/src/crocuscove/jobs/queue_head.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <map>
 #include <optional>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -63,9 +62,15 @@
 {
     for (const auto& [queueName, jobs] : index) {
         const Queue* queue = state.findQueue(queueName);
-        if (queue != nullptr) {
-            std::ranges::for_each(
-                jobs | std::views::take(maxJobsPerQueue), [&](JobId id) { visit(*queue, *state.findJob(id)); });
+        if (queue == nullptr) {
+            continue;
+        }
+        std::size_t visited = 0;
+        for (const JobId id : jobs) {
+            if (++visited > maxJobsPerQueue) {
+                break;
+            }
+            visit(*queue, *state.findJob(id));
         }
     }
 }
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -31,6 +31,8 @@
 
 /// Share of a service's workers, at least one worker, on which room may be held for long-running tasks.
 constexpr double maxHeldShare = 0.5;
+/// A run time below this, in milliseconds, is taken for an estimate that wasn't given.
+constexpr std::int64_t shortestForecastMs = 100;
 
 /// Runs that are suspected of crashes, on one worker: those in their probation, and all that don't last.
 struct Suspects {
@@ -87,7 +89,8 @@
         if (!job.isActive()) {
             result.push_back({ spec.reservation(), 0 });
         } else if (!spec.isLongRunning) {
-            const std::int64_t expectedMs = view.runTimes.expectedMs(job.queue, spec.estimateMs);
+            const std::int64_t expectedMs
+                = std::max(shortestForecastMs, view.runTimes.expectedMs(job.queue, spec.estimateMs));
             result.push_back({ spec.reservation(), expectedRestMs(expectedMs, view.ranMs(worker, key)) });
         }
     }
