--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -282,12 +282,12 @@
     }
     const bool isPatient = now - drain.startedAt < drainPatience;
     bool isEmpty = true;
-    std::vector<jobs::TaskKey> longRunning;
+    std::vector<jobs::TaskKey> longRunningTasks;
     for (const jobs::TaskKey& key : state.tasksOf(worker->number)) {
         const jobs::Job& job = *state.findJob(key.job);
         const jobs::StepSpec& step = job.spec.steps[key.step];
         if (step.isLongRunning) {
-            longRunning.push_back(key);
+            longRunningTasks.push_back(key);
         } else if (isPatient) {
             isEmpty = false;
         } else if (step.hasCheckpoints) {
@@ -296,13 +296,13 @@
         }
     }
     if (isEmpty && mayOrder) {
-        for (const jobs::TaskKey& key : longRunning) {
+        for (const jobs::TaskKey& key : longRunningTasks) {
             if (mayInterrupt(key)) {
                 session->stop(key, state.findJob(key.job)->find(key)->run, "vm-drain");
             }
         }
     }
-    return isEmpty && longRunning.empty();
+    return isEmpty && longRunningTasks.empty();
 }
 
 std::string WaveRunner::serviceOf(const std::string& workerId) const
