Share the budget of a plan among the services

Cause: a plan assigns 400 tasks at most, and went through the services in the order of their names, so that a backlog of tens of thousands of jobs in an earlier one used up each plan. Class: what ranks first gets no room, as room is given away piece by piece; here the room in a plan. Change: a plan takes the long-running tasks of all services first, then gives each service an equal share, then hands on what is left. Evidence: SchedulerTest.ABacklogOfOneServiceHoldsUpNoOther failed before (neither the long-running nor the other task of the second service was planned) and passes.

--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -5,6 +5,7 @@
 #include "crocuscove/jobs/room_forecast.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -406,6 +407,19 @@
     std::size_t& m_budget;
 };
 
+/// The jobs of one service in the order in which they are placed.
+struct ServiceQueue {
+    explicit ServiceQueue(ServicePlanner servicePlanner)
+        : planner(std::move(servicePlanner))
+    {
+    }
+
+    ServicePlanner planner;
+    std::vector<Waiting> ranked;
+    /// The first job that isn't planned yet. A job that the budget cut short is left to the next plan.
+    std::size_t next = 0;
+};
+
 struct QueuedJob {
     const Job* job = nullptr;
     const Queue* queue = nullptr;
@@ -497,6 +511,8 @@
 
 } // namespace
 
+// The budget of a plan is shared, so that a service with a long backlog doesn't keep the others from starting anything:
+// long-running tasks of all services come first, then each service has an equal share, then what is left goes round.
 AssignmentPlan planAssignments(const SchedulingView& view, std::size_t maxTasks)
 {
     AssignmentPlan plan;
@@ -504,17 +520,32 @@
     const JobsByService waitingJobs = waitingJobsByService(view);
     CrashView crashes = crashView(view);
     auto candidates = candidatesByService(view, waitingJobs, crashes);
-    for (auto& [service, workers] : candidates) {
-        ServicePlanner planner(view, std::move(workers), budget);
-        planner.planIsolated(crashes.isolatedByService[service], plan.commands);
-        for (const Waiting& entry : rankJobs(view, waitingJobs.at(service), planner.largestFree())) {
-            if (budget == 0) {
-                break;
-            }
-            planner.planJob(*entry.job, plan.commands);
+    std::vector<ServiceQueue> queues;
+    queues.reserve(candidates.size());
+    const auto planWhile = [&](ServiceQueue& queue, const std::function<bool(const Waiting&)>& isWanted) {
+        for (; budget > 0 && queue.next < queue.ranked.size() && isWanted(queue.ranked[queue.next]); ++queue.next) {
+            queue.planner.planJob(*queue.ranked[queue.next].job, plan.commands);
         }
-        std::ranges::copy(planner.heldRooms(), std::back_inserter(plan.held));
+    };
+    const auto isAny = [](const Waiting&) { return true; };
+    for (auto& [service, workers] : candidates) {
+        ServiceQueue& queue = queues.emplace_back(ServicePlanner(view, std::move(workers), budget));
+        queue.planner.planIsolated(crashes.isolatedByService[service], plan.commands);
+        queue.ranked = rankJobs(view, waitingJobs.at(service), queue.planner.largestFree());
+        planWhile(queue, [](const Waiting& entry) { return entry.rank.urgency == Urgency::LongRunning; });
     }
+    std::size_t unshared = std::exchange(budget, 0);
+    for (std::size_t number = 0; number < queues.size(); ++number) {
+        const std::size_t share = unshared / (queues.size() - number);
+        budget = share;
+        planWhile(queues[number], isAny);
+        unshared -= share - budget;
+    }
+    budget = unshared;
+    std::ranges::for_each(queues, [&](ServiceQueue& queue) {
+        planWhile(queue, isAny);
+        std::ranges::copy(queue.planner.heldRooms(), std::back_inserter(plan.held));
+    });
     return plan;
 }
 
--- a/src/crocuscove/jobs/scheduler_test.cpp
+++ b/src/crocuscove/jobs/scheduler_test.cpp
@@ -256,6 +256,33 @@
     EXPECT_GE(m_running.size(), 9U) << "the other workers go on";
 }
 
+// Guards against a service whose backlog uses up each plan, so that nothing starts in the services after it.
+TEST_F(SchedulerTest, ABacklogOfOneServiceHoldsUpNoOther)
+{
+    Configuration two = configuration(2);
+    two.queues.push_back(two.queues.front());
+    two.queues.back().name = "q2";
+    two.queues.back().pathPrefix = "/q2/";
+    two.queues.back().service = "other";
+    m_state.apply(PutConfiguration { two });
+    WorkerReport large = report("large");
+    large.service = "other";
+    large.capacity = { 1'000'000, 1'000'000, 0 };
+    m_state.apply(RecordWorker { large });
+    AcceptJob backlog = accept(1, { step(500) });
+    backlog.queue = "q2";
+    m_state.apply(backlog);
+    StepSpec lasting = step(1);
+    lasting.isLongRunning = true;
+    m_state.apply(accept(2, { lasting }));
+    m_state.apply(accept(3, { step(2) }));
+    const auto assignments = plan();
+    EXPECT_NE(workerOf(assignments, { 2, 0, 0, 0 }), 0U);
+    EXPECT_NE(workerOf(assignments, { 3, 0, 0, 1 }), 0U);
+    EXPECT_EQ(std::ranges::count(assignments, number("large"), &Assignment::worker), 49)
+        << "half of what the long-running task leaves of 100";
+}
+
 // Guards against room that is held where it is never used, and against tasks that stay out of what is left beside it.
 TEST_F(SchedulerTest, SmallerTasksUseWhatHeldRoomLeaves)
 {
