Have one check of whether a worker may run another task of a step

The scheduler, the count of places and the look at queue heads each had their own copy of the rule on the required label and the limit per worker. isAllowedOn() beside the step's types serves all three; nothing is decided otherwise. The comment on findQueueHeads() said that the limit of 256 jobs a queue holds for jobs that end by themselves only; it holds for all.

--- a/include/crocuscove/jobs/job.h
+++ b/include/crocuscove/jobs/job.h
@@ -85,6 +85,14 @@
     [[nodiscard]] Task* find(const TaskKey& key);
 };
 
+/// Returns whether a worker that runs `running` tasks of a step has the label that the step requires and may run
+/// another of its tasks.
+[[nodiscard]] inline bool isAllowedOn(const Worker& worker, const StepSpec& step, std::uint32_t running)
+{
+    return (step.maxPerWorker == 0 || running < step.maxPerWorker)
+        && (step.requiredLabel.empty() || worker.hasLabel(step.requiredLabel));
+}
+
 CROCUSCOVE_FIELDS(TaskKey, v.job, v.occurrence, v.step, v.index)
 CROCUSCOVE_FIELDS(Task, v.phase, v.run, v.failures, v.worker, v.checkpoint)
 CROCUSCOVE_FIELDS(StepProgress, v.tasks, v.doneTasks, v.waitingTasks, v.gangFailures)
--- a/include/crocuscove/jobs/queue_head.h
+++ b/include/crocuscove/jobs/queue_head.h
@@ -42,7 +42,8 @@
 };
 
 /// Returns the head of the queue of each service that has a task that may start: the first one of its long-running
-/// jobs, which rank before all others, or else the first one of the jobs that it looks at, at most 256 of a queue.
+/// jobs, which rank before all others, or else the first one of the others. At most 256 jobs of a queue, those with the
+/// lowest ids, are looked at and counted in either case.
 std::vector<QueueHead> findQueueHeads(const SchedulingView& view);
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/long_running_places.cpp
+++ b/src/crocuscove/jobs/long_running_places.cpp
@@ -106,8 +106,7 @@
         const auto found = std::ranges::find_if(m_places, [&](const Place& place) {
             const auto count = place.perStep.find(claim.step);
             return spec.reservation().fitsInto(place.free)
-                && (spec.maxPerWorker == 0 || count == place.perStep.end() || count->second < spec.maxPerWorker)
-                && (spec.requiredLabel.empty() || place.worker->hasLabel(spec.requiredLabel));
+                && isAllowedOn(*place.worker, spec, count == place.perStep.end() ? 0 : count->second);
         });
         if (found == m_places.end()) {
             return false;
--- a/src/crocuscove/jobs/queue_head.cpp
+++ b/src/crocuscove/jobs/queue_head.cpp
@@ -77,12 +77,10 @@
 
 bool isAllowed(const Worker& worker, const Job& job, const TaskKey& key)
 {
-    const StepSpec& spec = job.spec.steps[key.step];
     const auto& tasks = job.occurrences[key.occurrence][key.step].tasks;
     const auto running = std::ranges::count_if(
         tasks, [&](const Task& task) { return task.phase == TaskPhase::Assigned && task.worker == worker.number; });
-    return (spec.requiredLabel.empty() || worker.hasLabel(spec.requiredLabel))
-        && (spec.maxPerWorker == 0 || running < static_cast<std::ptrdiff_t>(spec.maxPerWorker));
+    return isAllowedOn(worker, job.spec.steps[key.step], static_cast<std::uint32_t>(running));
 }
 
 /// Returns what a worker has for tasks that end by themselves.
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -336,8 +336,7 @@
     {
         const auto existing = perWorker.find(candidate.worker->number);
         const std::uint32_t count = existing == perWorker.end() ? 0 : existing->second;
-        return (spec.maxPerWorker == 0 || count < spec.maxPerWorker)
-            && (spec.requiredLabel.empty() || candidate.worker->hasLabel(spec.requiredLabel));
+        return isAllowedOn(*candidate.worker, spec, count);
     }
 
     static bool isKeptForOther(const Candidate& candidate, JobId job)
