Measure how long each part of the leader's work holds its loop

What a turn of the loop costs by cause was neither logged nor counted, so that hypotheses on a leader that falls silent could only be told apart by a profile.

--- a/src/crocuscove/control/fleet_manager.cpp
+++ b/src/crocuscove/control/fleet_manager.cpp
@@ -19,9 +19,11 @@
 }
 
 FleetManager::FleetManager(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster,
-    const jobs::RunTimes& runTimes, const SessionFinder& findSession, const WorkerPredicate& isHeld)
+    const jobs::RunTimes& runTimes, WorkTimes& workTimes, const SessionFinder& findSession,
+    const WorkerPredicate& isHeld)
     : m_cluster(cluster)
     , m_runTimes(runTimes)
+    , m_workTimes(workTimes)
     , m_client(loop, http::HttpClientOptions {})
     , m_pacer(tickInterval / 2, maxTickShare)
 {
@@ -55,8 +57,12 @@
     if (!m_parts->directory.askedAt()) {
         return;
     }
-    m_parts->waves.advance(now, [this](const std::string& vm) { return m_parts->moves.isMoving(vm); });
-    m_parts->moves.advance(m_runTimes, now, [this](const std::string& vm) { return m_parts->waves.isDraining(vm); });
+    m_workTimes.measure(Work::Maintenance,
+        [&] { m_parts->waves.advance(now, [this](const std::string& vm) { return m_parts->moves.isMoving(vm); }); });
+    m_workTimes.measure(Work::Pools, [&] {
+        m_parts->moves.advance(
+            m_runTimes, now, [this](const std::string& vm) { return m_parts->waves.isDraining(vm); });
+    });
     m_pacer.record(now, base::monotonicNow());
 }
 
--- a/src/crocuscove/control/fleet_manager.h
+++ b/src/crocuscove/control/fleet_manager.h
@@ -9,6 +9,7 @@
 #include "pool_mover.h"
 #include "vm_directory.h"
 #include "wave_runner.h"
+#include "work_times.h"
 
 #include <memory>
 #include <string>
@@ -20,7 +21,8 @@
 public:
     /// `isHeld` tells whether room is held on a worker for a long-running task.
     FleetManager(http::EventLoop& loop, const ControlOptions& options, const base::Log& log, Cluster& cluster,
-        const jobs::RunTimes& runTimes, const SessionFinder& findSession, const WorkerPredicate& isHeld);
+        const jobs::RunTimes& runTimes, WorkTimes& workTimes, const SessionFinder& findSession,
+        const WorkerPredicate& isHeld);
 
     /// Tells whether the VM of a worker is about to be taken away, so that nothing new starts there.
     [[nodiscard]] bool isReserved(const std::string& workerId) const;
@@ -44,6 +46,7 @@
 
     Cluster& m_cluster;
     const jobs::RunTimes& m_runTimes;
+    WorkTimes& m_workTimes;
     http::HttpClient m_client;
     base::WorkPacer m_pacer;
     std::unique_ptr<Parts> m_parts;
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -76,8 +76,9 @@
     , m_metrics(metrics)
     , m_cluster(cluster)
     , m_client(loop, workerClientOptions(options.maxDescriptors))
+    , m_workTimes(log, metrics)
     , m_fleet(
-          loop, options, log, cluster, m_runTimes,
+          loop, options, log, cluster, m_runTimes, m_workTimes,
           [this](jobs::WorkerNumber number) -> WorkerSession* {
               const auto session = m_sessions.find(number);
               return session == m_sessions.end() ? nullptr : session->second.get();
@@ -90,23 +91,29 @@
     , m_planPacer(planDelay, maxPlanShare)
     , m_queueHeads(log, metrics)
 {
-    syncSessions();
-    m_tickTimer = loop.runEvery(tickInterval, [this, lastForget = base::monotonicNow()]() mutable {
-        const auto now = base::monotonicNow();
-        schedulePlan();
-        m_pacer.adjust(m_cluster.state(), m_sessions, now);
-        if (m_cluster.hasLeadership(now)) {
-            m_queueHeads.report(schedulingView(now), now);
-        }
-        if (now - lastForget >= forgetInterval) {
-            lastForget = now;
-            forgetJobs();
-        }
-    });
+    m_workTimes.measure(Work::FollowLog, [this] { syncSessions(); });
+    m_tickDueAt = base::monotonicNow() + tickInterval;
+    m_forgetAt = base::monotonicNow() + forgetInterval;
+    m_tickTimer = loop.runEvery(tickInterval, [this] { tick(); });
 }
 
 Leader::~Leader() { *m_isAlive = false; }
 
+void Leader::tick()
+{
+    const auto now = base::monotonicNow();
+    m_workTimes.recordDelay(std::exchange(m_tickDueAt, now + tickInterval), now);
+    schedulePlan();
+    m_workTimes.measure(Work::Pacing, [&] { m_pacer.adjust(m_cluster.state(), m_sessions, now); });
+    if (m_cluster.hasLeadership(now)) {
+        m_workTimes.measure(Work::QueueHeads, [&] { m_queueHeads.report(schedulingView(now), now); });
+    }
+    if (now >= m_forgetAt) {
+        m_forgetAt = now + forgetInterval;
+        m_workTimes.measure(Work::ForgetJobs, [this] { forgetJobs(); });
+    }
+}
+
 void Leader::proposeCommand(jobs::Command command, std::function<void(bool)> callback)
 {
     m_cluster.propose(std::move(command), [callback = std::move(callback)](ProposalOutcome outcome) {
@@ -324,6 +331,12 @@
 }
 
 void Leader::onApplied(const std::vector<jobs::Command>& commands)
+{
+    m_workTimes.measure(Work::FollowLog, [&] { followLog(commands); });
+    schedulePlan();
+}
+
+void Leader::followLog(const std::vector<jobs::Command>& commands)
 {
     // No commands stand for a snapshot that was installed.
     if (commands.empty() || std::ranges::any_of(commands, changesWorkers)) {
@@ -337,7 +350,6 @@
             session->second->update();
         }
     });
-    schedulePlan();
 }
 
 std::uint64_t Leader::countWaitingJobs(const std::string& queue) const
@@ -397,7 +409,7 @@
     m_planTimer = m_loop.runAt(std::max(earliest, m_planPacer.nextAt()), [this] {
         m_isPlanWanted = false;
         const auto begin = base::monotonicNow();
-        plan();
+        m_workTimes.measure(Work::Plan, [this] { plan(); });
         m_planPacer.record(begin, base::monotonicNow());
     });
 }
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -12,6 +12,7 @@
 #include "fleet_manager.h"
 #include "pacer.h"
 #include "queue_head_reporter.h"
+#include "work_times.h"
 #include "worker_session.h"
 
 #include <cstdint>
@@ -56,6 +57,8 @@
     };
 
     [[nodiscard]] bool hasStarted(const jobs::Job& job) const;
+    void tick();
+    void followLog(const std::vector<jobs::Command>& commands);
     void syncSessions();
     /// Adds the workers whose orders may have changed with an applied command.
     void collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed);
@@ -82,6 +85,7 @@
     process::Metrics& m_metrics;
     Cluster& m_cluster;
     http::HttpClient m_client;
+    WorkTimes m_workTimes;
     std::map<jobs::WorkerNumber, std::unique_ptr<WorkerSession>> m_sessions;
     /// Workers whose crash was logged and counted, as confirmed or not: the session and a report may both tell of it.
     std::set<std::pair<jobs::WorkerNumber, bool>> m_loggedCrashes;
@@ -96,6 +100,8 @@
     std::map<jobs::TaskKey, jobs::WorkerNumber> m_heldRooms;
     bool m_isPlanning = false;
     bool m_isPlanWanted = false;
+    base::MonotonicTime m_tickDueAt;
+    base::MonotonicTime m_forgetAt;
     http::Timer m_planTimer;
     http::Timer m_tickTimer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
