Look at each worker once a round when VMs are closed for a wave

Cause: for each VM that a wave might close, WaveRunner packed all long-running tasks of the service twice, and each packing compared each worker with each VM that was closed already. A wave of 495 VMs, 191 at once, held the leader's loop for up to 1.2 s. It was deposed, and the next leader began again. Class: a decision whose cost grows with what exists, and not with what changes, on the loop that keeps leases.

Change: LongRunningPlaces packs a service's tasks once a round. Closing a worker then moves only the tasks that it takes from their place, and reopening one looks only at the tasks that wait without a place; all is packed anew for one decision a round at most. A round closes 32 VMs at most, and nothing is packed for reopening while no long-running task of the service waits.

--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -21,6 +21,8 @@
 /// A VM whose long-running tasks have no place elsewhere is opened for them again unless it was ordered by then. Longer
 /// than drainPatience, and so short that they run again within 6 s (RULES, LOST).
 constexpr base::Milliseconds returnPatience { 4'000 };
+/// The next VMs are closed in the next round, so that a large wave doesn't hold the loop.
+constexpr std::size_t maxClosingsPerRound = 32;
 /// A VM whose drain was given up stays open for so long.
 constexpr base::Milliseconds reopenedTime { 5'000 };
 
@@ -46,6 +48,7 @@
     if (!std::exchange(m_hasAdopted, true)) {
         adoptOrdered(now);
     }
+    updateReserved();
     reopenNeeded(now);
     m_dueWorkers.clear();
     for (const auto& [id, wave] : m_cluster.state().waves()) {
@@ -53,6 +56,7 @@
             advanceWave(wave, now, isMoving);
         }
     }
+    m_places.clear();
     updateReserved();
 }
 
@@ -197,8 +201,9 @@
         return;
     }
     std::set<std::string> fullServices;
+    std::size_t closed = 0;
     for (const std::string& id : drainCandidates(wave, isMoving)) {
-        if (emptying >= static_cast<std::ptrdiff_t>(wave.maxConcurrent)) {
+        if (emptying >= static_cast<std::ptrdiff_t>(wave.maxConcurrent) || closed >= maxClosingsPerRound) {
             return;
         }
         const auto listed = m_directory.vms().find(id);
@@ -207,7 +212,7 @@
         drain.workerId = lastWorkerId(id);
         drain.service = serviceOf(drain.workerId);
         const jobs::Closing closing
-            = fullServices.contains(drain.service) ? jobs::Closing::No : mayClose(drain.workerId, now);
+            = fullServices.contains(drain.service) ? jobs::Closing::No : close(drain.workerId, now);
         if (closing == jobs::Closing::No) {
             // The next candidates of the service have as many long-running tasks, or more.
             fullServices.insert(drain.service);
@@ -217,6 +222,7 @@
         drain.isWithoutPlace = closing == jobs::Closing::WithoutPlaces;
         m_drains.emplace(id, drain);
         ++emptying;
+        ++closed;
         m_log.info("vm_drain",
             { { "wave", wave.id }, { "vm", id }, { "worker", drain.workerId },
                 { "listed", listed != m_directory.vms().end() }, { "has_places", !drain.isWithoutPlace } });
@@ -311,20 +317,25 @@
     return worker == nullptr ? std::string() : worker->report.service;
 }
 
-jobs::WithoutPlace WaveRunner::countWithoutPlace(
-    const std::string& service, base::MonotonicTime now, const Change& change) const
+jobs::LongRunningPlaces& WaveRunner::placesOf(const std::string& service, base::MonotonicTime now)
 {
-    const auto isOpen = [&](const jobs::Worker& worker) {
-        const std::string& id = worker.report.id;
-        const WorkerSession* session = m_findSession(worker.number);
-        const bool isDrained = id != change.reopened
-            && std::ranges::any_of(m_drains, [&](const auto& entry) { return entry.second.workerId == id; });
-        return id != change.closed && !isDrained && session != nullptr && session->isUsable(now);
-    };
-    return jobs::countWithoutPlace({ m_cluster.state(), service, base::wallNow().time_since_epoch().count(), isOpen });
+    const auto known = m_places.find(service);
+    if (known != m_places.end()) {
+        return known->second;
+    }
+    jobs::PlacesView view { .state = m_cluster.state(),
+        .service = service,
+        .nowMs = base::wallNow().time_since_epoch().count(),
+        .isUsable =
+            [&](const jobs::Worker& worker) {
+                const WorkerSession* session = m_findSession(worker.number);
+                return session != nullptr && session->isUsable(now);
+            },
+        .isClosed = [this](const jobs::Worker& worker) { return m_reservedWorkers.contains(worker.report.id); } };
+    return m_places.emplace(service, jobs::LongRunningPlaces(view)).first->second;
 }
 
-jobs::Closing WaveRunner::mayClose(const std::string& workerId, base::MonotonicTime now) const
+jobs::Closing WaveRunner::close(const std::string& workerId, base::MonotonicTime now)
 {
     const jobs::Worker* worker = m_cluster.state().findWorker(workerId);
     if (worker == nullptr) {
@@ -333,8 +344,8 @@
     const std::string& service = worker->report.service;
     const bool isOnlyOne
         = std::ranges::none_of(m_drains, [&](const auto& entry) { return entry.second.service == service; });
-    return jobs::decideClosing(countWithoutPlace(service, now), countWithoutPlace(service, now, { workerId, {} }),
-        isOnlyOne && jobs::mayAllBeInterrupted(m_cluster.state(), worker->number));
+    return placesOf(service, now)
+        .close(worker->number, isOnlyOne && jobs::mayAllBeInterrupted(m_cluster.state(), worker->number));
 }
 
 // Otherwise a VM could stay closed for a task there that may not be interrupted while others of its step are away, and
@@ -342,34 +353,35 @@
 void WaveRunner::reopenNeeded(base::MonotonicTime now)
 {
     std::erase_if(m_openUntil, [now](const auto& entry) { return entry.second <= now; });
-    std::map<std::string, std::size_t> waitingByService;
     for (auto entry = m_drains.begin(); entry != m_drains.end();) {
         const Drain& drain = entry->second;
-        const std::string& service = drain.service;
         const bool isAwaited = drain.isWithoutPlace && now - drain.startedAt < returnPatience;
-        if (drain.mayBeDown() || isAwaited || service.empty()) {
-            ++entry;
-            continue;
-        }
-        const auto [waiting, isNew] = waitingByService.try_emplace(service, 0);
-        if (isNew) {
-            waiting->second = countWithoutPlace(service, now).waiting;
-        }
-        const std::size_t reopened
-            = waiting->second == 0 ? 0 : countWithoutPlace(service, now, { {}, drain.workerId }).waiting;
-        if (reopened >= waiting->second) {
+        if (drain.mayBeDown() || isAwaited || !reopenIfNeeded(entry->first, drain, now)) {
             ++entry;
             continue;
         }
-        m_log.info("vm_drain_given_up",
-            { { "wave", drain.wave }, { "vm", entry->first }, { "worker", drain.workerId },
-                { "without_place", waiting->second } });
-        waiting->second = reopened;
         m_openUntil[entry->first] = now + reopenedTime;
         entry = m_drains.erase(entry);
     }
 }
 
+bool WaveRunner::reopenIfNeeded(const std::string& vm, const Drain& drain, base::MonotonicTime now)
+{
+    const jobs::FleetState& state = m_cluster.state();
+    const jobs::Worker* worker = state.findWorker(drain.workerId);
+    if (worker == nullptr || !jobs::hasWaitingLongRunning(state, drain.service)) {
+        return false;
+    }
+    jobs::LongRunningPlaces& places = placesOf(drain.service, now);
+    const std::size_t waiting = places.withoutPlace().waiting;
+    if (!places.reopen(worker->number)) {
+        return false;
+    }
+    m_log.info("vm_drain_given_up",
+        { { "wave", drain.wave }, { "vm", vm }, { "worker", drain.workerId }, { "without_place", waiting } });
+    return true;
+}
+
 bool WaveRunner::mayInterrupt(const jobs::TaskKey& key) const
 {
     return jobs::mayInterrupt(
--- a/src/crocuscove/control/wave_runner.h
+++ b/src/crocuscove/control/wave_runner.h
@@ -66,21 +66,16 @@
         std::uint32_t listings = 0;
     };
 
-    /// A change of the workers that take new tasks, by worker id; empty for none.
-    struct Change {
-        std::string closed;
-        std::string reopened;
-    };
-
     /// Returns the service of a worker; empty if there is no such worker.
     [[nodiscard]] std::string serviceOf(const std::string& workerId) const;
-    /// Counts the long-running tasks of a service that have no place on the workers that take new tasks.
-    [[nodiscard]] jobs::WithoutPlace countWithoutPlace(
-        const std::string& service, base::MonotonicTime now, const Change& change = {}) const;
-    /// Tells whether a worker may be closed for new tasks.
-    [[nodiscard]] jobs::Closing mayClose(const std::string& workerId, base::MonotonicTime now) const;
+    /// Returns the places of the long-running tasks of a service, for this round.
+    jobs::LongRunningPlaces& placesOf(const std::string& service, base::MonotonicTime now);
+    /// Decides whether a worker may be closed for new tasks.
+    jobs::Closing close(const std::string& workerId, base::MonotonicTime now);
     /// Gives up drains whose VMs are needed by long-running tasks that wait.
     void reopenNeeded(base::MonotonicTime now);
+    /// Opens the VM's worker for the long-running tasks of its service if one that waits has a place only there.
+    bool reopenIfNeeded(const std::string& vm, const Drain& drain, base::MonotonicTime now);
     /// Removes the workers of VMs whose maintenance has begun by the list, and drops what is back.
     void settleOrdered();
     /// Gives up drains of VMs that now run another worker, or empties that one where an order may be carried out yet.
@@ -132,6 +127,8 @@
     std::map<std::string, Absence> m_absences;
     std::optional<base::MonotonicTime> m_countedListing;
     bool m_hasAdopted = false;
+    /// By service; only during a round, in which the replicated state doesn't change.
+    std::map<std::string, jobs::LongRunningPlaces> m_places;
     std::set<std::string> m_reservedWorkers;
     std::set<std::string> m_dueWorkers;
     /// Cleared at the end, for callbacks that come later.
