Follow only the workers that an entry of the log changed

Change: sessions begin for the numbers above the highest one known, end for those that a command names, and all are looked at only while there are more sessions than workers, as when a later incarnation replaces one. Contacts are copied only for the crashed worker's rack and service.

--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -64,6 +64,17 @@
         || std::holds_alternative<jobs::RemoveLeftWorker>(command);
 }
 
+std::optional<jobs::WorkerNumber> removedWorker(const jobs::Command& command)
+{
+    if (const auto* removal = std::get_if<jobs::RemoveWorker>(&command)) {
+        return removal->worker;
+    }
+    if (const auto* removal = std::get_if<jobs::RemoveLeftWorker>(&command)) {
+        return removal->worker;
+    }
+    return std::nullopt;
+}
+
 std::int64_t unixNow() { return base::wallNow().time_since_epoch().count(); }
 
 } // namespace
@@ -91,7 +102,7 @@
     , m_planPacer(planDelay, maxPlanShare)
     , m_queueHeads(log, metrics)
 {
-    m_workTimes.measure(Work::FollowLog, [this] { syncSessions(); });
+    m_workTimes.measure(Work::FollowLog, [this] { syncSessions({}); });
     m_tickDueAt = base::monotonicNow() + tickInterval;
     m_forgetAt = base::monotonicNow() + forgetInterval;
     m_tickTimer = loop.runEvery(tickInterval, [this] { tick(); });
@@ -146,26 +157,41 @@
     return hooks;
 }
 
-void Leader::syncSessions()
+// Numbers rise, and a worker that isn't known has no session, so that only the sessions of workers that others have
+// replaced have to be looked for.
+void Leader::syncSessions(const std::vector<jobs::Command>& commands)
 {
     const auto& workers = m_cluster.state().workers();
-    std::erase_if(m_sessions, [&](const auto& session) {
-        const bool isGone = !workers.contains(session.first);
-        if (isGone) {
-            rememberContact(*session.second);
+    for (const jobs::Command& command : commands) {
+        if (const auto number = removedWorker(command); number && !workers.contains(*number)) {
+            endSession(m_sessions.find(*number));
         }
-        return isGone;
-    });
-    std::erase_if(m_loggedCrashes, [&](const auto& crash) { return !workers.contains(crash.first); });
-    for (const auto& [number, worker] : workers) {
-        if (!m_sessions.contains(number)) {
-            m_sessions.emplace(number,
-                std::make_unique<WorkerSession>(m_loop, m_client, m_options, m_log, m_cluster.state(), worker,
-                    m_cluster.servingTerm(), sessionHooks()));
+    }
+    for (auto worker = workers.upper_bound(m_lastWorker); worker != workers.end(); ++worker) {
+        m_lastWorker = worker->first;
+        m_sessions.emplace(m_lastWorker,
+            std::make_unique<WorkerSession>(m_loop, m_client, m_options, m_log, m_cluster.state(), worker->second,
+                m_cluster.servingTerm(), sessionHooks()));
+    }
+    for (auto session = m_sessions.begin(); m_sessions.size() > workers.size();) {
+        const auto current = session++;
+        if (!workers.contains(current->first)) {
+            endSession(current);
         }
     }
 }
 
+void Leader::endSession(std::map<jobs::WorkerNumber, std::unique_ptr<WorkerSession>>::iterator session)
+{
+    if (session == m_sessions.end()) {
+        return;
+    }
+    rememberContact(*session->second);
+    m_loggedCrashes.erase({ session->first, false });
+    m_loggedCrashes.erase({ session->first, true });
+    m_sessions.erase(session);
+}
+
 /// A job that ended otherwise than as done leaves tasks that must be stopped.
 void Leader::collectTasksOfEndedJob(jobs::JobId id, std::set<jobs::WorkerNumber>& changed) const
 {
@@ -276,8 +302,15 @@
         return false;
     }
     std::vector<jobs::WorkerContact> others;
-    std::ranges::transform(m_pastContacts, std::back_inserter(others), &PastContact::contact);
+    for (const PastContact& past : m_pastContacts) {
+        if (past.contact.rack == crashed->rack && past.contact.service == crashed->service) {
+            others.push_back(past.contact);
+        }
+    }
     for (const auto& [number, other] : m_sessions) {
+        if (other->rack() != crashed->rack || other->service() != crashed->service) {
+            continue;
+        }
         if (auto contact = other->contact()) {
             others.push_back(std::move(*contact));
         }
@@ -340,7 +373,7 @@
 {
     // No commands stand for a snapshot that was installed.
     if (commands.empty() || std::ranges::any_of(commands, changesWorkers)) {
-        syncSessions();
+        syncSessions(commands);
     }
     std::set<jobs::WorkerNumber> changed;
     std::ranges::for_each(commands, [&](const jobs::Command& command) { collectChanged(command, changed); });
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -59,7 +59,9 @@
     [[nodiscard]] bool hasStarted(const jobs::Job& job) const;
     void tick();
     void followLog(const std::vector<jobs::Command>& commands);
-    void syncSessions();
+    /// Ends the sessions of workers that the commands removed or replaced, and begins those of new ones.
+    void syncSessions(const std::vector<jobs::Command>& commands);
+    void endSession(std::map<jobs::WorkerNumber, std::unique_ptr<WorkerSession>>::iterator session);
     /// Adds the workers whose orders may have changed with an applied command.
     void collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed);
     void collectTasksOfEndedJob(jobs::JobId job, std::set<jobs::WorkerNumber>& changed) const;
@@ -87,6 +89,8 @@
     http::HttpClient m_client;
     WorkTimes m_workTimes;
     std::map<jobs::WorkerNumber, std::unique_ptr<WorkerSession>> m_sessions;
+    /// The highest number that has had a session.
+    jobs::WorkerNumber m_lastWorker = 0;
     /// Workers whose crash was logged and counted, as confirmed or not: the session and a report may both tell of it.
     std::set<std::pair<jobs::WorkerNumber, bool>> m_loggedCrashes;
     /// The last contacts with workers that are no longer there and had not left, the earliest first.
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -79,6 +79,8 @@
     /// Returns what the end of this incarnation without notice counts against, or nothing if the end was planned or
     /// nothing can have been executing that may be given up.
     [[nodiscard]] std::optional<jobs::RecordCrash> crash(bool isConfirmed) const;
+    [[nodiscard]] const std::string& service() const { return m_service; }
+    [[nodiscard]] const std::string& rack() const { return m_rack; }
     /// Returns since when the worker is silent, or nothing if its end was planned.
     [[nodiscard]] std::optional<jobs::WorkerContact> contact() const;
     /// Returns how long it takes, in milliseconds, until the run of an assigned task has executed for the probation
