--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -13,9 +13,10 @@
 endfunction()
 
 # Adds the library crocuscove_<name> from src/crocuscove/<name>/*.cpp, or from FOLDER, and crocuscove_<name>_test from
-# the *_test.cpp files beside them. A module whose only sources are headers becomes an interface library.
+# the *_test.cpp files beside them. A module whose only sources are headers becomes an interface library. ONLY and
+# EXCLUDE choose sources by a regular expression of their names without extension.
 function(crocuscove_module name)
-    cmake_parse_arguments(ARG "" "FOLDER" "MODULES;LIBRARIES" ${ARGN})
+    cmake_parse_arguments(ARG "" "FOLDER;ONLY;EXCLUDE" "MODULES;LIBRARIES" ${ARGN})
     set(target crocuscove_${name})
     set(folder ${CMAKE_SOURCE_DIR}/src/crocuscove/${name})
     if(ARG_FOLDER)
@@ -24,6 +25,12 @@
     file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
     set(tests ${sources})
     list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+    if(ARG_ONLY)
+        list(FILTER sources INCLUDE REGEX "/(${ARG_ONLY})\\.cpp$")
+    endif()
+    if(ARG_EXCLUDE)
+        list(FILTER sources EXCLUDE REGEX "/(${ARG_EXCLUDE})\\.cpp$")
+    endif()
     list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
     list(TRANSFORM ARG_MODULES PREPEND crocuscove_ OUTPUT_VARIABLE modules)
     if(sources)
--- a/include/crocuscove/base/codec.h
+++ b/include/crocuscove/base/codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crocuscove/base/codec_fields.h"
 #include "crocuscove/base/error.h"
 #include "crocuscove/base/id.h"
 #include "crocuscove/base/time.h"
@@ -14,13 +15,6 @@
 #include <utility>
 #include <variant>
 
-/// Lists the members of a struct for the codec, such as CROCUSCOVE_FIELDS(Point, v.x, v.y). The order is the wire
-/// format.
-// NOLINTNEXTLINE(bugprone-macro-parentheses)
-#define CROCUSCOVE_FIELDS(Type, ...)                                                                                   \
-    inline auto codecFields(Type& v) { return std::tie(__VA_ARGS__); }                                                 \
-    inline auto codecFields(const Type& v) { return std::tie(__VA_ARGS__); }
-
 namespace crocuscove::base {
 
 inline constexpr std::size_t maxCodecDepth = 32;
--- a/include/crocuscove/jobs/wave.h
+++ b/include/crocuscove/jobs/wave.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "crocuscove/base/codec.h"
+#include "crocuscove/base/codec_fields.h"
 
 #include <cstdint>
 #include <map>
--- a/src/crocuscove/control/node_message.cpp
+++ b/src/crocuscove/control/node_message.cpp
@@ -1,5 +1,6 @@
 #include "crocuscove/control/node_message.h"
 
+#include "crocuscove/base/codec.h"
 #include "crocuscove/http/socket_address.h"
 #include "crocuscove/link/frame_connection.h"
 
--- a/src/crocuscove/entry/leader_link_stress_test.cpp
+++ b/src/crocuscove/entry/leader_link_stress_test.cpp
@@ -1,5 +1,6 @@
 #include "crocuscove/entry/leader_link.h"
 
+#include "crocuscove/base/codec.h"
 #include "crocuscove/base/random.h"
 
 #include <gtest/gtest.h>
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -1,5 +1,6 @@
 #include "crocuscove/jobs/fleet_state.h"
 
+#include "crocuscove/base/codec.h"
 #include "crocuscove/base/random.h"
 #include "crocuscove/jobs/testing.h"
 
