--- a/src/crocuscove/cli/platform_commands.cpp
+++ b/src/crocuscove/cli/platform_commands.cpp
@@ -8,7 +8,8 @@
 
 std::span<const Command> commandTable()
 {
-    static const std::array commands { controlCommand(), entryCommand(), versionCommand(), helpCommand() };
+    static const std::array commands { controlCommand(), entryCommand(), storageCheckCommand(), versionCommand(),
+        helpCommand() };
     return commands;
 }
 
