--- a/include/crocuscove/jobs/long_running_places.h
+++ b/include/crocuscove/jobs/long_running_places.h
@@ -91,11 +91,14 @@
     void collectWaiting(const PlacesView& view, const Job& job, std::uint32_t step);
     /// Gives all tasks their places anew.
     void pack();
+    /// Gives each task a place, those that wait first, and counts those without.
     void placeAll(std::vector<Claim> claims);
     /// Gives a task the first place that fits; returns a null pointer if there is none.
     Place* place(const Claim& claim);
     static void removeLastGuest(Place& place);
     Place* find(WorkerNumber worker);
+    /// Moves what has its place on a closed worker, or runs there, to the places that are left; changes nothing if the
+    /// worker may not be closed so.
     Closing closeByMoving(Place& place, bool mayReturn);
     Closing closeByPacking(Place& place, bool mayReturn);
 
@@ -105,11 +108,11 @@
     /// Tasks that wait and have no place.
     std::vector<Claim> m_waitingWithoutPlace;
     WithoutPlace m_withoutPlace;
-    /// Packing all tasks anew is what makes a decision as dear as this whole object.
+    /// Decisions that may still pack all tasks anew, each of which costs as much as making this object.
     std::size_t m_packingsLeft;
 };
 
-/// Returns whether a task of the service waits that doesn't end by itself.
+/// Returns whether a job of the service with long-running tasks has a task that may start and waits.
 [[nodiscard]] bool hasWaitingLongRunning(const FleetState& state, const std::string& service);
 
 /// Returns whether all long-running tasks on a worker may be interrupted at the same time.
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -157,8 +157,8 @@
     return hooks;
 }
 
-// Numbers rise, and a worker that isn't known has no session, so that only the sessions of workers that others have
-// replaced have to be looked for.
+// Numbers rise, and each worker has a session, so that only sessions of workers that were replaced, which no command
+// names, have to be looked for.
 void Leader::syncSessions(const std::vector<jobs::Command>& commands)
 {
     const auto& workers = m_cluster.state().workers();
@@ -173,7 +173,7 @@
             std::make_unique<WorkerSession>(m_loop, m_client, m_options, m_log, m_cluster.state(), worker->second,
                 m_cluster.servingTerm(), sessionHooks()));
     }
-    for (auto session = m_sessions.begin(); m_sessions.size() > workers.size();) {
+    for (auto session = m_sessions.begin(); session != m_sessions.end() && m_sessions.size() > workers.size();) {
         const auto current = session++;
         if (!workers.contains(current->first)) {
             endSession(current);
@@ -302,16 +302,17 @@
         return false;
     }
     std::vector<jobs::WorkerContact> others;
+    const auto isBeside = [&](const std::string& service, const std::string& rack) {
+        return rack == crashed->rack && service == crashed->service;
+    };
     for (const PastContact& past : m_pastContacts) {
-        if (past.contact.rack == crashed->rack && past.contact.service == crashed->service) {
+        if (isBeside(past.contact.service, past.contact.rack)) {
             others.push_back(past.contact);
         }
     }
     for (const auto& [number, other] : m_sessions) {
-        if (other->rack() != crashed->rack || other->service() != crashed->service) {
-            continue;
-        }
-        if (auto contact = other->contact()) {
+        auto contact = isBeside(other->service(), other->rack()) ? other->contact() : std::nullopt;
+        if (contact) {
             others.push_back(std::move(*contact));
         }
     }
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -58,9 +58,11 @@
 
     [[nodiscard]] bool hasStarted(const jobs::Job& job) const;
     void tick();
+    /// Gives the orders that follow from applied commands; none stand for a snapshot that was installed.
     void followLog(const std::vector<jobs::Command>& commands);
     /// Ends the sessions of workers that the commands removed or replaced, and begins those of new ones.
     void syncSessions(const std::vector<jobs::Command>& commands);
+    /// `session` may be the end of the sessions.
     void endSession(std::map<jobs::WorkerNumber, std::unique_ptr<WorkerSession>>::iterator session);
     /// Adds the workers whose orders may have changed with an applied command.
     void collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed);
--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -21,7 +21,8 @@
 /// A VM whose long-running tasks have no place elsewhere is opened for them again unless it was ordered by then. Longer
 /// than drainPatience, and so short that they run again within 6 s (RULES, LOST).
 constexpr base::Milliseconds returnPatience { 4'000 };
-/// The next VMs are closed in the next round, so that a large wave doesn't hold the loop.
+/// VMs of one wave that are closed in a round. The others wait for the next one, so that a large wave doesn't hold the
+/// loop.
 constexpr std::size_t maxClosingsPerRound = 32;
 /// A VM whose drain was given up stays open for so long.
 constexpr base::Milliseconds reopenedTime { 5'000 };
