Log which clock and incarnation stand behind the answer to a start

Not built into a decision. LeaseClock::earliestClockMs is checked against the true clock in LeaseClockProperty.

--- a/include/crocuscove/jobs/lease_clock.h
+++ b/include/crocuscove/jobs/lease_clock.h
@@ -33,6 +33,10 @@
     /// 4% of the time since the last observation more than the true time.
     [[nodiscard]] std::optional<base::Milliseconds> age(std::int64_t workerClockMs, base::MonotonicTime now) const;
 
+    /// Returns the least that the worker's clock can have shown at a local time, or nothing before the first
+    /// observation.
+    [[nodiscard]] std::optional<std::int64_t> earliestClockMs(base::MonotonicTime at) const;
+
     [[nodiscard]] bool isKnown() const { return m_workerClockMs.has_value(); }
 
 private:
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -1,11 +1,11 @@
 #include "leader.h"
 
 #include "platform/task_name.h"
+#include "run_names.h"
 
 #include <algorithm>
 #include <chrono>
 #include <iterator>
-#include <span>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -36,17 +36,6 @@
 /// when its workers come back one after the other.
 constexpr base::Milliseconds pastContactAge { 60'000 };
 constexpr std::size_t maxPastContacts = 2'000;
-/// Suspects that the log line of a crash names.
-constexpr std::size_t maxLoggedSuspects = 16;
-
-std::string suspectNames(const std::vector<jobs::CrashedRun>& runs)
-{
-    std::string names;
-    for (const jobs::CrashedRun& run : std::span(runs).first(std::min(runs.size(), maxLoggedSuspects))) {
-        names += (names.empty() ? "" : " ") + platform::taskName(run.task) + "/" + std::to_string(run.run);
-    }
-    return names;
-}
 
 http::HttpClientOptions workerClientOptions(std::size_t maxDescriptors)
 {
@@ -340,7 +329,7 @@
     const bool isAttributed = std::ranges::any_of(crash.runs, &jobs::CrashedRun::isAttributed);
     m_log.warning("worker_crash",
         { { "worker", crash.worker }, { "incarnation", crash.incarnation }, { "confirmed", crash.isConfirmed },
-            { "suspects", crash.runs.size() }, { "tasks", suspectNames(crash.runs) }, { "attributed", isAttributed } });
+            { "suspects", crash.runs.size() }, { "tasks", runNames(crash.runs) }, { "attributed", isAttributed } });
     if (crash.isConfirmed) {
         m_metrics.count("worker_crash", isAttributed ? "attributed" : "several-suspects");
     }
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -203,12 +203,14 @@
         noteLaterIncarnation(*answer.incarnation);
         return;
     }
+    m_log.info("task_start",
+        { { "task", platform::taskName(key) }, { "run", run }, { "worker", m_id }, { "incarnation", m_incarnation },
+            { "outcome", platform::orderOutcomeName(answer.outcome) }, { "waited_ms", waitedMs },
+            { "answered_by", answer.incarnation.value_or(0) }, { "clock_ms", answer.clockMs.value_or(-1) },
+            { "clock_expected_ms", m_clock.earliestClockMs(sentAt).value_or(-1) } });
     if (answer.clockMs) {
         m_clock.observe(*answer.clockMs, now);
     }
-    m_log.info("task_start",
-        { { "task", platform::taskName(key) }, { "run", run }, { "worker", m_id },
-            { "outcome", platform::orderOutcomeName(answer.outcome) }, { "waited_ms", waitedMs } });
     const bool hasRun
         = answer.outcome == platform::OrderOutcome::Accepted || answer.outcome == platform::OrderOutcome::StaleRun;
     order.wasSent = wasSentBefore || hasRun;
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/json_fields.h"
 #include "platform/task_name.h"
+#include "run_names.h"
 #include "worker_timing.h"
 
 #include <algorithm>
@@ -347,7 +348,7 @@
     }
     m_log.warning("starts_unsettled",
         { { "worker", m_id }, { "incarnation", m_incarnation }, { "later", *m_laterIncarnation },
-            { "starts", starts.size() } });
+            { "starts", starts.size() }, { "tasks", runNames(starts) } });
     m_isRecordingUnsettled = true;
     m_hooks.propose(
         jobs::RecordUnsettledStarts { m_number, std::move(starts) }, [this, alive = m_isAlive](bool /*isApplied*/) {
--- a/src/crocuscove/jobs/lease_clock.cpp
+++ b/src/crocuscove/jobs/lease_clock.cpp
@@ -24,6 +24,16 @@
     return m_workerClockMs ? std::optional(base::Milliseconds(latestClockMs(now) - workerClockMs)) : std::nullopt;
 }
 
+std::optional<std::int64_t> LeaseClock::earliestClockMs(base::MonotonicTime at) const
+{
+    if (!m_workerClockMs) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double, std::milli> elapsed = at - m_observedAt;
+    const double passed = elapsed.count() >= 0 ? elapsed.count() * minClockRate : elapsed.count() / minClockRate;
+    return *m_workerClockMs + static_cast<std::int64_t>(std::floor(passed));
+}
+
 std::optional<std::int64_t> LeaseClock::grant(base::Milliseconds lease, base::MonotonicTime now)
 {
     if (!m_workerClockMs) {
--- a/src/crocuscove/jobs/lease_clock_test.cpp
+++ b/src/crocuscove/jobs/lease_clock_test.cpp
@@ -96,6 +96,8 @@
     double granted = 0;
     for (const auto& [arrivedAt, readAt] : readings) {
         clock.observe(static_cast<std::int64_t>(workerClock(readAt)), arrivedAt);
+        RC_ASSERT(static_cast<double>(clock.earliestClockMs(arrivedAt).value()) <= workerClock(arrivedAt));
+        RC_ASSERT(static_cast<double>(clock.earliestClockMs(readAt).value()) <= workerClock(readAt));
         granted = std::max(granted, static_cast<double>(clock.grant(4000ms, arrivedAt).value()));
         RC_ASSERT(workerClock(clock.latestLeaseExpiry() + 1ms) >= granted - 1);
     }
