--- /dev/null
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -0,0 +1,202 @@
+#include "worker_session.h"
+
+#include "crocuscove/http/socket_testing.h"
+#include "crocuscove/jobs/testing.h"
+#include "platform/task_name.h"
+#include "platform/worker_testing.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace crocuscove::control {
+namespace {
+
+using http::testing::runUntil;
+using namespace std::chrono_literals;
+
+constexpr auto startPath = "/api/run-start";
+constexpr auto renewPath = "/api/hold";
+constexpr auto workerId = "w1";
+constexpr std::int64_t firstIncarnation = 1'000;
+constexpr std::int64_t firstClockMs = 60'000;
+const jobs::TaskKey task { 1, 0, 0, 0 };
+const jobs::TaskKey otherTask { 2, 0, 0, 0 };
+
+/// A leader with sessions to one worker, whose commands are applied at once.
+class WorkerSessionTest : public testing::Test {
+protected:
+    WorkerSessionTest()
+    {
+        m_worker.onRun = [this] { checkRuns(); };
+        m_state.apply(jobs::PutConfiguration { jobs::testing::configuration() });
+        m_state.apply(jobs::testing::accept(task.job, { jobs::testing::step(1) }));
+        m_state.apply(jobs::testing::accept(otherTask.job, { jobs::testing::step(1) }));
+    }
+
+    [[nodiscard]] jobs::WorkerReport report() const
+    {
+        jobs::WorkerReport result = jobs::testing::report(workerId, m_worker.incarnation());
+        result.address = "127.0.0.1:" + std::to_string(m_worker.port());
+        return result;
+    }
+
+    /// Handles the worker's report about its current incarnation.
+    void receiveReport()
+    {
+        if (m_session) {
+            m_session->noteLaterIncarnation(m_worker.incarnation());
+        }
+        propose(jobs::RecordWorker { report() }, nullptr);
+    }
+
+    void propose(jobs::Command command, std::function<void(bool)> callback)
+    {
+        m_loop.post([this, command = std::move(command), callback = std::move(callback)] {
+            apply(command);
+            if (callback) {
+                callback(true);
+            }
+        });
+    }
+
+    void apply(const jobs::Command& command)
+    {
+        m_state.apply(command);
+        checkRuns();
+        const jobs::Worker* worker = m_state.findWorker(std::string(workerId));
+        if (worker == nullptr || worker->number != m_number) {
+            m_session.reset();
+        }
+        if (worker != nullptr && !m_session) {
+            m_number = worker->number;
+            beginSession();
+        } else if (m_session) {
+            m_session->update();
+        }
+    }
+
+    void beginSession()
+    {
+        m_session = std::make_unique<WorkerSession>(
+            m_loop, m_client, m_options, m_log, m_state, *m_state.findWorker(m_number), m_term, hooks());
+    }
+
+    SessionHooks hooks()
+    {
+        SessionHooks result;
+        result.propose = [this](jobs::Command command, std::function<void(bool)> callback) {
+            propose(std::move(command), std::move(callback));
+        };
+        result.onRunTime = [](const jobs::TaskKey&, std::int64_t) {};
+        result.onOrder = [](std::string_view, base::MonotonicTime) {};
+        result.mayOrder = [] { return true; };
+        result.isReserved = [](const std::string&) { return false; };
+        result.onCrash = [this](jobs::RecordCrash crash) { m_crashes.push_back(std::move(crash)); };
+        return result;
+    }
+
+    /// A task that is free starts elsewhere at once, so that it must not run here then or later.
+    void checkRuns()
+    {
+        for (const jobs::TaskKey& key : { task, otherTask }) {
+            const jobs::Task& current = *m_state.findJob(key.job)->find(key);
+            const bool isFree = current.phase == jobs::TaskPhase::Waiting && current.run > 0;
+            m_isElsewhere[key] = m_isElsewhere[key] || isFree;
+            EXPECT_FALSE(m_isElsewhere[key] && m_worker.isRunning(platform::taskName(key)))
+                << platform::taskName(key) << " runs twice";
+        }
+    }
+
+    [[nodiscard]] bool isFree(const jobs::TaskKey& key) { return m_isElsewhere[key]; }
+
+    void assign(const jobs::TaskKey& key) { apply(jobs::testing::assign(key, 1, m_number)); }
+
+    /// Tells whether the worker's current incarnation is known, and no start of an earlier one is open.
+    [[nodiscard]] bool isSettled() const
+    {
+        const jobs::Worker* worker = m_state.findWorker(std::string(workerId));
+        return worker != nullptr && worker->report.incarnation == m_worker.incarnation()
+            && m_state.unsettledStarts().empty();
+    }
+
+    [[nodiscard]] bool hasUsedWorker() const { return m_session && m_session->isUsable(base::monotonicNow()); }
+
+    /// The worker has answered, and the next renewal waits there.
+    void reachWorker()
+    {
+        apply(jobs::RecordWorker { report() });
+        ASSERT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker() && m_worker.count(renewPath) >= 2; }));
+    }
+
+    void runFor(base::Milliseconds time)
+    {
+        const auto end = base::monotonicNow() + time;
+        ASSERT_TRUE(runUntil(m_loop, [&] { return base::monotonicNow() >= end; }));
+    }
+
+    http::EventLoop m_loop;
+    http::HttpClient m_client { m_loop, {} };
+    ControlOptions m_options;
+    base::Log m_log { base::LogLevel::Error };
+    jobs::FleetState m_state;
+    platform::testing::FakeWorker m_worker { m_loop, firstIncarnation, firstClockMs };
+    std::uint64_t m_term = 1;
+    jobs::WorkerNumber m_number = 0;
+    std::unique_ptr<WorkerSession> m_session;
+    std::map<jobs::TaskKey, bool> m_isElsewhere;
+    std::vector<jobs::RecordCrash> m_crashes;
+};
+
+enum class ReportTime { AtOnce, Soon, Never };
+
+/// Parameters: the order at which the later incarnation begins, whether it takes that order itself, and its report.
+class WorkerSessionRestartTest : public WorkerSessionTest,
+                                 public testing::WithParamInterface<std::tuple<int, bool, ReportTime>> {
+protected:
+    void restartAtParameter()
+    {
+        const auto [order, isBefore, reportTime] = GetParam();
+        m_worker.restartAt(static_cast<std::size_t>(order), isBefore);
+        m_worker.onRestart = [this, when = reportTime] {
+            if (when != ReportTime::Never) {
+                const base::Milliseconds delay(when == ReportTime::AtOnce ? 0 : 20);
+                m_reportTimer = m_loop.runAt(base::monotonicNow() + delay, [this] { receiveReport(); });
+            }
+        };
+    }
+
+    void expectOneRun()
+    {
+        EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task) || isSettled() || HasFailure(); }));
+        runFor(100ms);
+    }
+
+    http::Timer m_reportTimer;
+};
+
+// Guards against two runs of a task when a start is accepted by a later incarnation that the leader doesn't know yet.
+TEST_P(WorkerSessionRestartTest, AStartThatALaterIncarnationAcceptsRunsNoTaskTwice)
+{
+    restartAtParameter();
+    apply(jobs::RecordWorker { report() });
+    ASSERT_TRUE(runUntil(
+        m_loop, [this] { return m_worker.count(renewPath) >= 2 || m_worker.incarnation() != firstIncarnation; }));
+    propose(jobs::testing::assign(task, 1, m_number), nullptr);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.incarnation() != firstIncarnation; }));
+    expectOneRun();
+}
+
+INSTANTIATE_TEST_SUITE_P(BetweenAnyTwoOrders, WorkerSessionRestartTest,
+    testing::Combine(testing::Range(2, 7), testing::Bool(),
+        testing::Values(ReportTime::AtOnce, ReportTime::Soon, ReportTime::Never)));
+
+} // namespace
+} // namespace crocuscove::control
