Take an accepted start for unsettled until a list proves which incarnation has it

What callers saw: TWICE, and LIMIT with it, when workers start again under their ids: a job's task ran twice at once, on the same worker or on another one.

Cause: the answer to a start names no incarnation. A later incarnation that accepts one before its first report was taken for the earlier one, and its report freed the task while it ran.

Change: an accepted run counts as proven once a list of the incarnation shows it, or one that was requested after the answer comes from it, since incarnations of an id follow each other. Until then it is settled like a start without an answer.

--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -214,6 +214,7 @@
     const bool hasRun
         = answer.outcome == platform::OrderOutcome::Accepted || answer.outcome == platform::OrderOutcome::StaleRun;
     order.wasSent = wasSentBefore || hasRun;
+    order.isUnproven = hasRun;
     if (answer.outcome != platform::OrderOutcome::OtherIncarnation) {
         m_aliveAt = now;
     }
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -316,7 +316,7 @@
     }
     const auto order = m_orders.find(task);
     return order != m_orders.end() && order->second.run == run
-        && (order->second.mayArriveLate || order->second.phase == OrderPhase::Sending);
+        && (order->second.mayArriveLate || order->second.isUnproven || order->second.phase == OrderPhase::Sending);
 }
 
 std::vector<jobs::UnsettledStart> WorkerSession::findUnsettledStarts() const
@@ -441,6 +441,11 @@
                 = Order { .run = task.run, .phase = OrderPhase::Started, .since = sentAt, .wasSent = true };
         }
     }
+    for (auto& [key, order] : m_orders) {
+        // Incarnations of an id follow each other, so that an answer before this list was requested is of this one too.
+        const bool isProven = order.since < sentAt || isRunning(key, order.run) || hasEnded(key, order.run);
+        order.isUnproven = order.isUnproven && !isProven;
+    }
     if (status.listedEnds >= maxListedEnds) {
         return;
     }
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -133,6 +133,8 @@
         bool wasAccepted = false;
         /// A start got no answer, so that it may still be carried out by a later incarnation of the worker.
         bool mayArriveLate = false;
+        /// The worker has the run by an answer that names no incarnation, and no list of this one has confirmed it since.
+        bool isUnproven = false;
     };
 
     [[nodiscard]] const jobs::Worker* worker() const { return m_state.findWorker(m_number); }
