Keep clocks of other incarnations out of a worker's lease clock

The answer to a start names no incarnation, but its clock was observed. Clocks begin anywhere, so that a later incarnation's reading, when it is the higher one, replaced the known clock: a start that was refused as late was sent again at once with a deadline that fits the later incarnation, and latestLeaseExpiry() counted every lease as ended.

Only lists of the known incarnation are observed now. An answer whose clock the known one can't have shown stops further starts until a list that is requested later shows that the incarnation is there; a start that was late waits for the retry pause.

--- a/include/crocuscove/jobs/lease_clock.h
+++ b/include/crocuscove/jobs/lease_clock.h
@@ -15,8 +15,12 @@
     /// slow, and as much again is allowed for the local clock.
     static constexpr double minClockRate = 0.96;
 
-    /// Records a reading of the worker's clock that was received at `now`.
-    void observe(std::int64_t workerClockMs, base::MonotonicTime now);
+    /// Records a reading of the worker's clock that was requested at `requestedAt` and received at `now`.
+    void observe(std::int64_t workerClockMs, base::MonotonicTime requestedAt, base::MonotonicTime now);
+
+    /// Tells whether the worker's clock can have shown `clockMs` at a local time from `from` to `to`. Each incarnation
+    /// of a worker has a clock of its own. Before the first observation any reading is possible.
+    [[nodiscard]] bool mayHaveShown(std::int64_t clockMs, base::MonotonicTime from, base::MonotonicTime to) const;
 
     /// Returns the lease deadline for an order sent at `now`, in milliseconds on the worker's clock, and records it as
     /// granted. Returns nothing before the first observation.
@@ -43,6 +47,7 @@
     [[nodiscard]] std::int64_t latestClockMs(base::MonotonicTime now) const;
 
     std::optional<std::int64_t> m_workerClockMs;
+    base::MonotonicTime m_requestedAt;
     base::MonotonicTime m_observedAt;
     std::int64_t m_latestDeadlineMs = 0;
     /// The end of leases of another process, on the local clock.
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -116,8 +116,8 @@
     }
     if (isUnsent) {
         const bool fits = !plan || plan->send.contains(key);
-        if (fits && !m_mayHaveLeft && m_startsInFlight < maxStartsInFlight && m_health.unanswered == 0
-            && m_hooks.mayOrder()) {
+        if (fits && !m_mayHaveLeft && !m_otherAnsweredAt && m_startsInFlight < maxStartsInFlight
+            && m_health.unanswered == 0 && m_hooks.mayOrder()) {
             start(key, order);
         }
         return;
@@ -162,8 +162,8 @@
     const jobs::Job* job = m_state.findJob(key.job);
     const auto order = m_orders.find(key);
     return current != nullptr && !current->report.isDraining && !m_isRemoving && !m_laterIncarnation
-        && m_health.unanswered == 0 && job != nullptr && job->isActive() && order != m_orders.end()
-        && order->second.run == run && !order->second.isStopping;
+        && !m_otherAnsweredAt && m_health.unanswered == 0 && job != nullptr && job->isActive()
+        && order != m_orders.end() && order->second.run == run && !order->second.isStopping;
 }
 
 void WorkerSession::onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result,
@@ -208,21 +208,23 @@
             { "outcome", platform::orderOutcomeName(answer.outcome) }, { "waited_ms", waitedMs },
             { "answered_by", answer.incarnation.value_or(0) }, { "clock_ms", answer.clockMs.value_or(-1) },
             { "clock_expected_ms", m_clock.earliestClockMs(sentAt).value_or(-1) } });
-    if (answer.clockMs) {
-        m_clock.observe(*answer.clockMs, now);
+    // A clock without an incarnation isn't observed: a mixture of two clocks would end leases too early.
+    const bool isOther = answer.clockMs && !m_clock.mayHaveShown(*answer.clockMs, sentAt, now);
+    if (isOther) {
+        m_otherAnsweredAt = now;
     }
     const bool hasRun
         = answer.outcome == platform::OrderOutcome::Accepted || answer.outcome == platform::OrderOutcome::StaleRun;
     order.wasSent = wasSentBefore || hasRun;
     order.isUnproven = hasRun;
-    if (answer.outcome != platform::OrderOutcome::OtherIncarnation) {
+    if (!isOther && answer.outcome != platform::OrderOutcome::OtherIncarnation) {
         m_aliveAt = now;
     }
     switch (answer.outcome) {
     case platform::OrderOutcome::Accepted:
         order.phase = OrderPhase::Started;
         order.since = now;
-        order.wasAccepted = true;
+        order.wasAccepted = !isOther;
         break;
     case platform::OrderOutcome::StaleRun:
         order.phase = OrderPhase::Settled;
@@ -230,6 +232,7 @@
         break;
     case platform::OrderOutcome::DeadlinePassed:
         order.phase = OrderPhase::Unsent;
+        order.sendAgainAt = now + retryPause;
         break;
     case platform::OrderOutcome::OtherIncarnation:
         remove("other-incarnation", RemovalCause::Restarted);
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -69,8 +69,8 @@
 
 bool WorkerSession::isUsable(base::MonotonicTime now) const
 {
-    return !m_isRemoving && !m_laterIncarnation && !m_mayHaveLeft && m_clock.isKnown() && m_answeredAt
-        && now - *m_answeredAt < usableWindow;
+    return !m_isRemoving && !m_laterIncarnation && !m_otherAnsweredAt && !m_mayHaveLeft && m_clock.isKnown()
+        && m_answeredAt && now - *m_answeredAt < usableWindow;
 }
 
 void WorkerSession::scheduleRenew(base::Milliseconds pause)
@@ -251,7 +251,10 @@
     }
     const auto now = base::monotonicNow();
     const bool isFirst = !m_clock.isKnown();
-    m_clock.observe(status.clockMs, now);
+    m_clock.observe(status.clockMs, sentAt, now);
+    if (m_otherAnsweredAt && *m_otherAnsweredAt < sentAt) {
+        m_otherAnsweredAt.reset();
+    }
     m_answeredAt = now;
     m_aliveAt = now;
     m_health.unanswered = 0;
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -133,7 +133,8 @@
         bool wasAccepted = false;
         /// A start got no answer, so that it may still be carried out by a later incarnation of the worker.
         bool mayArriveLate = false;
-        /// The worker has the run by an answer that names no incarnation, and no list of this one has confirmed it since.
+        /// The worker has the run by an answer that names no incarnation, and no list of this one has confirmed it
+        /// since.
         bool isUnproven = false;
     };
 
@@ -209,8 +210,11 @@
     jobs::LeaseClock m_clock;
     /// The last answer to a renewal.
     std::optional<base::MonotonicTime> m_answeredAt;
-    /// The last answer to a renewal or a start.
+    /// The last answer to a renewal, or to a start by this incarnation's clock.
     std::optional<base::MonotonicTime> m_aliveAt;
+    /// A start was answered by the clock of another incarnation. Nothing is started until a list that is requested
+    /// later shows that this incarnation is there.
+    std::optional<base::MonotonicTime> m_otherAnsweredAt;
     /// The first order without an answer since the last answer to a renewal.
     std::optional<base::MonotonicTime> m_silentSince;
     bool m_isRenewing = false;
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -155,6 +155,34 @@
     std::vector<jobs::RecordCrash> m_crashes;
 };
 
+// Guards against deadlines, and ends of leases, by a mixture of the clocks of two incarnations.
+TEST_F(WorkerSessionTest, TheClockOfAnAnswerWithoutAnIncarnationCountsForNothing)
+{
+    reachWorker();
+    m_worker.startClockOffsetMs = 1'000'000;
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.count(startPath) == 1; }));
+    const std::size_t taken = m_worker.orders().size();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return m_worker.orders().size() > taken + 2; }));
+    for (const auto& order : m_worker.orders()) {
+        EXPECT_LT(order.body.value("deadlineMs", std::int64_t { 0 }), firstClockMs + 100'000) << order.path;
+    }
+}
+
+// Guards against further starts to a worker whose last answer shows that another incarnation is there.
+TEST_F(WorkerSessionTest, NothingIsStartedAfterAnAnswerByAnotherClock)
+{
+    reachWorker();
+    m_worker.restart();
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.count(startPath) == 1; }));
+    assign(otherTask);
+    runFor(300ms);
+    EXPECT_EQ(m_worker.count(startPath), 1U);
+    EXPECT_FALSE(hasUsedWorker());
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task) && isFree(otherTask); }));
+}
+
 enum class ReportTime { AtOnce, Soon, Never };
 
 /// Parameters: the order at which the later incarnation begins, whether it takes that order itself, and its report.
--- a/src/crocuscove/jobs/lease_clock.cpp
+++ b/src/crocuscove/jobs/lease_clock.cpp
@@ -5,11 +5,12 @@
 
 namespace crocuscove::jobs {
 
-void LeaseClock::observe(std::int64_t workerClockMs, base::MonotonicTime now)
+void LeaseClock::observe(std::int64_t workerClockMs, base::MonotonicTime requestedAt, base::MonotonicTime now)
 {
     // Responses on different connections can arrive out of order; a reading older than the last one is ignored.
     if (!m_workerClockMs || workerClockMs >= *m_workerClockMs) {
         m_workerClockMs = workerClockMs;
+        m_requestedAt = requestedAt;
         m_observedAt = now;
     }
 }
@@ -34,6 +35,18 @@
     return *m_workerClockMs + static_cast<std::int64_t>(std::floor(passed));
 }
 
+bool LeaseClock::mayHaveShown(std::int64_t clockMs, base::MonotonicTime from, base::MonotonicTime to) const
+{
+    if (!m_workerClockMs) {
+        return true;
+    }
+    // Readings are whole milliseconds.
+    constexpr std::int64_t rounding = 1;
+    const std::chrono::duration<double, std::milli> elapsed = to - m_requestedAt;
+    const std::int64_t latest = *m_workerClockMs + static_cast<std::int64_t>(std::ceil(elapsed.count() / minClockRate));
+    return clockMs >= *earliestClockMs(from) - rounding && clockMs <= latest + rounding;
+}
+
 std::optional<std::int64_t> LeaseClock::grant(base::Milliseconds lease, base::MonotonicTime now)
 {
     if (!m_workerClockMs) {
--- a/src/crocuscove/jobs/lease_clock_test.cpp
+++ b/src/crocuscove/jobs/lease_clock_test.cpp
@@ -25,8 +25,8 @@
 TEST(LeaseClockTest, AnOlderReadingIsIgnored)
 {
     LeaseClock clock;
-    clock.observe(5000, start);
-    clock.observe(4000, start + 1s);
+    clock.observe(5000, start, start);
+    clock.observe(4000, start + 1s, start + 1s);
     EXPECT_EQ(clock.grant(1000ms, start), 6000);
 }
 
@@ -37,7 +37,7 @@
     LeaseClock clock;
     clock.assumeGranted(start + 5s);
     EXPECT_EQ(clock.latestLeaseExpiry(), start + 5s);
-    clock.observe(1000, start + 1s);
+    clock.observe(1000, start + 1s, start + 1s);
     EXPECT_TRUE(clock.grant(1800ms, start + 1s));
     EXPECT_EQ(clock.latestLeaseExpiry(), start + 5s);
     EXPECT_TRUE(clock.grant(4000ms, start + 3s));
@@ -49,11 +49,23 @@
 {
     LeaseClock clock;
     EXPECT_FALSE(clock.age(5000, start));
-    clock.observe(5000, start);
+    clock.observe(5000, start, start);
     EXPECT_EQ(clock.age(4800, start), 200ms);
     EXPECT_EQ(clock.age(4800, start + 1s), 1200ms);
 }
 
+// Guards against an answer of a later incarnation that is taken for one of the incarnation that the leader knows.
+TEST(LeaseClockTest, TheClockOfAnotherIncarnationIsTold)
+{
+    LeaseClock clock;
+    EXPECT_TRUE(clock.mayHaveShown(5, start, start));
+    clock.observe(60'000, start, start + 20ms);
+    EXPECT_TRUE(clock.mayHaveShown(61'000, start + 990ms, start + 1'010ms));
+    EXPECT_FALSE(clock.mayHaveShown(60'900, start + 990ms, start + 1'010ms));
+    EXPECT_FALSE(clock.mayHaveShown(61'200, start + 990ms, start + 1'010ms));
+    EXPECT_FALSE(clock.mayHaveShown(30, start + 990ms, start + 1'010ms));
+}
+
 // Guards against starting a task elsewhere while its lease is still valid on a worker with a slow clock.
 RC_GTEST_PROP(LeaseClockProperty, NoLeaseOutlivesItsLatestExpiry, ())
 {
@@ -69,7 +81,8 @@
     for (const int pause : steps) {
         const auto sampledAt = now;
         now += base::Milliseconds(pause % 50);
-        clock.observe(static_cast<std::int64_t>(workerClock(sampledAt)), now);
+        clock.observe(static_cast<std::int64_t>(workerClock(sampledAt)), sampledAt, now);
+        RC_ASSERT(clock.mayHaveShown(static_cast<std::int64_t>(workerClock(sampledAt)), sampledAt, now));
         granted = std::max(granted, static_cast<double>(clock.grant(4000ms, now).value()));
         now += base::Milliseconds(pause);
         RC_ASSERT(workerClock(clock.latestLeaseExpiry() + 1ms) >= granted - 1);
@@ -95,7 +108,8 @@
     LeaseClock clock;
     double granted = 0;
     for (const auto& [arrivedAt, readAt] : readings) {
-        clock.observe(static_cast<std::int64_t>(workerClock(readAt)), arrivedAt);
+        clock.observe(static_cast<std::int64_t>(workerClock(readAt)), readAt, arrivedAt);
+        RC_ASSERT(clock.mayHaveShown(static_cast<std::int64_t>(workerClock(readAt)), readAt, arrivedAt));
         RC_ASSERT(static_cast<double>(clock.earliestClockMs(arrivedAt).value()) <= workerClock(arrivedAt));
         RC_ASSERT(static_cast<double>(clock.earliestClockMs(readAt).value()) <= workerClock(readAt));
         granted = std::max(granted, static_cast<double>(clock.grant(4000ms, arrivedAt).value()));
