Hold a task for the longest lease where another incarnation may run it

The deadline of an order is on the clock of the incarnation that it was meant for. On a later one whose clock shows less it extends the lease of all that runs there up to the platform's longest (10 s, ours is 4 s), so that a worker that restarted and was then cut off was removed, and its tasks started elsewhere (TWICE), while they ran there.

A run that another clock accepted is held for the longest lease when its worker is silent; what ran on the earlier incarnation is free when its own lease has ended. A worker whose id had an earlier incarnation is assumed to hold the longest lease until that long after its first answer; the replicated state tells which, so that a new leader knows too.

--- a/include/crocuscove/control/control_options.h
+++ b/include/crocuscove/control/control_options.h
@@ -34,6 +34,8 @@
     std::uint32_t maxDescriptors = 4096;
     /// How long tasks run on without contact to the leader.
     base::Milliseconds taskLease { 4'000 };
+    /// The longest lease that workers grant, whatever the deadline of an order.
+    base::Milliseconds maxTaskLease { 10'000 };
     /// How long the state of a finished job can be asked for.
     base::Milliseconds keepFinishedJobs { 130'000 };
     /// Orders of two leaders for one VM must be this far apart.
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -58,6 +58,9 @@
     /// Assigned tasks that must not be started, but stopped on their worker: a start that was sent to an earlier
     /// incarnation of its id may still be carried out there.
     [[nodiscard]] const std::set<TaskKey>& unsettledStarts() const { return m_unsettledStarts; }
+    /// Tells whether an earlier incarnation of the worker's id was known, so that orders for it may have reached this
+    /// one.
+    [[nodiscard]] bool hasPredecessor(WorkerNumber worker) const { return m_successors.contains(worker); }
 
     /// Returns the last definition of a queue, even if it was removed from the configuration, or a null pointer.
     [[nodiscard]] const Queue* findQueue(const std::string& name) const;
@@ -141,6 +144,8 @@
     std::map<std::string, RemovedWorker> m_removedWorkers;
     std::uint64_t m_lastRemoval = 0;
     std::set<TaskKey> m_unsettledStarts;
+    /// Workers for which hasPredecessor() holds.
+    std::set<WorkerNumber> m_successors;
     // Indexes derived from the members above; not part of a snapshot.
     std::map<std::string, WorkerNumber> m_workerById;
     std::map<std::string, std::set<JobId>> m_activeJobs;
--- a/src/crocuscove/control/control_settings.cpp
+++ b/src/crocuscove/control/control_settings.cpp
@@ -77,6 +77,7 @@
                     = static_cast<std::uint32_t>(base::parseInteger(value, minDescriptors, maxDescriptors));
             } },
         durationSetting("task-lease-ms", "ms that tasks run on without the leader", options.taskLease),
+        durationSetting("max-task-lease-ms", "ms of the longest lease that workers grant", options.maxTaskLease),
         durationSetting("vm-lease-ms", "ms between the orders of two leaders for one VM", options.vmLease),
     };
 }
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -142,6 +142,7 @@
     message.checkpoint = job.find(key)->checkpoint;
     // Renewals extend the lease of what has started.
     message.leaseDeadlineMs = m_clock.grant(std::min(startValidity, m_options.taskLease), now).value_or(0);
+    m_grantedAt = now;
     order.phase = OrderPhase::Sending;
     const bool wasSentBefore = std::exchange(order.wasSent, true);
     ++m_startsInFlight;
@@ -217,6 +218,7 @@
         = answer.outcome == platform::OrderOutcome::Accepted || answer.outcome == platform::OrderOutcome::StaleRun;
     order.wasSent = wasSentBefore || hasRun;
     order.isUnproven = hasRun;
+    order.isOther = hasRun && isOther;
     if (!isOther && answer.outcome != platform::OrderOutcome::OtherIncarnation) {
         m_aliveAt = now;
     }
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -20,6 +20,12 @@
 /// Margin for orders of an earlier leader that were still on their way.
 constexpr base::Milliseconds earlierLeaderMargin { 1'000 };
 
+/// Returns how long a lease may last by the local clock.
+base::Milliseconds longestLease(base::Milliseconds lease)
+{
+    return std::chrono::ceil<base::Milliseconds>(lease / jobs::LeaseClock::minClockRate);
+}
+
 } // namespace
 
 WorkerSession::WorkerSession(http::EventLoop& loop, http::HttpClient& client, const ControlOptions& options,
@@ -40,9 +46,8 @@
     , m_endpoint(base::parseEndpoint(worker.report.address))
     , m_fencingToken(fencingToken)
 {
-    const auto longest = std::chrono::duration_cast<base::Milliseconds>(
-        options.taskLease / jobs::LeaseClock::minClockRate + earlierLeaderMargin);
-    m_clock.assumeGranted(base::monotonicNow() + longest);
+    const auto lease = state.hasPredecessor(m_number) ? options.maxTaskLease : options.taskLease;
+    m_clock.assumeGranted(base::monotonicNow() + longestLease(lease) + earlierLeaderMargin);
     for (const jobs::TaskKey& key : state.tasksOf(m_number)) {
         m_inheritedRuns[key] = state.findJob(key.job)->find(key)->run;
     }
@@ -95,6 +100,7 @@
     // its leases have certainly ended.
     if (m_health.unanswered == 0 && !m_laterIncarnation) {
         order.leaseDeadlineMs = m_clock.grant(m_options.taskLease, now);
+        m_grantedAt = now;
     }
     order.waitMs = order.leaseDeadlineMs && !hasRecordedUnsettledStart() ? renewWait.count() : 0;
     m_isRenewing = true;
@@ -208,8 +214,12 @@
 {
     const auto now = base::monotonicNow();
     if (now > m_clock.latestLeaseExpiry()) {
-        remove("lease-ended", RemovalCause::Silent);
-        return;
+        const auto otherExpiry = otherLeaseExpiry();
+        if (!otherExpiry || now > *otherExpiry) {
+            remove("lease-ended", RemovalCause::Silent);
+            return;
+        }
+        freeOwnTasks();
     }
     if (now < m_leaveWindowEnd) {
         probeLeave();
@@ -217,6 +227,29 @@
     scheduleRenew(retryPause);
 }
 
+std::optional<base::MonotonicTime> WorkerSession::otherLeaseExpiry() const
+{
+    std::optional<base::MonotonicTime> expiry;
+    for (const auto& [key, order] : m_orders) {
+        if (order.isOther && order.phase == OrderPhase::Started) {
+            const base::MonotonicTime end = std::max(order.since, m_grantedAt) + longestLease(m_options.maxTaskLease);
+            expiry = std::max(expiry.value_or(end), end);
+        }
+    }
+    return expiry;
+}
+
+void WorkerSession::freeOwnTasks()
+{
+    if (hasRecordedUnsettledStart()) {
+        return;
+    }
+    if (auto record = crash(false)) {
+        m_hooks.onCrash(std::move(*record));
+    }
+    recordUnsettledStarts();
+}
+
 void WorkerSession::remove(std::string_view reason, RemovalCause cause)
 {
     m_isRemoving = true;
@@ -273,6 +306,10 @@
         // An end that is skipped is never confirmed, so that the worker answers at once.
         scheduleRenew(retryPause);
     }
+    if (isFirst && m_state.hasPredecessor(m_number)) {
+        // Until it has taken this leader's first order, orders for an earlier incarnation may have extended its lease.
+        m_clock.assumeGranted(now + longestLease(m_options.maxTaskLease));
+    }
     if (isFirst) {
         m_log.info("worker_reached", { { "worker", m_id }, { "running", status.running.size() } });
     }
@@ -350,7 +387,7 @@
         return;
     }
     m_log.warning("starts_unsettled",
-        { { "worker", m_id }, { "incarnation", m_incarnation }, { "later", *m_laterIncarnation },
+        { { "worker", m_id }, { "incarnation", m_incarnation }, { "later", m_laterIncarnation.value_or(0) },
             { "starts", starts.size() }, { "tasks", runNames(starts) } });
     m_isRecordingUnsettled = true;
     m_hooks.propose(
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -136,6 +136,8 @@
         /// The worker has the run by an answer that names no incarnation, and no list of this one has confirmed it
         /// since.
         bool isUnproven = false;
+        /// The clock of that answer is another incarnation's.
+        bool isOther = false;
     };
 
     [[nodiscard]] const jobs::Worker* worker() const { return m_state.findWorker(m_number); }
@@ -162,10 +164,14 @@
     /// The incarnation that orders are meant for.
     [[nodiscard]] std::int64_t intendedIncarnation() const { return m_laterIncarnation.value_or(m_incarnation); }
     void onSilence();
+    /// Returns when the lease has certainly ended of runs that another incarnation has accepted, if there are any.
+    [[nodiscard]] std::optional<base::MonotonicTime> otherLeaseExpiry() const;
     /// Counts an order that got no answer.
     void countUnanswered();
     void probeLeave();
     void onLeaveProbed(const http::ExchangeResult& result);
+    /// Frees the tasks whose lease has ended, when others run on under that of another incarnation.
+    void freeOwnTasks();
     void remove(std::string_view reason, RemovalCause cause);
     /// Tells whether a run may have been executing when the worker crashed.
     [[nodiscard]] bool mayHaveExecuted(const jobs::TaskKey& key) const;
@@ -208,6 +214,9 @@
     base::Endpoint m_endpoint;
     std::uint64_t m_fencingToken;
     jobs::LeaseClock m_clock;
+    /// When an order with a deadline was sent last. A later incarnation that got it, whose clock shows less, holds the
+    /// longest lease.
+    base::MonotonicTime m_grantedAt;
     /// The last answer to a renewal.
     std::optional<base::MonotonicTime> m_answeredAt;
     /// The last answer to a renewal, or to a start by this incarnation's clock.
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -136,6 +136,13 @@
         ASSERT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker() && m_worker.count(renewPath) >= 2; }));
     }
 
+    void useShortLeases()
+    {
+        m_options.taskLease = 200ms;
+        m_options.maxTaskLease = 4'000ms;
+        m_worker.maxLeaseMs = m_options.maxTaskLease.count();
+    }
+
     void runFor(base::Milliseconds time)
     {
         const auto end = base::monotonicNow() + time;
@@ -183,6 +190,42 @@
     EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task) && isFree(otherTask); }));
 }
 
+// Guards against a task that starts elsewhere while a later incarnation holds it under a deadline of the earlier one's
+// clock, because that one is cut off before it has reported.
+TEST_F(WorkerSessionTest, ALaterIncarnationThatIsCutOffKeepsItsTaskForTheLongestLease)
+{
+    useShortLeases();
+    reachWorker();
+    assign(otherTask);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(otherTask)); }));
+    runFor(150ms);
+    m_worker.restart();
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(task)); }));
+    runFor(20ms);
+    m_worker.isSilent = true;
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(otherTask); }));
+    EXPECT_TRUE(m_worker.isRunning(platform::taskName(task))) << "what ran on the earlier incarnation is free before";
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
+}
+
+// Guards against a task that starts elsewhere while its worker, which is cut off, keeps it under the lease that an
+// order for the incarnation before has given it.
+TEST_F(WorkerSessionTest, AnOrderForTheEarlierIncarnationMayHaveExtendedTheLease)
+{
+    useShortLeases();
+    reachWorker();
+    m_worker.restart();
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(task)); }));
+    receiveReport();
+    ASSERT_TRUE(runUntil(m_loop, [this] { return isFree(task) && hasUsedWorker(); }));
+    assign(otherTask);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(otherTask)); }));
+    m_worker.isSilent = true;
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(otherTask); }));
+}
+
 enum class ReportTime { AtOnce, Soon, Never };
 
 /// Parameters: the order at which the later incarnation begins, whether it takes that order itself, and its report.
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -13,7 +13,8 @@
 using SnapshotFields = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerNumber, Worker>,
     std::map<std::uint64_t, Wave>, std::map<std::string, std::string>, std::map<std::string, Queue>,
     std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>, std::map<TaskKey, TaskCrashes>,
-    std::map<std::string, UnconfirmedCrash>, std::map<std::string, RemovedWorker>, std::uint64_t, std::set<TaskKey>>;
+    std::map<std::string, UnconfirmedCrash>, std::map<std::string, RemovedWorker>, std::uint64_t, std::set<TaskKey>,
+    std::set<WorkerNumber>>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -169,6 +170,7 @@
         applyCommand(RemoveWorker { other->number });
     }
     std::vector<TaskKey> unsettled;
+    bool hasPredecessor = false;
     const auto known = m_workerById.find(report.id);
     if (known != m_workerById.end()) {
         Worker& worker = m_workers.at(known->second);
@@ -185,6 +187,7 @@
             worker.report.isDraining = worker.report.isDraining || wasDraining;
             return;
         }
+        hasPredecessor = true;
         unsettled = detachUnsettled(worker.number);
         applyCommand(RemoveWorker { worker.number });
     }
@@ -194,6 +197,7 @@
     const auto removed = m_removedWorkers.find(report.id);
     if (removed != m_removedWorkers.end()) {
         const bool isSame = removed->second.incarnation == report.incarnation;
+        hasPredecessor = hasPredecessor || !isSame;
         worker.report.isDraining = report.isDraining || (isSame && removed->second.wasDraining);
         m_removalOrder.erase(removed->second.order);
         m_removedWorkers.erase(removed);
@@ -202,6 +206,9 @@
     m_workerByAddress[report.address] = worker.number;
     const WorkerNumber number = worker.number;
     m_workers.emplace(number, std::move(worker));
+    if (hasPredecessor) {
+        m_successors.insert(number);
+    }
     for (const TaskKey& key : unsettled) {
         Job& job = m_jobs.at(key.job);
         job.find(key)->worker = number;
@@ -259,6 +266,7 @@
     forgetAddress(worker->second);
     rememberRemoved(worker->second, hasLeft);
     m_workerById.erase(worker->second.report.id);
+    m_successors.erase(number);
     m_workers.erase(worker);
 }
 
@@ -569,16 +577,17 @@
 
 std::string FleetState::encodeSnapshot() const
 {
-    return base::encode(
-        std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
-            m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts));
+    return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
+        m_lastWorker, m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval,
+        m_unsettledStarts, m_successors));
 }
 
 // A snapshot of an earlier version ends before the crashes or later, and what it lacks is then empty.
 void FleetState::restoreSnapshot(std::string_view bytes)
 {
     std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
-        m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts)
+        m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts,
+        m_successors)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
 }
