Refuse orders for an earlier incarnation by the fencing token

An order that is delayed for longer than the settling of its worker's starts could be carried out by a later incarnation of the id, a renewal as well as a start, since the fencing token was the term alone. It is the term and the worker's number now, which is higher for each incarnation, so that a worker refuses what is older than the first order of its own session.

--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -20,6 +20,14 @@
 /// Margin for orders of an earlier leader that were still on their way.
 constexpr base::Milliseconds earlierLeaderMargin { 1'000 };
 
+/// A worker refuses orders with a lower fencing token than it has seen. Terms come first; within a term each
+/// incarnation of a worker has a higher number, so that it refuses what is still on its way to an earlier one.
+std::uint64_t fencingTokenOf(std::uint64_t term, jobs::WorkerNumber worker)
+{
+    constexpr unsigned workerBits = 32;
+    return term << workerBits | (worker & ((std::uint64_t { 1 } << workerBits) - 1));
+}
+
 /// Returns how long a lease may last by the local clock.
 base::Milliseconds longestLease(base::Milliseconds lease)
 {
@@ -29,7 +37,7 @@
 } // namespace
 
 WorkerSession::WorkerSession(http::EventLoop& loop, http::HttpClient& client, const ControlOptions& options,
-    const base::Log& log, const jobs::FleetState& state, const jobs::Worker& worker, std::uint64_t fencingToken,
+    const base::Log& log, const jobs::FleetState& state, const jobs::Worker& worker, std::uint64_t term,
     SessionHooks hooks)
     : m_loop(loop)
     , m_client(client)
@@ -44,7 +52,7 @@
     , m_rack(jobs::rackOf(worker.report))
     , m_knownSince(base::monotonicNow())
     , m_endpoint(base::parseEndpoint(worker.report.address))
-    , m_fencingToken(fencingToken)
+    , m_fencingToken(fencingTokenOf(term, worker.number))
 {
     const auto lease = state.hasPredecessor(m_number) ? options.maxTaskLease : options.taskLease;
     m_clock.assumeGranted(base::monotonicNow() + longestLease(lease) + earlierLeaderMargin);
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -48,7 +48,7 @@
 class WorkerSession {
 public:
     WorkerSession(http::EventLoop& loop, http::HttpClient& client, const ControlOptions& options, const base::Log& log,
-        const jobs::FleetState& state, const jobs::Worker& worker, std::uint64_t fencingToken, SessionHooks hooks);
+        const jobs::FleetState& state, const jobs::Worker& worker, std::uint64_t term, SessionHooks hooks);
     ~WorkerSession();
     WorkerSession(const WorkerSession&) = delete;
     WorkerSession& operator=(const WorkerSession&) = delete;
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -226,6 +226,22 @@
     EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(otherTask); }));
 }
 
+// Guards against an order for an earlier incarnation that is carried out by a later one, of which the leader knows
+// already.
+TEST_F(WorkerSessionTest, ALaterIncarnationRefusesADelayedOrderForTheEarlierOne)
+{
+    reachWorker();
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.count(startPath) == 1; }));
+    const std::vector<platform::testing::FakeWorker::Order> delayed = m_worker.orders();
+    m_worker.restart();
+    receiveReport();
+    ASSERT_TRUE(runUntil(m_loop, [this] { return isSettled() && hasUsedWorker(); }));
+    for (const auto& order : delayed) {
+        EXPECT_EQ(m_worker.carryOut(order), 409) << order.path;
+    }
+}
+
 enum class ReportTime { AtOnce, Soon, Never };
 
 /// Parameters: the order at which the later incarnation begins, whether it takes that order itself, and its report.
