Confirm ends only to a worker that is known to be there

A renewal after silence, and the first one of a new leader, carried the number of the last recorded end. A later incarnation counts its ends anew and forgets those that the number covers: a task that was done there would run again (TWICE).

A renewal carries the number, like the deadline, only while the last order was answered by the incarnation; the question of a worker that leaves carries none.

--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -103,10 +103,11 @@
     }
     const auto now = base::monotonicNow();
     platform::RenewOrder order;
-    order.lastRecordedEnd = current->lastRecordedEnd;
     // A silent worker may still get what is sent, so that each order with a deadline would put off the moment by which
-    // its leases have certainly ended.
-    if (m_health.unanswered == 0 && !m_laterIncarnation) {
+    // its leases have certainly ended. A later incarnation counts its ends anew and would forget those that this one's
+    // number covers.
+    if (m_answeredAt && m_health.unanswered == 0 && !m_laterIncarnation && !m_otherAnsweredAt) {
+        order.lastRecordedEnd = current->lastRecordedEnd;
         order.leaseDeadlineMs = m_clock.grant(m_options.taskLease, now);
         m_grantedAt = now;
     }
@@ -168,10 +169,8 @@
         return;
     }
     m_isProbing = true;
-    // Without a deadline, so that the question extends no lease.
-    platform::RenewOrder order;
-    order.lastRecordedEnd = current->lastRecordedEnd;
-    call(platform::renewRequest(target(), order), leaveProbeTimeout,
+    // Without a deadline and a number of ends, so that the question extends no lease and loses nothing.
+    call(platform::renewRequest(target(), {}), leaveProbeTimeout,
         [this](const http::ExchangeResult& result) { onLeaveProbed(result); });
 }
 
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -242,6 +242,25 @@
     }
 }
 
+// Guards against an end on a later incarnation that is forgotten by the number of an end on the earlier one, and whose
+// task runs again.
+TEST_F(WorkerSessionTest, ARenewalAfterSilenceForgetsNoEnds)
+{
+    reachWorker();
+    assign(otherTask);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(otherTask)); }));
+    m_worker.endRun(platform::taskName(otherTask), "done");
+    const auto isForgotten = [](const auto& order) { return order.body.value("ackCursor", 0) == 1; };
+    ASSERT_TRUE(runUntil(m_loop, [&] { return std::ranges::any_of(m_worker.orders(), isForgotten); }));
+    m_worker.isSilent = true;
+    runFor(100ms);
+    m_worker.restart();
+    const std::size_t taken = m_worker.orders().size();
+    m_worker.isSilent = false;
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_worker.orders().size() > taken; }));
+    EXPECT_FALSE(isForgotten(m_worker.orders()[taken]));
+}
+
 enum class ReportTime { AtOnce, Soon, Never };
 
 /// Parameters: the order at which the later incarnation begins, whether it takes that order itself, and its report.
