Suspect no run of a crash that another incarnation accepted

A start that a later incarnation accepted counted as a suspect of the crash of the earlier one, which never ran it, so that attempts were used up.

--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -511,7 +511,7 @@
         return true;
     }
     const auto order = m_orders.find(key);
-    if (order == m_orders.end() || order->second.phase == OrderPhase::Settled) {
+    if (order == m_orders.end() || order->second.phase == OrderPhase::Settled || order->second.isOther) {
         return false;
     }
     return order->second.phase == OrderPhase::Started || order->second.wasSent;
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -261,6 +261,23 @@
     EXPECT_FALSE(isForgotten(m_worker.orders()[taken]));
 }
 
+// Guards against a task that is given up for crashes of incarnations that never ran it.
+TEST_F(WorkerSessionTest, ARunThatALaterIncarnationAcceptedIsNoSuspectOfTheCrashBefore)
+{
+    reachWorker();
+    assign(otherTask);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(otherTask)); }));
+    runFor(100ms);
+    m_worker.restart();
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(task)); }));
+    runFor(20ms);
+    receiveReport();
+    ASSERT_EQ(m_crashes.size(), 1U);
+    ASSERT_EQ(m_crashes.front().runs.size(), 1U);
+    EXPECT_EQ(m_crashes.front().runs.front().task, otherTask);
+}
+
 enum class ReportTime { AtOnce, Soon, Never };
 
 /// Parameters: the order at which the later incarnation begins, whether it takes that order itself, and its report.
