Take a list of runs without an incarnation for silence

Each list tells its incarnation (PROTOCOL). One that doesn't was taken for the known incarnation's, and so was the answer to the question whether a worker has left.

--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -193,6 +193,7 @@
         return;
     }
     const auto answer = platform::decodeOrderAnswer(*result.response);
+    const bool isIdentified = answer.incarnation || m_incarnation == 0;
     const bool isOther = answer.incarnation && m_incarnation != 0 && *answer.incarnation != m_incarnation;
     const bool isOtherId = answer.outcome == platform::OrderOutcome::OtherIncarnation;
     if (isOther && !isOtherId && *answer.incarnation > m_incarnation) {
@@ -203,6 +204,10 @@
         remove("other-incarnation", RemovalCause::Restarted);
         return;
     }
+    if (!isIdentified) {
+        m_log.warning("worker_status_unidentified", { { "worker", m_id }, { "incarnation", m_incarnation } });
+        return;
+    }
     m_log.info("leave_refuted", { { "worker", m_id }, { "incarnation", m_incarnation } });
     m_mayHaveLeft = false;
     update();
@@ -281,6 +286,11 @@
 
 void WorkerSession::onStatus(const platform::WorkerStatus& status, base::MonotonicTime sentAt)
 {
+    if (m_incarnation != 0 && !status.incarnation) {
+        m_log.warning("worker_status_unidentified", { { "worker", m_id }, { "incarnation", m_incarnation } });
+        onSilence();
+        return;
+    }
     if (status.incarnation && m_incarnation != 0 && *status.incarnation != m_incarnation) {
         onOtherIncarnation(status, sentAt);
         return;
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -278,6 +278,17 @@
     EXPECT_EQ(m_crashes.front().runs.front().task, otherTask);
 }
 
+// Guards against a list of runs that is taken for the known incarnation's though it doesn't say whose it is.
+TEST_F(WorkerSessionTest, AListWithoutAnIncarnationProvesNothing)
+{
+    m_worker.hidesIncarnation = true;
+    apply(jobs::RecordWorker { report() });
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.count(renewPath) >= 2; }));
+    EXPECT_FALSE(hasUsedWorker());
+    m_worker.hidesIncarnation = false;
+    EXPECT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker(); }));
+}
+
 enum class ReportTime { AtOnce, Soon, Never };
 
 /// Parameters: the order at which the later incarnation begins, whether it takes that order itself, and its report.
