--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -22,8 +22,6 @@
 using http::testing::runUntil;
 using namespace std::chrono_literals;
 
-constexpr auto startPath = "/api/run-start";
-constexpr auto renewPath = "/api/hold";
 constexpr auto workerId = "w1";
 constexpr std::int64_t firstIncarnation = 1'000;
 constexpr std::int64_t firstClockMs = 60'000;
@@ -133,7 +131,7 @@
     void reachWorker()
     {
         apply(jobs::RecordWorker { report() });
-        ASSERT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker() && m_worker.count(renewPath) >= 2; }));
+        ASSERT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker() && m_worker.renewals() >= 2; }));
     }
 
     void useShortLeases()
@@ -168,11 +166,11 @@
     reachWorker();
     m_worker.startClockOffsetMs = 1'000'000;
     assign(task);
-    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.count(startPath) == 1; }));
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.starts() == 1; }));
     const std::size_t taken = m_worker.orders().size();
     EXPECT_TRUE(runUntil(m_loop, [&] { return m_worker.orders().size() > taken + 2; }));
     for (const auto& order : m_worker.orders()) {
-        EXPECT_LT(order.body.value("deadlineMs", std::int64_t { 0 }), firstClockMs + 100'000) << order.path;
+        EXPECT_LT(order.leaseDeadlineMs(), firstClockMs + 100'000) << order.path;
     }
 }
 
@@ -182,10 +180,10 @@
     reachWorker();
     m_worker.restart();
     assign(task);
-    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.count(startPath) == 1; }));
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.starts() == 1; }));
     assign(otherTask);
     runFor(300ms);
-    EXPECT_EQ(m_worker.count(startPath), 1U);
+    EXPECT_EQ(m_worker.starts(), 1U);
     EXPECT_FALSE(hasUsedWorker());
     EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task) && isFree(otherTask); }));
 }
@@ -232,7 +230,7 @@
 {
     reachWorker();
     assign(task);
-    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.count(startPath) == 1; }));
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.starts() == 1; }));
     const std::vector<platform::testing::FakeWorker::Order> delayed = m_worker.orders();
     m_worker.restart();
     receiveReport();
@@ -250,7 +248,7 @@
     assign(otherTask);
     ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(otherTask)); }));
     m_worker.endRun(platform::taskName(otherTask), "done");
-    const auto isForgotten = [](const auto& order) { return order.body.value("ackCursor", 0) == 1; };
+    const auto isForgotten = [](const auto& order) { return order.lastRecordedEnd() == 1; };
     ASSERT_TRUE(runUntil(m_loop, [&] { return std::ranges::any_of(m_worker.orders(), isForgotten); }));
     m_worker.isSilent = true;
     runFor(100ms);
@@ -283,7 +281,7 @@
 {
     m_worker.hidesIncarnation = true;
     apply(jobs::RecordWorker { report() });
-    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.count(renewPath) >= 2; }));
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.renewals() >= 2; }));
     EXPECT_FALSE(hasUsedWorker());
     m_worker.hidesIncarnation = false;
     EXPECT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker(); }));
@@ -321,8 +319,8 @@
 {
     restartAtParameter();
     apply(jobs::RecordWorker { report() });
-    ASSERT_TRUE(runUntil(
-        m_loop, [this] { return m_worker.count(renewPath) >= 2 || m_worker.incarnation() != firstIncarnation; }));
+    ASSERT_TRUE(
+        runUntil(m_loop, [this] { return m_worker.renewals() >= 2 || m_worker.incarnation() != firstIncarnation; }));
     propose(jobs::testing::assign(task, 1, m_number), nullptr);
     ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.incarnation() != firstIncarnation; }));
     expectOneRun();
