Let the stand-in tell its incarnation only in reports and lists

It also shortens leases to a maximum, and can begin a new incarnation right before a start.

The new PlatformLateOrderTest and the four old ones pass, as do those of PlatformWorkerTest (aarch64, sanitizers). The new one was not run on the code before the fix.

--- a/tests/integration/platform_late_order_test.cpp
+++ b/tests/integration/platform_late_order_test.cpp
@@ -79,5 +79,18 @@
     });
 }
 
+// Guards against two runs of a task when a later life accepts its start before the leader knows of that life.
+TEST_F(PlatformLateOrderTest, AStartThatALaterLifeAcceptsBeforeItsReportRunsNoTaskTwice)
+{
+    ASSERT_TRUE(configure());
+    for (const std::string worker : { "w1", "w2" }) {
+        startWorker(worker, { flag("restarts-at-start", 1) });
+    }
+    submit(job, oneTask);
+    EXPECT_TRUE(waitUntil([&] { return starts(task) >= 2; })) << "the earlier life's run is gone";
+    EXPECT_TRUE(waitUntil([&] { return state(job) == "done"; }));
+    expectNoTaskTwice();
+}
+
 } // namespace
 } // namespace crocuscove::testing
--- a/tests/support/standin_executor.cpp
+++ b/tests/support/standin_executor.cpp
@@ -73,7 +73,6 @@
 void StandinExecutor::respond(const http::Responder& responder, int status, nlohmann::json body) const
 {
     body["clockMs"] = clockMs();
-    body["born"] = m_born;
     http::HttpResponse response;
     response.status = status;
     response.body = body.dump();
@@ -109,6 +108,9 @@
         respond(responder, 421, nlohmann::json::object());
         return;
     }
+    if (request.path == "/api/run-start") {
+        restartForStart();
+    }
     if (isLateOrder(request.path)) {
         const auto body = nlohmann::json::parse(request.body);
         record("deferred", body.at("task"), body.at("run"), request.path);
@@ -125,6 +127,18 @@
     carryOut(request, responder);
 }
 
+void StandinExecutor::restartForStart()
+{
+    if (++m_starts != m_options.restartsAtStart) {
+        return;
+    }
+    record("restart", "", 0, m_options.id);
+    if (m_hold.responder) {
+        leaveOpen(*m_hold.responder);
+    }
+    beginLife(base::monotonicNow());
+}
+
 bool StandinExecutor::isLateOrder(const std::string& path)
 {
     const auto now = base::monotonicNow();
@@ -158,7 +172,8 @@
 void StandinExecutor::extendLease(const nlohmann::json& body)
 {
     checkLease();
-    m_leaseMs = std::max(m_leaseMs, body.value("deadlineMs", std::int64_t { 0 }));
+    const std::int64_t deadlineMs = body.value("deadlineMs", std::int64_t { 0 });
+    m_leaseMs = std::max(m_leaseMs, std::min(deadlineMs, clockMs() + m_options.maxLeaseMs));
 }
 
 void StandinExecutor::start(const nlohmann::json& body, const http::Responder& responder)
@@ -350,7 +365,7 @@
     for (const auto& [task, run] : m_running) {
         running.push_back(nlohmann::json::array({ task, run.number, "", 100, 0 }));
     }
-    respond(*responder, 200, { { "running", running }, { "ended", m_ended } });
+    respond(*responder, 200, { { "running", running }, { "ended", m_ended }, { "born", m_born } });
 }
 
 void StandinExecutor::report()
--- a/tests/support/standin_executor.h
+++ b/tests/support/standin_executor.h
@@ -48,6 +48,10 @@
     /// `lateOrderDelayMs` after they arrived.
     std::int64_t lateOrdersForMs = 0;
     std::int64_t lateOrderDelayMs = 0;
+    /// The start with this number is taken by a new incarnation, which begins right before; 0 for none.
+    std::int64_t restartsAtStart = 0;
+    /// A longer lease is shortened to this.
+    std::int64_t maxLeaseMs = 10'000;
     /// It crashes this long after the first such order, which its next life carries out; 0 for a worker that doesn't.
     std::int64_t crashAfterLateOrderMs = 0;
     /// A task that crashes its worker does so this long after its start.
@@ -62,7 +66,8 @@
     std::string recordsFile;
 };
 
-/// A worker as the users' platform has it, by code of its own. The payload of a job gives the run time of its tasks in
+/// A worker as the users' platform has it, by code of its own. Only its reports and its lists of runs tell the
+/// incarnation. The payload of a job gives the run time of its tasks in
 /// milliseconds; 0 lasts. With " deadly=.0.0.1" after it, tasks whose names end so crash the worker, which comes back
 /// under its id or another.
 class StandinExecutor {
@@ -107,6 +112,8 @@
         std::int64_t agoMs = 0);
     [[nodiscard]] std::int64_t clockMs() const;
     void respond(const http::Responder& responder, int status, nlohmann::json body) const;
+    /// Begins a new incarnation if the next start is the one that it takes.
+    void restartForStart();
 
     http::EventLoop& m_loop;
     StandinExecutorOptions m_options;
@@ -118,6 +125,7 @@
     /// Nothing is answered before.
     base::MonotonicTime m_downUntil;
     int m_crashes = 0;
+    std::int64_t m_starts = 0;
     std::uint64_t m_fence = 0;
     std::int64_t m_leaseMs = 0;
     /// The last end before the lease has ended most recently. Ends up to it never count as noted (RULES, TWICE).
