--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -116,8 +116,8 @@
     }
     if (isUnsent) {
         const bool fits = !plan || plan->send.contains(key);
-        if (fits && !m_mayHaveLeft && !m_otherAnsweredAt && m_startsInFlight < maxStartsInFlight
-            && m_health.unanswered == 0 && m_hooks.mayOrder()) {
+        if (fits && !m_mayHaveLeft && !m_otherSeenAt && m_startsInFlight < maxStartsInFlight && m_health.unanswered == 0
+            && m_hooks.mayOrder()) {
             start(key, order);
         }
         return;
@@ -144,6 +144,7 @@
     message.leaseDeadlineMs = m_clock.grant(std::min(startValidity, m_options.taskLease), now).value_or(0);
     m_grantedAt = now;
     order.phase = OrderPhase::Sending;
+    order.isInFlight = true;
     const bool wasSentBefore = std::exchange(order.wasSent, true);
     ++m_startsInFlight;
     call(
@@ -162,9 +163,9 @@
     const jobs::Worker* current = worker();
     const jobs::Job* job = m_state.findJob(key.job);
     const auto order = m_orders.find(key);
-    return current != nullptr && !current->report.isDraining && !m_isRemoving && !m_laterIncarnation
-        && !m_otherAnsweredAt && m_health.unanswered == 0 && job != nullptr && job->isActive()
-        && order != m_orders.end() && order->second.run == run && !order->second.isStopping;
+    return current != nullptr && !current->report.isDraining && !m_isRemoving && !m_laterIncarnation && !m_otherSeenAt
+        && m_health.unanswered == 0 && job != nullptr && job->isActive() && order != m_orders.end()
+        && order->second.run == run && !order->second.isStopping;
 }
 
 void WorkerSession::onStartAnswer(const jobs::TaskKey& key, std::uint32_t run, const http::ExchangeResult& result,
@@ -177,7 +178,17 @@
         return;
     }
     Order& order = found->second;
+    order.isInFlight = false;
     order.mayArriveLate = order.mayArriveLate || (!result.response && result.mayHaveStarted);
+    const auto answer = result.response ? std::optional(platform::decodeOrderAnswer(*result.response)) : std::nullopt;
+    const bool isOtherId = answer && answer->outcome == platform::OrderOutcome::OtherIncarnation;
+    const bool isLater = answer && answer->incarnation && m_incarnation != 0 && *answer->incarnation > m_incarnation;
+    if (isLater && !isOtherId) {
+        order.mayArriveLate = true;
+        noteLaterIncarnation(*answer->incarnation);
+        return;
+    }
+    const bool isOther = answer && noteStartAnswer(order, *answer, sentAt);
     if (order.phase != OrderPhase::Sending) {
         return;
     }
@@ -187,7 +198,7 @@
         order.sendAgainAt = now + retryPause;
         return;
     }
-    if (!result.response) {
+    if (!answer) {
         // The same run may be sent again: a worker that has it already answers that it does.
         countUnanswered();
         order.phase = OrderPhase::Unsent;
@@ -197,32 +208,13 @@
                 { "failure", http::exchangeFailureName(result.failure) }, { "waited_ms", waitedMs } });
         return;
     }
-    const auto answer = platform::decodeOrderAnswer(*result.response);
-    const bool isLater = answer.incarnation && m_incarnation != 0 && *answer.incarnation > m_incarnation;
-    if (isLater && answer.outcome != platform::OrderOutcome::OtherIncarnation) {
-        order.mayArriveLate = true;
-        noteLaterIncarnation(*answer.incarnation);
-        return;
-    }
     m_log.info("task_start",
         { { "task", platform::taskName(key) }, { "run", run }, { "worker", m_id }, { "incarnation", m_incarnation },
-            { "outcome", platform::orderOutcomeName(answer.outcome) }, { "waited_ms", waitedMs },
-            { "answered_by", answer.incarnation.value_or(0) }, { "clock_ms", answer.clockMs.value_or(-1) },
+            { "outcome", platform::orderOutcomeName(answer->outcome) }, { "waited_ms", waitedMs },
+            { "answered_by", answer->incarnation.value_or(0) }, { "clock_ms", answer->clockMs.value_or(-1) },
             { "clock_expected_ms", m_clock.earliestClockMs(sentAt).value_or(-1) } });
-    // A clock without an incarnation isn't observed: a mixture of two clocks would end leases too early.
-    const bool isOther = answer.clockMs && !m_clock.mayHaveShown(*answer.clockMs, sentAt, now);
-    if (isOther) {
-        m_otherAnsweredAt = now;
-    }
-    const bool hasRun
-        = answer.outcome == platform::OrderOutcome::Accepted || answer.outcome == platform::OrderOutcome::StaleRun;
-    order.wasSent = wasSentBefore || hasRun;
-    order.isUnproven = hasRun;
-    order.isOther = hasRun && isOther;
-    if (!isOther && answer.outcome != platform::OrderOutcome::OtherIncarnation) {
-        m_aliveAt = now;
-    }
-    switch (answer.outcome) {
+    order.wasSent = wasSentBefore || order.isUnproven;
+    switch (answer->outcome) {
     case platform::OrderOutcome::Accepted:
         order.phase = OrderPhase::Started;
         order.since = now;
@@ -249,6 +241,24 @@
     }
 }
 
+// A clock without an incarnation isn't observed: a mixture of two clocks would end leases too early.
+bool WorkerSession::noteStartAnswer(Order& order, const platform::OrderAnswer& answer, base::MonotonicTime sentAt)
+{
+    const auto now = base::monotonicNow();
+    const bool isOther = answer.clockMs && !m_clock.mayHaveShown(*answer.clockMs, sentAt, now);
+    if (isOther) {
+        m_otherSeenAt = now;
+    } else if (answer.outcome != platform::OrderOutcome::OtherIncarnation) {
+        m_aliveAt = now;
+    }
+    const bool hasRun
+        = answer.outcome == platform::OrderOutcome::Accepted || answer.outcome == platform::OrderOutcome::StaleRun;
+    order.answeredAt = now;
+    order.isUnproven = hasRun;
+    order.isOther = hasRun && isOther;
+    return isOther;
+}
+
 void WorkerSession::stopOrder(const jobs::TaskKey& key, Order& order, std::string_view reason)
 {
     if (order.isStopping) {
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -28,6 +28,10 @@
     return term << workerBits | (worker & ((std::uint64_t { 1 } << workerBits) - 1));
 }
 
+/// Orders for an earlier incarnation count for nothing after this age of a later one: the delay of an order, the
+/// longest lease and a step of the time of day.
+constexpr base::Milliseconds predecessorWindow { 60'000 };
+
 /// Returns how long a lease may last by the local clock.
 base::Milliseconds longestLease(base::Milliseconds lease)
 {
@@ -51,10 +55,12 @@
     , m_service(worker.report.service)
     , m_rack(jobs::rackOf(worker.report))
     , m_knownSince(base::monotonicNow())
+    , m_mayHoldLongestLease(state.hasPredecessor(worker.number)
+          && base::wallNow().time_since_epoch() < base::Milliseconds(worker.report.incarnation) + predecessorWindow)
     , m_endpoint(base::parseEndpoint(worker.report.address))
     , m_fencingToken(fencingTokenOf(term, worker.number))
 {
-    const auto lease = state.hasPredecessor(m_number) ? options.maxTaskLease : options.taskLease;
+    const auto lease = m_mayHoldLongestLease ? options.maxTaskLease : options.taskLease;
     m_clock.assumeGranted(base::monotonicNow() + longestLease(lease) + earlierLeaderMargin);
     for (const jobs::TaskKey& key : state.tasksOf(m_number)) {
         m_inheritedRuns[key] = state.findJob(key.job)->find(key)->run;
@@ -82,8 +88,8 @@
 
 bool WorkerSession::isUsable(base::MonotonicTime now) const
 {
-    return !m_isRemoving && !m_laterIncarnation && !m_otherAnsweredAt && !m_mayHaveLeft && m_clock.isKnown()
-        && m_answeredAt && now - *m_answeredAt < usableWindow;
+    return !m_isRemoving && !m_laterIncarnation && !m_otherSeenAt && !m_mayHaveLeft && m_clock.isKnown() && m_answeredAt
+        && now - *m_answeredAt < usableWindow;
 }
 
 void WorkerSession::scheduleRenew(base::Milliseconds pause)
@@ -106,7 +112,7 @@
     // A silent worker may still get what is sent, so that each order with a deadline would put off the moment by which
     // its leases have certainly ended. A later incarnation counts its ends anew and would forget those that this one's
     // number covers.
-    if (m_answeredAt && m_health.unanswered == 0 && !m_laterIncarnation && !m_otherAnsweredAt) {
+    if (m_answeredAt && m_health.unanswered == 0 && !m_laterIncarnation && !m_otherSeenAt) {
         order.lastRecordedEnd = current->lastRecordedEnd;
         order.leaseDeadlineMs = m_clock.grant(m_options.taskLease, now);
         m_grantedAt = now;
@@ -241,22 +247,21 @@
 
 std::optional<base::MonotonicTime> WorkerSession::otherLeaseExpiry() const
 {
-    std::optional<base::MonotonicTime> expiry;
-    for (const auto& [key, order] : m_orders) {
-        if (order.isOther && order.phase == OrderPhase::Started) {
-            const base::MonotonicTime end = std::max(order.since, m_grantedAt) + longestLease(m_options.maxTaskLease);
-            expiry = std::max(expiry.value_or(end), end);
-        }
+    if (!m_otherSeenAt || findUnsettledStarts().empty()) {
+        return std::nullopt;
     }
-    return expiry;
+    // An order with a deadline arrives before its answer is given up.
+    return std::max<base::MonotonicTime>(*m_otherSeenAt, m_grantedAt + answerTimeout)
+        + longestLease(m_options.maxTaskLease);
 }
 
 void WorkerSession::freeOwnTasks()
 {
-    if (hasRecordedUnsettledStart()) {
+    if (m_isRecordingUnsettled || hasRecordedUnsettledStart()) {
         return;
     }
     if (auto record = crash(false)) {
+        m_isCrashRecorded = true;
         m_hooks.onCrash(std::move(*record));
     }
     recordUnsettledStarts();
@@ -266,7 +271,7 @@
 {
     m_isRemoving = true;
     m_hasLeft = cause == RemovalCause::Left;
-    auto record = m_laterIncarnation ? std::nullopt : crash(cause == RemovalCause::Restarted);
+    auto record = m_laterIncarnation || m_isCrashRecorded ? std::nullopt : crash(cause == RemovalCause::Restarted);
     if (record && cause != RemovalCause::Left) {
         m_hooks.onCrash(std::move(*record));
     }
@@ -302,9 +307,10 @@
     const auto now = base::monotonicNow();
     const bool isFirst = !m_clock.isKnown();
     m_clock.observe(status.clockMs, sentAt, now);
-    if (m_otherAnsweredAt && *m_otherAnsweredAt < sentAt) {
-        m_otherAnsweredAt.reset();
+    if (m_otherSeenAt && *m_otherSeenAt < sentAt) {
+        m_otherSeenAt.reset();
     }
+    m_isCrashRecorded = false;
     m_answeredAt = now;
     m_aliveAt = now;
     m_health.unanswered = 0;
@@ -323,7 +329,7 @@
         // An end that is skipped is never confirmed, so that the worker answers at once.
         scheduleRenew(retryPause);
     }
-    if (isFirst && m_state.hasPredecessor(m_number)) {
+    if (isFirst && m_mayHoldLongestLease) {
         // Until it has taken this leader's first order, orders for an earlier incarnation may have extended its lease.
         m_clock.assumeGranted(now + longestLease(m_options.maxTaskLease));
     }
@@ -334,11 +340,11 @@
 
 void WorkerSession::onOtherIncarnation(const platform::WorkerStatus& status, base::MonotonicTime sentAt)
 {
-    if (*status.incarnation < m_incarnation) {
-        remove("restarted", RemovalCause::Silent);
-        return;
+    // A list is of the incarnation that is there now. Its start may lie earlier by a time of day that was set back.
+    if (m_laterIncarnation != status.incarnation) {
+        adoptIncarnation(*status.incarnation);
     }
-    noteLaterIncarnation(*status.incarnation);
+    recordUnsettledStarts();
     if (areStartsSettled(status, sentAt)) {
         remove("restarted", RemovalCause::Restarted);
         return;
@@ -348,21 +354,26 @@
 }
 
 void WorkerSession::noteLaterIncarnation(std::int64_t incarnation)
+{
+    if (!m_laterIncarnation || *m_laterIncarnation < incarnation) {
+        adoptIncarnation(incarnation);
+    }
+    recordUnsettledStarts();
+}
+
+void WorkerSession::adoptIncarnation(std::int64_t incarnation)
 {
     if (!m_laterIncarnation) {
-        if (auto record = crash(true)) {
+        if (auto record = crash(incarnation > m_incarnation)) {
             m_hooks.onCrash(std::move(*record));
         }
     }
-    if (!m_laterIncarnation || *m_laterIncarnation < incarnation) {
-        m_laterIncarnation = incarnation;
-        // What an earlier incarnation has confirmed doesn't hold for this one.
-        for (const jobs::UnsettledStart& start : findUnsettledStarts()) {
-            Order& order = m_orders[start.task];
-            order = Order { .run = start.run, .mayArriveLate = true };
-        }
+    m_laterIncarnation = incarnation;
+    m_otherSeenAt = base::monotonicNow();
+    // What an earlier incarnation has confirmed doesn't hold for this one.
+    for (const jobs::UnsettledStart& start : findUnsettledStarts()) {
+        m_orders[start.task] = Order { .run = start.run, .mayArriveLate = true };
     }
-    recordUnsettledStarts();
 }
 
 bool WorkerSession::isUnsettled(const jobs::TaskKey& task, std::uint32_t run) const
@@ -373,7 +384,7 @@
     }
     const auto order = m_orders.find(task);
     return order != m_orders.end() && order->second.run == run
-        && (order->second.mayArriveLate || order->second.isUnproven || order->second.phase == OrderPhase::Sending);
+        && (order->second.mayArriveLate || order->second.isUnproven || order->second.isInFlight);
 }
 
 std::vector<jobs::UnsettledStart> WorkerSession::findUnsettledStarts() const
@@ -500,15 +511,21 @@
     }
     for (auto& [key, order] : m_orders) {
         // Incarnations of an id follow each other, so that an answer before this list was requested is of this one too.
-        const bool isProven = order.since < sentAt || isRunning(key, order.run) || hasEnded(key, order.run);
-        order.isUnproven = order.isUnproven && !isProven;
+        const bool isProven = order.answeredAt < sentAt || isRunning(key, order.run) || hasEnded(key, order.run);
+        if (order.isUnproven && isProven) {
+            order.isUnproven = false;
+            order.wasAccepted = order.wasAccepted || order.isOther;
+            order.isOther = false;
+        }
     }
     if (status.listedEnds >= maxListedEnds) {
         return;
     }
     for (const auto& [key, order] : m_orders) {
         const bool isSettled = order.phase == OrderPhase::Started || order.phase == OrderPhase::Settled;
-        if (isSettled && order.since < sentAt && !isRunning(key, order.run) && !hasEnded(key, order.run)) {
+        const bool mayBeElsewhere = order.isInFlight || order.isUnproven;
+        if (isSettled && !mayBeElsewhere && order.since < sentAt && !isRunning(key, order.run)
+            && !hasEnded(key, order.run)) {
             release(key, order.run, "not-listed");
         }
     }
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -131,11 +131,15 @@
         bool wasSent = false;
         /// This leader's start was accepted; an earlier leader's run may be of any age.
         bool wasAccepted = false;
+        /// A start of the run is on its way, whatever the phase has become meanwhile.
+        bool isInFlight = false;
         /// A start got no answer, so that it may still be carried out by a later incarnation of the worker.
         bool mayArriveLate = false;
         /// The worker has the run by an answer that names no incarnation, and no list of this one has confirmed it
         /// since.
         bool isUnproven = false;
+        /// When the last answer to a start came.
+        base::MonotonicTime answeredAt {};
         /// The clock of that answer is another incarnation's.
         bool isOther = false;
     };
@@ -150,6 +154,10 @@
     void onRenewed(const http::ExchangeResult& result, base::MonotonicTime sentAt);
     void onStatus(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
     void onOtherIncarnation(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
+    /// Handles that the worker's id has another incarnation now, which has confirmed nothing yet.
+    void adoptIncarnation(std::int64_t incarnation);
+    /// Records what the answer to a start tells of who has the run. Returns whether another incarnation gave it.
+    bool noteStartAnswer(Order& order, const platform::OrderAnswer& answer, base::MonotonicTime sentAt);
     void recordEnds(const platform::WorkerStatus& status);
     void reconcile(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
     /// Tells whether a start of the run may still be on its way, sent by this leader or an earlier one.
@@ -164,7 +172,7 @@
     /// The incarnation that orders are meant for.
     [[nodiscard]] std::int64_t intendedIncarnation() const { return m_laterIncarnation.value_or(m_incarnation); }
     void onSilence();
-    /// Returns when the lease has certainly ended of runs that another incarnation has accepted, if there are any.
+    /// Returns when the lease has certainly ended of unsettled runs that another incarnation may have, if one was seen.
     [[nodiscard]] std::optional<base::MonotonicTime> otherLeaseExpiry() const;
     /// Counts an order that got no answer.
     void countUnanswered();
@@ -209,6 +217,10 @@
     /// The latest incarnation of the same id that has answered or reported.
     std::optional<std::int64_t> m_laterIncarnation;
     bool m_isRecordingUnsettled = false;
+    /// The end of this incarnation, whose tasks were freed, is recorded as a crash that isn't confirmed.
+    bool m_isCrashRecorded = false;
+    /// Orders for an earlier incarnation may have given this one the longest lease.
+    bool m_mayHoldLongestLease;
     /// The runs that were assigned when the session began; an earlier leader may have sent their starts.
     std::map<jobs::TaskKey, std::uint32_t> m_inheritedRuns;
     base::Endpoint m_endpoint;
@@ -221,9 +233,9 @@
     std::optional<base::MonotonicTime> m_answeredAt;
     /// The last answer to a renewal, or to a start by this incarnation's clock.
     std::optional<base::MonotonicTime> m_aliveAt;
-    /// A start was answered by the clock of another incarnation. Nothing is started until a list that is requested
-    /// later shows that this incarnation is there.
-    std::optional<base::MonotonicTime> m_otherAnsweredAt;
+    /// When another incarnation was seen last, by its clock in the answer to a start or by its name. Nothing is started
+    /// until a list that is requested later shows that this incarnation is there.
+    std::optional<base::MonotonicTime> m_otherSeenAt;
     /// The first order without an answer since the last answer to a renewal.
     std::optional<base::MonotonicTime> m_silentSince;
     bool m_isRenewing = false;
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -23,7 +23,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto workerId = "w1";
-constexpr std::int64_t firstIncarnation = 1'000;
 constexpr std::int64_t firstClockMs = 60'000;
 const jobs::TaskKey task { 1, 0, 0, 0 };
 const jobs::TaskKey otherTask { 2, 0, 0, 0 };
@@ -117,12 +116,12 @@
 
     void assign(const jobs::TaskKey& key) { apply(jobs::testing::assign(key, 1, m_number)); }
 
-    /// Tells whether the worker's current incarnation is known, and no start of an earlier one is open.
+    /// Tells whether no start of an earlier incarnation than the worker's current one is open.
     [[nodiscard]] bool isSettled() const
     {
         const jobs::Worker* worker = m_state.findWorker(std::string(workerId));
-        return worker != nullptr && worker->report.incarnation == m_worker.incarnation()
-            && m_state.unsettledStarts().empty();
+        const bool isKnown = worker == nullptr || worker->report.incarnation == m_worker.incarnation();
+        return isKnown && m_state.unsettledStarts().empty();
     }
 
     [[nodiscard]] bool hasUsedWorker() const { return m_session && m_session->isUsable(base::monotonicNow()); }
@@ -152,7 +151,9 @@
     ControlOptions m_options;
     base::Log m_log { base::LogLevel::Error };
     jobs::FleetState m_state;
-    platform::testing::FakeWorker m_worker { m_loop, firstIncarnation, firstClockMs };
+    platform::testing::FakeWorker m_worker { m_loop, base::wallNow().time_since_epoch().count() - 10'000,
+        firstClockMs };
+    std::int64_t m_firstIncarnation = m_worker.incarnation();
     std::uint64_t m_term = 1;
     jobs::WorkerNumber m_number = 0;
     std::unique_ptr<WorkerSession> m_session;
@@ -207,6 +208,51 @@
     EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
 }
 
+// Guards against the same when that one has answered a renewal before it is cut off.
+TEST_F(WorkerSessionTest, ALaterIncarnationThatIsCutOffAfterItsFirstListKeepsItsTaskForTheLongestLease)
+{
+    useShortLeases();
+    // The earlier incarnation's lease ends after the list.
+    m_options.taskLease = 1'500ms;
+    reachWorker();
+    m_worker.restart();
+    m_worker.onListed = [this] { m_worker.isSilent = m_worker.hasMovedRun(); };
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isSilent; }));
+    EXPECT_TRUE(m_worker.isRunning(platform::taskName(task)));
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
+}
+
+// Guards against a start that is forgotten with the earlier incarnation because a stop was confirmed before it.
+TEST_F(WorkerSessionTest, AStartThatIsOnItsWayWhenAStopIsConfirmedStaysUnsettled)
+{
+    reachWorker();
+    m_worker.holdsStarts = true;
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.starts() == 1; }));
+    m_session->stop(task, 1, "test");
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.stops() >= 1; }));
+    runFor(200ms);
+    EXPECT_FALSE(isFree(task)) << "the start may still be carried out";
+    m_worker.restart();
+    receiveReport();
+    runFor(20ms);
+    EXPECT_FALSE(m_state.unsettledStarts().empty() && !isFree(task));
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
+}
+
+// Guards against a run that is forgotten, and starts elsewhere, because the later incarnation's time of day was set
+// back.
+TEST_F(WorkerSessionTest, AnIncarnationWithAnEarlierStartRunsNoTaskTwice)
+{
+    reachWorker();
+    m_worker.restart(-500);
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(task)); }));
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
+    EXPECT_GE(m_worker.stops(), 1U);
+}
+
 // Guards against a task that starts elsewhere while its worker, which is cut off, keeps it under the lease that an
 // order for the incarnation before has given it.
 TEST_F(WorkerSessionTest, AnOrderForTheEarlierIncarnationMayHaveExtendedTheLease)
@@ -256,7 +302,10 @@
     const std::size_t taken = m_worker.orders().size();
     m_worker.isSilent = false;
     ASSERT_TRUE(runUntil(m_loop, [&] { return m_worker.orders().size() > taken; }));
-    EXPECT_FALSE(isForgotten(m_worker.orders()[taken]));
+    receiveReport();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return hasUsedWorker(); }));
+    EXPECT_TRUE(std::ranges::none_of(
+        m_worker.orders().begin() + static_cast<std::ptrdiff_t>(taken), m_worker.orders().end(), isForgotten));
 }
 
 // Guards against a task that is given up for crashes of incarnations that never ran it.
@@ -320,14 +369,18 @@
     restartAtParameter();
     apply(jobs::RecordWorker { report() });
     ASSERT_TRUE(
-        runUntil(m_loop, [this] { return m_worker.renewals() >= 2 || m_worker.incarnation() != firstIncarnation; }));
+        runUntil(m_loop, [this] { return m_worker.renewals() >= 2 || m_worker.incarnation() != m_firstIncarnation; }));
     propose(jobs::testing::assign(task, 1, m_number), nullptr);
-    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.incarnation() != firstIncarnation; }));
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.incarnation() != m_firstIncarnation; }));
+    const auto [order, isBefore, reportTime] = GetParam();
+    if (order == 3 && isBefore) {
+        EXPECT_TRUE(runUntil(m_loop, [this] { return m_worker.hasMovedRun(); })) << "the third order is the start";
+    }
     expectOneRun();
 }
 
 INSTANTIATE_TEST_SUITE_P(BetweenAnyTwoOrders, WorkerSessionRestartTest,
-    testing::Combine(testing::Range(2, 7), testing::Bool(),
+    testing::Combine(testing::Range(1, 7), testing::Bool(),
         testing::Values(ReportTime::AtOnce, ReportTime::Soon, ReportTime::Never)));
 
 } // namespace
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -705,5 +705,24 @@
     EXPECT_TRUE(m_state.findJob(1)->isActive());
 }
 
+// Guards against a worker whose leases are thought shorter than an order for the incarnation before may have made them.
+TEST_F(FleetStateTest, AnEarlierIncarnationOfAWorkersIdIsRemembered)
+{
+    EXPECT_FALSE(m_state.hasPredecessor(m_worker));
+    m_state.apply(RecordWorker { report("w1", 2) });
+    const WorkerNumber second = m_state.findWorker("w1")->number;
+    EXPECT_TRUE(m_state.hasPredecessor(second));
+    FleetState restored;
+    restored.restoreSnapshot(m_state.encodeSnapshot());
+    EXPECT_TRUE(restored.hasPredecessor(second));
+    m_state.apply(RemoveWorker { second });
+    EXPECT_FALSE(m_state.hasPredecessor(second));
+    m_state.apply(RecordWorker { report("w1", 2, 2) });
+    EXPECT_FALSE(m_state.hasPredecessor(m_state.findWorker("w1")->number)) << "the same incarnation comes back";
+    m_state.apply(RemoveWorker { m_state.findWorker("w1")->number });
+    m_state.apply(RecordWorker { report("w1", 3) });
+    EXPECT_TRUE(m_state.hasPredecessor(m_state.findWorker("w1")->number));
+}
+
 } // namespace
 } // namespace crocuscove::jobs
