Blame no task for a crash whose worker restarts in a burst

Cause: a crash of several workers was held for a common one only if their silence showed first; workers that are back within a second never fall silent.

Change: a confirmed crash carries the start of the worker's successor, and the replicated state remembers restarts. A crash counts for nothing if at least five workers of the service restarted within 0.5 s of it and few others within 1.5 s; restarts under the same job's tasks are left out. The others of a burst report after the first, so that a task's crashes are looked at again when its next one is counted.

FleetStateCrashesTest.RestartsOfManyWorkersAtOnceGiveUpNoJob fails without the rule (given up in round 4).

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -130,6 +130,14 @@
     std::int64_t nowMs = 0;
 };
 
+/// Records the crash of a worker whose successor was seen. RecordCrash says so without its circumstances, and is kept
+/// for logs of earlier versions.
+struct RecordConfirmedCrash {
+    RecordCrash crash;
+    /// When the successor started, in Unix milliseconds; 0 if that isn't known.
+    std::int64_t restartedMs = 0;
+};
+
 /// Cancels a job, also one that is accepted only later.
 struct CancelJob {
     JobId job = 0;
@@ -157,7 +165,7 @@
 
 using Command = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks,
     ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash,
-    CancelJob, RemoveLeftWorker, RecordUnsettledStarts>;
+    CancelJob, RemoveLeftWorker, RecordUnsettledStarts, RecordConfirmedCrash>;
 
 CROCUSCOVE_FIELDS(PutConfiguration, v.configuration)
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
@@ -179,5 +187,6 @@
 CROCUSCOVE_FIELDS(RecordUnsettledStarts, v.worker, v.starts)
 CROCUSCOVE_FIELDS(CancelJob, v.job, v.nowMs)
 CROCUSCOVE_FIELDS(RecordCrash, v.worker, v.incarnation, v.runs, v.isConfirmed, v.nowMs)
+CROCUSCOVE_FIELDS(RecordConfirmedCrash, v.crash, v.restartedMs)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -24,6 +24,8 @@
 /// A run that has executed for this long, counted from its accepted start, is not the certain cause of a crash, though
 /// it may be the cause.
 inline constexpr base::Milliseconds crashProbation { 1'000 };
+/// Crashes that are remembered of one task; only a long-running one has that many.
+inline constexpr std::size_t maxCrashesPerTask = 16;
 /// Tasks whose crashes are counted at the same time.
 inline constexpr std::size_t maxCrashRecords = 20'000;
 /// Workers whose crash is not proven yet; beyond that the oldest is forgotten.
@@ -55,6 +57,14 @@
 /// crashes.
 std::vector<CrashedRun> suspectsOf(const std::vector<RunAtCrash>& runs);
 
+/// A crash of a worker under a run of a task.
+struct CountedCrash {
+    std::uint32_t run = 0;
+    /// When the later worker at the crashed one's place started, in Unix milliseconds; 0 if that isn't known.
+    std::int64_t restartedMs = 0;
+    bool isAttributed = false;
+};
+
 /// The crashes of workers that stand against a task.
 struct TaskCrashes {
     std::uint32_t crashes = 0;
@@ -66,6 +76,9 @@
     [[nodiscard]] bool isDeadly() const { return crashes >= maxCrashes || attributed >= maxAttributedCrashes; }
 };
 
+/// Returns the sums of what stands against a task.
+TaskCrashes summarizeCrashes(const std::vector<CountedCrash>& crashes);
+
 /// A worker that fell silent, and has crashed if a later incarnation, or a later worker at its address, reports.
 struct UnconfirmedCrash {
     std::int64_t incarnation = 0;
@@ -76,6 +89,7 @@
 };
 
 CROCUSCOVE_FIELDS(CrashedRun, v.task, v.run, v.isAttributed)
+CROCUSCOVE_FIELDS(CountedCrash, v.run, v.restartedMs, v.isAttributed)
 CROCUSCOVE_FIELDS(TaskCrashes, v.crashes, v.attributed, v.lastRun)
 CROCUSCOVE_FIELDS(UnconfirmedCrash, v.incarnation, v.address, v.runs, v.recordedMs)
 
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -141,7 +141,8 @@
         m_metrics.observe("task_start", waited.count());
     };
     hooks.isReserved = [this](const std::string& workerId) { return m_fleet.isReserved(workerId); };
-    hooks.onCrash = [this](jobs::RecordCrash crash) { proposeCrash(std::move(crash)); };
+    hooks.onCrash
+        = [this](jobs::RecordCrash crash, std::int64_t restartedMs) { proposeCrash(std::move(crash), restartedMs); };
     hooks.mayOrder = [this] { return m_cluster.hasLeadership(base::monotonicNow()); };
     return hooks;
 }
@@ -216,8 +217,8 @@
             } else if constexpr (std::is_same_v<Type,
                                      jobs::CancelJob> || std::is_same_v<Type, jobs::CancelAcceptedJob>) {
                 collectTasksOfEndedJob(typed.job, changed);
-            } else if constexpr (std::is_same_v<Type, jobs::RecordCrash>) {
-                onCrashApplied(typed, changed);
+            } else if constexpr (std::is_same_v<Type, jobs::RecordConfirmedCrash>) {
+                onCrashApplied(typed.crash, changed);
             } else if constexpr (std::is_same_v<Type, jobs::AcceptJob>) {
                 if (const jobs::Job* job = m_cluster.state().findJob(typed.job)) {
                     m_fleet.addArrival(*job);
@@ -247,17 +248,17 @@
         if (worker->report.id == report.id) {
             session->second->noteLaterIncarnation(report.incarnation);
         } else if (auto crash = session->second->crash(true)) {
-            proposeCrash(std::move(*crash));
+            proposeCrash(std::move(*crash), report.incarnation);
         }
     }
     for (const auto& [worker, crash] : state.unconfirmedCrashes()) {
         if ((worker == report.id || crash.address == report.address) && crash.incarnation < report.incarnation) {
-            proposeCrash({ worker, crash.incarnation, crash.runs, true, unixNow() });
+            proposeCrash({ worker, crash.incarnation, crash.runs, true, unixNow() }, report.incarnation);
         }
     }
 }
 
-void Leader::proposeCrash(jobs::RecordCrash crash)
+void Leader::proposeCrash(jobs::RecordCrash crash, std::int64_t restartedMs)
 {
     const jobs::Worker* worker = m_cluster.state().findWorker(crash.worker);
     const bool isPresent = worker != nullptr && worker->report.incarnation == crash.incarnation;
@@ -279,7 +280,12 @@
         return;
     }
     if (!isPresent || m_loggedCrashes.emplace(worker->number, crash.isConfirmed).second) {
-        logCrash(crash);
+        logCrash({ crash, restartedMs });
+    }
+    if (crash.isConfirmed) {
+        logExcusedCrashes(crash);
+        proposeCommand(jobs::RecordConfirmedCrash { std::move(crash), restartedMs }, nullptr);
+        return;
     }
     proposeCommand(std::move(crash), nullptr);
 }
@@ -324,17 +330,32 @@
     }
 }
 
-void Leader::logCrash(const jobs::RecordCrash& crash)
+void Leader::logCrash(const jobs::RecordConfirmedCrash& record)
 {
+    const jobs::RecordCrash& crash = record.crash;
     const bool isAttributed = std::ranges::any_of(crash.runs, &jobs::CrashedRun::isAttributed);
     m_log.warning("worker_crash",
         { { "worker", crash.worker }, { "incarnation", crash.incarnation }, { "confirmed", crash.isConfirmed },
-            { "suspects", crash.runs.size() }, { "tasks", runNames(crash.runs) }, { "attributed", isAttributed } });
+            { "restarted_ms", record.restartedMs }, { "suspects", crash.runs.size() },
+            { "tasks", runNames(crash.runs) }, { "attributed", isAttributed } });
     if (crash.isConfirmed) {
         m_metrics.count("worker_crash", isAttributed ? "attributed" : "several-suspects");
     }
 }
 
+void Leader::logExcusedCrashes(const jobs::RecordCrash& crash)
+{
+    for (const jobs::CrashedRun& run : crash.runs) {
+        const std::size_t excused = m_cluster.state().countCrashesInBursts(run.task);
+        if (excused > 0) {
+            m_metrics.count("worker_crash", "restart-burst");
+            m_log.info("crashes_excused",
+                { { "task", platform::taskName(run.task) }, { "run", run.run }, { "worker", crash.worker },
+                    { "crashes", excused }, { "reason", "restart-burst" } });
+        }
+    }
+}
+
 void Leader::onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed)
 {
     const jobs::FleetState& state = m_cluster.state();
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -262,7 +262,7 @@
     }
     if (auto record = crash(false)) {
         m_isCrashRecorded = true;
-        m_hooks.onCrash(std::move(*record));
+        m_hooks.onCrash(std::move(*record), 0);
     }
     recordUnsettledStarts();
 }
@@ -273,7 +273,7 @@
     m_hasLeft = cause == RemovalCause::Left;
     auto record = m_laterIncarnation || m_isCrashRecorded ? std::nullopt : crash(cause == RemovalCause::Restarted);
     if (record && cause != RemovalCause::Left) {
-        m_hooks.onCrash(std::move(*record));
+        m_hooks.onCrash(std::move(*record), 0);
     }
     m_log.warning("worker_removed",
         { { "worker", m_id }, { "incarnation", m_incarnation }, { "reason", reason },
@@ -365,7 +365,7 @@
 {
     if (!m_laterIncarnation) {
         if (auto record = crash(incarnation > m_incarnation)) {
-            m_hooks.onCrash(std::move(*record));
+            m_hooks.onCrash(std::move(*record), incarnation);
         }
     }
     m_laterIncarnation = incarnation;
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -31,8 +31,9 @@
     std::function<bool()> mayOrder;
     /// Tells whether the worker's VM is about to be taken away by us.
     std::function<bool(const std::string& workerId)> isReserved;
-    /// Proposes the record of a crash.
-    std::function<void(jobs::RecordCrash)> onCrash;
+    /// Proposes the record of a crash. The later incarnation of the worker started at the Unix time `restartedMs`; 0 if
+    /// that isn't known.
+    std::function<void(jobs::RecordCrash, std::int64_t restartedMs)> onCrash;
 };
 
 /// How a worker has done lately, for the choice of workers.
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -96,7 +96,7 @@
         result.onOrder = [](std::string_view, base::MonotonicTime) {};
         result.mayOrder = [] { return true; };
         result.isReserved = [](const std::string&) { return false; };
-        result.onCrash = [this](jobs::RecordCrash crash) { m_crashes.push_back(std::move(crash)); };
+        result.onCrash = [this](jobs::RecordCrash crash, std::int64_t) { m_crashes.push_back(std::move(crash)); };
         return result;
     }
 
--- a/src/crocuscove/jobs/crash.cpp
+++ b/src/crocuscove/jobs/crash.cpp
@@ -19,4 +19,16 @@
     return result;
 }
 
+TaskCrashes summarizeCrashes(const std::vector<CountedCrash>& crashes)
+{
+    TaskCrashes result;
+    if (crashes.empty()) {
+        return result;
+    }
+    result.crashes = static_cast<std::uint32_t>(crashes.size());
+    result.attributed = static_cast<std::uint32_t>(std::ranges::count_if(crashes, &CountedCrash::isAttributed));
+    result.lastRun = std::ranges::max_element(crashes, {}, &CountedCrash::run)->run;
+    return result;
+}
+
 } // namespace crocuscove::jobs
--- /dev/null
+++ b/src/crocuscove/jobs/fleet_state_crashes_test.cpp
@@ -0,0 +1,136 @@
+#include "crocuscove/base/codec.h"
+#include "crocuscove/jobs/fleet_state.h"
+#include "crocuscove/jobs/testing.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace crocuscove::jobs {
+namespace {
+
+using namespace testing;
+
+const TaskKey key { 1, 0, 0, 0 };
+/// Time between the restarts of one worker.
+constexpr std::int64_t restartPeriodMs = 3'200;
+
+class FleetStateCrashesTest : public ::testing::Test {
+protected:
+    FleetStateCrashesTest()
+    {
+        m_state.apply(PutConfiguration { configuration() });
+        for (std::size_t number = 0; number < 12; ++number) {
+            m_state.apply(RecordWorker { report(workerId(number), m_nowMs) });
+        }
+    }
+
+    [[nodiscard]] static std::string workerId(std::size_t number) { return "w" + std::to_string(number); }
+
+    void assignTo(std::size_t number, const TaskKey& task)
+    {
+        const std::uint32_t run = m_state.findJob(task.job)->find(task)->run + 1;
+        m_state.apply(assign(task, run, m_state.findWorker(workerId(number))->number));
+    }
+
+    /// The worker crashes under its tasks, and starts again at `restartedMs`.
+    void restart(std::size_t number, std::int64_t restartedMs)
+    {
+        const Worker& worker = *m_state.findWorker(workerId(number));
+        std::vector<CrashedRun> runs;
+        for (const TaskKey& task : m_state.tasksOf(worker.number)) {
+            runs.push_back({ task, m_state.findJob(task.job)->find(task)->run, false });
+        }
+        const RecordCrash crash = testing::crash(workerId(number), worker.report.incarnation, runs);
+        m_state.apply(RecordConfirmedCrash { crash, restartedMs });
+        m_state.apply(RecordWorker { report(workerId(number), restartedMs) });
+    }
+
+    [[nodiscard]] std::uint32_t crashes() const
+    {
+        const auto found = m_state.crashes().find(key);
+        return found == m_state.crashes().end() ? 0 : found->second.crashes;
+    }
+
+    [[nodiscard]] bool isActive() const { return m_state.findJob(1)->isActive(); }
+
+    FleetState m_state;
+    std::int64_t m_nowMs = 1'000'000;
+};
+
+// Guards against a job that is given up because many workers were restarted at once, again and again, under its task.
+TEST_F(FleetStateCrashesTest, RestartsOfManyWorkersAtOnceGiveUpNoJob)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (std::uint32_t round = 0; round < 2 * maxCrashes; ++round) {
+        m_nowMs += restartPeriodMs;
+        assignTo(round % 7, key);
+        for (std::size_t number = 0; number < 7; ++number) {
+            restart(number, m_nowMs + static_cast<std::int64_t>(number) * 60);
+        }
+        ASSERT_TRUE(isActive()) << "round " << round;
+        EXPECT_EQ(crashes(), 1U) << "the last one may still have been alone";
+    }
+}
+
+// Guards against a deadly task that is never given up because others crash their workers too.
+TEST_F(FleetStateCrashesTest, CrashesThatFollowEachOtherCloselyCount)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (std::uint32_t round = 1; round <= maxCrashes; ++round) {
+        ASSERT_TRUE(isActive());
+        assignTo(0, key);
+        for (std::size_t number = 0; number < 12; ++number) {
+            m_nowMs += restartPeriodMs / 12;
+            restart(number, m_nowMs);
+        }
+        EXPECT_EQ(crashes(), round);
+    }
+    EXPECT_FALSE(isActive());
+}
+
+// Guards against a job that crashes many workers at the same moment and is excused by the crashes of its own tasks.
+TEST_F(FleetStateCrashesTest, CrashesUnderTasksOfOneJobAreNoBurst)
+{
+    m_state.apply(accept(1, { step(7) }));
+    for (std::uint32_t round = 1; round <= maxCrashes; ++round) {
+        ASSERT_TRUE(isActive());
+        m_nowMs += restartPeriodMs;
+        for (std::uint32_t number = 0; number < 7; ++number) {
+            assignTo(number, { 1, 0, 0, number });
+        }
+        for (std::size_t number = 0; number < 7 && isActive(); ++number) {
+            restart(number, m_nowMs + static_cast<std::int64_t>(number));
+        }
+    }
+    EXPECT_FALSE(isActive());
+}
+
+// Guards against crashes that a node forgets, or counts twice, when it restarts with the snapshot of an earlier
+// version.
+TEST_F(FleetStateCrashesTest, ASnapshotThatHoldsOnlyNumbersOfCrashesLoads)
+{
+    const std::map<TaskKey, TaskCrashes> known { { key, { 3, 1, 3 } } };
+    m_state.apply(accept(1, { step(1) }));
+    for (int round = 0; round < 3; ++round) {
+        assignTo(0, key);
+        m_state.apply(ReleaseTask { key, m_state.findJob(1)->find(key)->run });
+    }
+    const std::map<std::string, Queue> queues { { "q", configuration().queues.front() } };
+    m_state.restoreSnapshot(base::encode(
+        std::tuple(m_state.configuration(), m_state.jobs(), m_state.workers(), m_state.waves(), m_state.nodes(), queues,
+            m_state.vmOrderHolders(), WorkerNumber { 20 }, std::map<JobId, std::int64_t>(), known)));
+    FleetState copy;
+    copy.restoreSnapshot(m_state.encodeSnapshot());
+    EXPECT_EQ(copy.encodeSnapshot(), m_state.encodeSnapshot());
+    EXPECT_EQ(crashes(), 3U);
+    assignTo(0, key);
+    restart(0, m_nowMs + restartPeriodMs);
+    EXPECT_FALSE(isActive());
+}
+
+} // namespace
+} // namespace crocuscove::jobs
