Count crashes of racks once another crash stands against a task

Cause: a crash that looks like the rack's (all workers of the service on it silent within a second) was dropped for good for tasks without a crash on record.

Change: such a crash is remembered. It still counts for nothing alone; once another crash stands against the task, all but the first of those before it count, so that one crash at most stays uncounted, as maxCrashes allows for.

FleetStateCrashesTest.OnlyTheFirstOfSeveralCrashesOfRacksStaysUncounted fails without it (still active after five crashes).

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -133,9 +133,11 @@
 /// Records the crash of a worker whose successor was seen. RecordCrash says so without its circumstances, and is kept
 /// for logs of earlier versions.
 struct RecordConfirmedCrash {
+    /// Its runs are attributed nothing if it crashed with its rack.
     RecordCrash crash;
     /// When the successor started, in Unix milliseconds; 0 if that isn't known.
     std::int64_t restartedMs = 0;
+    bool isOfRack = false;
 };
 
 /// Cancels a job, also one that is accepted only later.
@@ -187,6 +189,6 @@
 CROCUSCOVE_FIELDS(RecordUnsettledStarts, v.worker, v.starts)
 CROCUSCOVE_FIELDS(CancelJob, v.job, v.nowMs)
 CROCUSCOVE_FIELDS(RecordCrash, v.worker, v.incarnation, v.runs, v.isConfirmed, v.nowMs)
-CROCUSCOVE_FIELDS(RecordConfirmedCrash, v.crash, v.restartedMs)
+CROCUSCOVE_FIELDS(RecordConfirmedCrash, v.crash, v.restartedMs, v.isOfRack)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -63,6 +63,8 @@
     /// When the later worker at the crashed one's place started, in Unix milliseconds; 0 if that isn't known.
     std::int64_t restartedMs = 0;
     bool isAttributed = false;
+    /// The worker crashed with its rack.
+    bool isOfRack = false;
 };
 
 /// The crashes of workers that stand against a task.
@@ -76,7 +78,8 @@
     [[nodiscard]] bool isDeadly() const { return crashes >= maxCrashes || attributed >= maxAttributedCrashes; }
 };
 
-/// Returns the sums of what stands against a task.
+/// Returns what stands against a task. A crash of a rack counts for nothing before another crash. Once there is one,
+/// all of those before it but the first count, since what looks like the crash of a rack may be that of several tasks.
 TaskCrashes summarizeCrashes(const std::vector<CountedCrash>& crashes);
 
 /// A worker that fell silent, and has crashed if a later incarnation, or a later worker at its address, reports.
@@ -89,7 +92,7 @@
 };
 
 CROCUSCOVE_FIELDS(CrashedRun, v.task, v.run, v.isAttributed)
-CROCUSCOVE_FIELDS(CountedCrash, v.run, v.restartedMs, v.isAttributed)
+CROCUSCOVE_FIELDS(CountedCrash, v.run, v.restartedMs, v.isAttributed, v.isOfRack)
 CROCUSCOVE_FIELDS(TaskCrashes, v.crashes, v.attributed, v.lastRun)
 CROCUSCOVE_FIELDS(UnconfirmedCrash, v.incarnation, v.address, v.runs, v.recordedMs)
 
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -50,8 +50,8 @@
     [[nodiscard]] const std::set<TaskKey>& tasksOf(WorkerNumber worker) const;
     /// Crashes of workers that stand against tasks. Those of a job that was given up stay until it is pruned.
     [[nodiscard]] const std::map<TaskKey, TaskCrashes>& crashes() const { return m_crashes; }
-    /// Returns how many of a task's counted crashes turned out to be part of a burst of restarts. They are forgotten when
-    /// the next crash is counted.
+    /// Returns how many of a task's counted crashes turned out to be part of a burst of restarts. They are forgotten
+    /// when the next crash is counted.
     [[nodiscard]] std::size_t countCrashesInBursts(const TaskKey& key) const;
     /// Workers that were removed because they were silent, by worker id.
     [[nodiscard]] const std::map<std::string, UnconfirmedCrash>& unconfirmedCrashes() const
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -260,34 +260,34 @@
 
 void Leader::proposeCrash(jobs::RecordCrash crash, std::int64_t restartedMs)
 {
-    const jobs::Worker* worker = m_cluster.state().findWorker(crash.worker);
+    const jobs::FleetState& state = m_cluster.state();
+    const jobs::Worker* worker = state.findWorker(crash.worker);
     const bool isPresent = worker != nullptr && worker->report.incarnation == crash.incarnation;
     const auto session = isPresent ? m_sessions.find(worker->number) : m_sessions.end();
     const bool isRack = session != m_sessions.end() && isRackCrash(*session->second);
-    if (isRack) {
-        // A task under which a worker crashed before may have been one of several causes.
-        std::erase_if(
-            crash.runs, [&](const jobs::CrashedRun& run) { return !m_cluster.state().crashes().contains(run.task); });
-        std::ranges::for_each(crash.runs, [](jobs::CrashedRun& run) { run.isAttributed = false; });
-    }
-    if (isRack && crash.runs.empty()) {
-        if (m_loggedCrashes.emplace(worker->number, crash.isConfirmed).second) {
-            m_metrics.count("worker_crash", "rack");
-            m_log.warning("rack_crash",
-                { { "worker", crash.worker }, { "incarnation", crash.incarnation },
-                    { "rack", jobs::rackOf(worker->report) }, { "confirmed", crash.isConfirmed } });
-        }
-        return;
-    }
-    if (!isPresent || m_loggedCrashes.emplace(worker->number, crash.isConfirmed).second) {
-        logCrash({ crash, restartedMs });
+    const auto hasCrashes = [&](const jobs::CrashedRun& run) { return state.crashes().contains(run.task); };
+    const bool isLogged = isPresent && !m_loggedCrashes.emplace(worker->number, crash.isConfirmed).second;
+    if (!isLogged && isRack && std::ranges::none_of(crash.runs, hasCrashes)) {
+        m_metrics.count("worker_crash", "rack");
+        m_log.warning("rack_crash",
+            { { "worker", crash.worker }, { "incarnation", crash.incarnation },
+                { "rack", jobs::rackOf(worker->report) }, { "confirmed", crash.isConfirmed },
+                { "restarted_ms", restartedMs }, { "tasks", runNames(crash.runs) } });
+    } else if (!isLogged) {
+        logCrash({ crash, restartedMs, isRack });
     }
     if (crash.isConfirmed) {
         logExcusedCrashes(crash);
-        proposeCommand(jobs::RecordConfirmedCrash { std::move(crash), restartedMs }, nullptr);
+        proposeCommand(jobs::RecordConfirmedCrash { std::move(crash), restartedMs, isRack }, nullptr);
         return;
     }
-    proposeCommand(std::move(crash), nullptr);
+    if (isRack) {
+        std::erase_if(crash.runs, [&](const jobs::CrashedRun& run) { return !hasCrashes(run); });
+        std::ranges::for_each(crash.runs, [](jobs::CrashedRun& run) { run.isAttributed = false; });
+    }
+    if (!crash.runs.empty()) {
+        proposeCommand(std::move(crash), nullptr);
+    }
 }
 
 bool Leader::isRackCrash(const WorkerSession& session) const
@@ -333,10 +333,10 @@
 void Leader::logCrash(const jobs::RecordConfirmedCrash& record)
 {
     const jobs::RecordCrash& crash = record.crash;
-    const bool isAttributed = std::ranges::any_of(crash.runs, &jobs::CrashedRun::isAttributed);
+    const bool isAttributed = !record.isOfRack && std::ranges::any_of(crash.runs, &jobs::CrashedRun::isAttributed);
     m_log.warning("worker_crash",
         { { "worker", crash.worker }, { "incarnation", crash.incarnation }, { "confirmed", crash.isConfirmed },
-            { "restarted_ms", record.restartedMs }, { "suspects", crash.runs.size() },
+            { "restarted_ms", record.restartedMs }, { "with_rack", record.isOfRack }, { "suspects", crash.runs.size() },
             { "tasks", runNames(crash.runs) }, { "attributed", isAttributed } });
     if (crash.isConfirmed) {
         m_metrics.count("worker_crash", isAttributed ? "attributed" : "several-suspects");
--- a/src/crocuscove/jobs/crash.cpp
+++ b/src/crocuscove/jobs/crash.cpp
@@ -22,10 +22,12 @@
 TaskCrashes summarizeCrashes(const std::vector<CountedCrash>& crashes)
 {
     TaskCrashes result;
-    if (crashes.empty()) {
+    const auto first = std::ranges::find_if_not(crashes, &CountedCrash::isOfRack);
+    if (first == crashes.end()) {
         return result;
     }
-    result.crashes = static_cast<std::uint32_t>(crashes.size());
+    const auto before = static_cast<std::uint32_t>(first - crashes.begin());
+    result.crashes = static_cast<std::uint32_t>(crashes.end() - first) + (before > 0 ? before - 1 : 0);
     result.attributed = static_cast<std::uint32_t>(std::ranges::count_if(crashes, &CountedCrash::isAttributed));
     result.lastRun = std::ranges::max_element(crashes, {}, &CountedCrash::run)->run;
     return result;
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -613,7 +613,7 @@
     for (const auto& [key, crashes] : m_crashes) {
         const bool isAdded = m_countedCrashes.try_emplace(key).second;
         for (std::uint32_t crash = 0; isAdded && crash < crashes.crashes; ++crash) {
-            m_countedCrashes[key].push_back({ crashes.lastRun, 0, crash < crashes.attributed });
+            m_countedCrashes[key].push_back({ crashes.lastRun, 0, crash < crashes.attributed, false });
         }
     }
 }
--- a/src/crocuscove/jobs/fleet_state_crashes.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes.cpp
@@ -49,7 +49,8 @@
 void FleetState::applyCommand(const RecordConfirmedCrash& command)
 {
     for (const CrashedRun& run : takeConfirmedRuns(command.crash)) {
-        countCrash(run.task, { run.run, command.restartedMs, run.isAttributed }, command.crash.nowMs);
+        const bool isAttributed = run.isAttributed && !command.isOfRack;
+        countCrash(run.task, { run.run, command.restartedMs, isAttributed, command.isOfRack }, command.crash.nowMs);
     }
 }
 
--- a/src/crocuscove/jobs/fleet_state_crashes_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes_test.cpp
@@ -37,7 +37,7 @@
     }
 
     /// The worker crashes under its tasks, and starts again at `restartedMs`.
-    void restart(std::size_t number, std::int64_t restartedMs)
+    void restart(std::size_t number, std::int64_t restartedMs, bool isOfRack = false)
     {
         const Worker& worker = *m_state.findWorker(workerId(number));
         std::vector<CrashedRun> runs;
@@ -45,7 +45,7 @@
             runs.push_back({ task, m_state.findJob(task.job)->find(task)->run, false });
         }
         const RecordCrash crash = testing::crash(workerId(number), worker.report.incarnation, runs);
-        m_state.apply(RecordConfirmedCrash { crash, restartedMs });
+        m_state.apply(RecordConfirmedCrash { crash, restartedMs, isOfRack });
         m_state.apply(RecordWorker { report(workerId(number), restartedMs) });
     }
 
@@ -109,6 +109,34 @@
     EXPECT_FALSE(isActive());
 }
 
+// Guards against a task that is started three times more after three crashes, as others of its racks crash at the same
+// time under other tasks.
+TEST_F(FleetStateCrashesTest, OnlyTheFirstOfSeveralCrashesOfRacksStaysUncounted)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (const bool isOfRack : { true, true, false, false, false }) {
+        ASSERT_TRUE(isActive());
+        m_nowMs += restartPeriodMs;
+        assignTo(0, key);
+        restart(0, m_nowMs, isOfRack);
+    }
+    EXPECT_FALSE(isActive());
+    EXPECT_EQ(m_state.findJob(1)->find(key)->run, 5U);
+}
+
+// Guards against a job that is given up because its racks crashed one after the other.
+TEST_F(FleetStateCrashesTest, CrashesOfRacksAloneGiveUpNoJob)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (std::uint32_t round = 0; round < 2 * maxCrashesPerTask; ++round) {
+        m_nowMs += restartPeriodMs;
+        assignTo(0, key);
+        restart(0, m_nowMs, true);
+    }
+    EXPECT_TRUE(isActive());
+    EXPECT_TRUE(m_state.crashes().empty());
+}
+
 // Guards against crashes that a node forgets, or counts twice, when it restarts with the snapshot of an earlier
 // version.
 TEST_F(FleetStateCrashesTest, ASnapshotThatHoldsOnlyNumbersOfCrashesLoads)
