Bound what bursts of restarts excuse, and settle the findings of a review

Change: restarts are recorded by RecordConfirmedCrash, which the leader proposes for every unplanned end; starts have a range; a burst needs a quarter of the service's workers, by distinct ids, and leaves out only workers whose crash is attributed to the job; at most eight crashes of a task are forgotten, and at most two of racks count; 256 tasks of a job are compared at most.

Tests: FleetStateCrashesTest.DeadlyTasksInStepAreGivenUp, RestartsUnderAllTasksOfAJobDoNotGiveItUp, CrashesThatAreAttributedToOneJobAreNoBurst, ALastCrashInABurstGivesUpNoJob, CrashesOfRacksNeedTwoOthersToGiveUpAJob, CrashesCountWhenTheStartOfTheSuccessorIsOutOfRange and RestartHistoryTest.AWorkerCountsOnce.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -130,11 +130,12 @@
     std::int64_t nowMs = 0;
 };
 
-/// Records the crash of a worker whose successor was seen. RecordCrash says so without its circumstances, and is kept
-/// for logs of earlier versions.
+/// Records that a worker ended without notice and that its successor was seen, also if nothing ran there. RecordCrash
+/// with `isConfirmed` told less of it, and is kept for logs of earlier versions.
 struct RecordConfirmedCrash {
     /// Its runs are attributed nothing if it crashed with its rack.
     RecordCrash crash;
+    std::string service;
     /// When the successor started, in Unix milliseconds; 0 if that isn't known.
     std::int64_t restartedMs = 0;
     bool isOfRack = false;
@@ -189,6 +190,6 @@
 CROCUSCOVE_FIELDS(RecordUnsettledStarts, v.worker, v.starts)
 CROCUSCOVE_FIELDS(CancelJob, v.job, v.nowMs)
 CROCUSCOVE_FIELDS(RecordCrash, v.worker, v.incarnation, v.runs, v.isConfirmed, v.nowMs)
-CROCUSCOVE_FIELDS(RecordConfirmedCrash, v.crash, v.restartedMs, v.isOfRack)
+CROCUSCOVE_FIELDS(RecordConfirmedCrash, v.crash, v.service, v.restartedMs, v.isOfRack)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -16,6 +16,11 @@
 /// A task under which this many workers have crashed is given up in any case: after three crashes it must not be
 /// started three times more (issue 27, BUDGET), and one crash may stay uncounted.
 inline constexpr std::uint32_t maxCrashes = 4;
+/// Crashes of racks before any other count at most this much, so that two others are needed to give a task up.
+inline constexpr std::uint32_t maxRackCrashes = 2;
+/// Crashes in bursts of restarts that are excused of one task; further ones count. It bounds the starts of deadly tasks
+/// that several jobs start in step.
+inline constexpr std::uint32_t maxExcusedCrashes = 8;
 /// A silent worker whose crash is confirmed later than this, in milliseconds, may have run on meanwhile.
 inline constexpr std::int64_t maxConfirmationDelayMs = 30'000;
 /// A task with this many crashes starts where no run of another job is in its probation, and nothing else starts there
@@ -24,7 +29,8 @@
 /// A run that has executed for this long, counted from its accepted start, is not the certain cause of a crash, though
 /// it may be the cause.
 inline constexpr base::Milliseconds crashProbation { 1'000 };
-/// Crashes that are remembered of one task; only a long-running one has that many.
+/// Crashes that are remembered of one task; the earliest is forgotten first. A long-running task, and one whose racks
+/// crash, may have more.
 inline constexpr std::size_t maxCrashesPerTask = 16;
 /// Tasks whose crashes are counted at the same time.
 inline constexpr std::size_t maxCrashRecords = 20'000;
@@ -60,13 +66,22 @@
 /// A crash of a worker under a run of a task.
 struct CountedCrash {
     std::uint32_t run = 0;
-    /// When the later worker at the crashed one's place started, in Unix milliseconds; 0 if that isn't known.
+    /// Id of the worker.
+    std::string worker;
+    /// When the worker's successor started, in Unix milliseconds; 0 if that isn't known.
     std::int64_t restartedMs = 0;
     bool isAttributed = false;
     /// The worker crashed with its rack.
     bool isOfRack = false;
 };
 
+/// The crashes of workers under the runs of a task.
+struct CrashRecord {
+    std::vector<CountedCrash> counted;
+    /// Number of crashes that were forgotten as parts of bursts of restarts.
+    std::uint32_t excused = 0;
+};
+
 /// The crashes of workers that stand against a task.
 struct TaskCrashes {
     std::uint32_t crashes = 0;
@@ -78,8 +93,9 @@
     [[nodiscard]] bool isDeadly() const { return crashes >= maxCrashes || attributed >= maxAttributedCrashes; }
 };
 
-/// Returns what stands against a task. A crash of a rack counts for nothing before another crash. Once there is one,
-/// all of those before it but the first count, since what looks like the crash of a rack may be that of several tasks.
+/// Returns what stands against a task. A crash of a rack counts for nothing before another crash. Once there is one, up
+/// to `maxRackCrashes` of those before it count, without the first, since what looks like the crash of a rack may be
+/// that of several tasks.
 TaskCrashes summarizeCrashes(const std::vector<CountedCrash>& crashes);
 
 /// A worker that fell silent, and has crashed if a later incarnation, or a later worker at its address, reports.
@@ -92,7 +108,8 @@
 };
 
 CROCUSCOVE_FIELDS(CrashedRun, v.task, v.run, v.isAttributed)
-CROCUSCOVE_FIELDS(CountedCrash, v.run, v.restartedMs, v.isAttributed, v.isOfRack)
+CROCUSCOVE_FIELDS(CountedCrash, v.run, v.worker, v.restartedMs, v.isAttributed, v.isOfRack)
+CROCUSCOVE_FIELDS(CrashRecord, v.counted, v.excused)
 CROCUSCOVE_FIELDS(TaskCrashes, v.crashes, v.attributed, v.lastRun)
 CROCUSCOVE_FIELDS(UnconfirmedCrash, v.incarnation, v.address, v.runs, v.recordedMs)
 
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -50,9 +50,8 @@
     [[nodiscard]] const std::set<TaskKey>& tasksOf(WorkerNumber worker) const;
     /// Crashes of workers that stand against tasks. Those of a job that was given up stay until it is pruned.
     [[nodiscard]] const std::map<TaskKey, TaskCrashes>& crashes() const { return m_crashes; }
-    /// Returns how many of a task's counted crashes turned out to be part of a burst of restarts. They are forgotten
-    /// when the next crash is counted.
-    [[nodiscard]] std::size_t countCrashesInBursts(const TaskKey& key) const;
+    /// Returns how many crashes under a task were forgotten as parts of bursts of restarts.
+    [[nodiscard]] std::uint32_t excusedCrashes(const TaskKey& key) const;
     /// Workers that were removed because they were silent, by worker id.
     [[nodiscard]] const std::map<std::string, UnconfirmedCrash>& unconfirmedCrashes() const
     {
@@ -108,10 +107,6 @@
 
     void removeWorker(WorkerNumber number, bool hasLeft);
 
-    /// Remembers the start of a worker if the one that it follows, at its address or under its id, ended without
-    /// notice.
-    void recordRestart(const WorkerReport& report, const WorkerReport& predecessor);
-    void recordRestart(const WorkerReport& report, const std::string& service);
     void rememberRemoved(const Worker& worker, bool hasLeft);
     void forgetAddress(const Worker& worker);
     [[nodiscard]] bool canAssign(const Assignment& assignment) const;
@@ -132,13 +127,13 @@
     std::vector<CrashedRun> takeConfirmedRuns(const RecordCrash& command);
     /// Counts a crash against a task, and ends its job when the task has reached its limit.
     void countCrash(const TaskKey& key, const CountedCrash& crash, std::int64_t nowMs);
-    /// Returns the crashes whose workers restarted in no burst, which has a cause outside the tasks. Workers that
-    /// crashed under other tasks of the job don't make a burst.
-    [[nodiscard]] std::vector<CountedCrash> withoutBursts(
-        const Job& job, const std::vector<CountedCrash>& crashes) const;
-    /// Returns how many other workers crashed under the job's tasks and restarted together with one at `restartedMs`.
-    [[nodiscard]] std::size_t countOtherCrashes(JobId job, std::int64_t restartedMs) const;
-    /// Updates m_crashes after a change of the task's counted crashes.
+    /// Tells whether the worker restarted in a burst, which has a cause outside the tasks.
+    [[nodiscard]] bool isInBurst(const Job& job, const CountedCrash& crash) const;
+    /// Counts other workers that restarted together with that of a crash and whose crash was attributed to tasks of the
+    /// job.
+    [[nodiscard]] std::size_t countAttributedBeside(JobId job, const CountedCrash& crash) const;
+    [[nodiscard]] std::size_t countWorkers(const std::string& service) const;
+    /// Updates m_crashes after a change of the task's record.
     void updateCrashes(const TaskKey& key);
     void forgetCrashes(const TaskKey& key);
     void forgetCrashes(JobId job);
@@ -158,9 +153,9 @@
     std::map<std::string, std::string> m_vmOrderHolders;
     WorkerNumber m_lastWorker = 0;
     std::map<JobId, std::int64_t> m_earlyCancels;
-    /// The sums of m_countedCrashes, where a crash stands against a task.
+    /// The sums of m_crashRecords, where a crash stands against a task.
     std::map<TaskKey, TaskCrashes> m_crashes;
-    std::map<TaskKey, std::vector<CountedCrash>> m_countedCrashes;
+    std::map<TaskKey, CrashRecord> m_crashRecords;
     RestartHistory m_restarts;
     std::map<std::string, UnconfirmedCrash> m_unconfirmedCrashes;
     /// By worker id.
--- a/include/crocuscove/jobs/restart_history.h
+++ b/include/crocuscove/jobs/restart_history.h
@@ -6,9 +6,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
-#include <utility>
 
 namespace crocuscove::jobs {
 
@@ -16,33 +16,47 @@
 inline constexpr base::Milliseconds restartSpread { 500 };
 /// Restarts within this time of each other tell whether those within `restartSpread` stand out.
 inline constexpr base::Milliseconds restartNeighbourhood { 1'500 };
-/// Least number of workers that restart together for a common cause.
-inline constexpr std::size_t minSharedRestarts = 5;
+/// Least number of workers that restart together for a common cause, and their least share of the service's workers.
+inline constexpr std::size_t minBurstWorkers = 5;
+inline constexpr std::size_t minBurstPercent = 25;
 /// Least share of the restarts in the neighbourhood that are together then. Tasks that crash their workers
 /// independently of each other do so at any time, which gives a third.
-inline constexpr double minSharedPart = 0.9;
-/// Restarts that are remembered; the earliest is forgotten first.
+inline constexpr std::size_t minTogetherPercent = 90;
+/// Restarts that are remembered; the one recorded first is forgotten first.
 inline constexpr std::size_t maxRestarts = 4'096;
+/// A later start, in Unix milliseconds, isn't taken for one: the end of the year 9999.
+inline constexpr std::int64_t latestStartMs = 253'402'300'799'999;
 
-/// When workers have started again after they had ended without notice.
+/// When workers have started again after an end without notice.
 class RestartHistory {
 public:
-    /// Remembers that a worker of the service started again at the Unix time `startedMs`.
-    void record(std::int64_t startedMs, const std::string& worker, const std::string& service);
+    /// Remembers that a worker of the service ended, and that its successor started at the Unix time `startedMs`.
+    void record(const std::string& service, std::int64_t startedMs, const std::string& worker);
 
-    /// Tells whether a worker of the service that started again at `startedMs` did so in a burst of restarts, beside
-    /// `excepted` others that may have another cause. A start at 0 isn't known, and isn't part of a burst.
-    [[nodiscard]] bool isInBurst(std::int64_t startedMs, const std::string& service, std::size_t excepted) const;
+    /// Tells whether a restart is one of a burst, in which many of the `workers` workers of the service restarted
+    /// together. `excepted` of the others may have another cause. A start that isn't known, at 0, is in no burst.
+    [[nodiscard]] bool isInBurst(
+        const std::string& service, std::int64_t startedMs, std::size_t workers, std::size_t excepted) const;
 
-    friend auto codecFields(RestartHistory& v) { return std::tie(v.m_services); }
-    friend auto codecFields(const RestartHistory& v) { return std::tie(v.m_services); }
+    /// Finds again what isn't encoded. To be called after decoding.
+    void rebuildIndex();
 
-private:
-    [[nodiscard]] std::size_t countWithin(
-        base::Milliseconds spread, std::int64_t startedMs, const std::string& service) const;
+    friend auto codecFields(RestartHistory& v) { return std::tie(v.m_restarts, v.m_lastNumber); }
+    friend auto codecFields(const RestartHistory& v) { return std::tie(v.m_restarts, v.m_lastNumber); }
 
-    /// Services by the time of a start and the id of the worker.
-    std::map<std::pair<std::int64_t, std::string>, std::string> m_services;
+private:
+    /// Service, start and id of the worker that had ended.
+    using Restart = std::tuple<std::string, std::int64_t, std::string>;
+
+    /// Returns how many workers of the service restarted within `spread` of a time.
+    [[nodiscard]] std::size_t countWorkers(
+        base::Milliseconds spread, const std::string& service, std::int64_t startedMs) const;
+
+    /// By the order in which they were recorded.
+    std::map<std::uint64_t, Restart> m_restarts;
+    std::uint64_t m_lastNumber = 0;
+    /// The same, sorted. Derived; not encoded.
+    std::set<Restart> m_byTime;
 };
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -141,8 +141,11 @@
         m_metrics.observe("task_start", waited.count());
     };
     hooks.isReserved = [this](const std::string& workerId) { return m_fleet.isReserved(workerId); };
-    hooks.onCrash
-        = [this](jobs::RecordCrash crash, std::int64_t restartedMs) { proposeCrash(std::move(crash), restartedMs); };
+    hooks.onCrash = [this](jobs::RecordCrash crash, std::int64_t restartedMs) {
+        const jobs::Worker* worker = m_cluster.state().findWorker(crash.worker);
+        const std::string service = worker == nullptr ? std::string() : worker->report.service;
+        proposeCrash(std::move(crash), service, restartedMs);
+    };
     hooks.mayOrder = [this] { return m_cluster.hasLeadership(base::monotonicNow()); };
     return hooks;
 }
@@ -248,17 +251,19 @@
         if (worker->report.id == report.id) {
             session->second->noteLaterIncarnation(report.incarnation);
         } else if (auto crash = session->second->crash(true)) {
-            proposeCrash(std::move(*crash), report.incarnation);
+            proposeCrash(std::move(*crash), worker->report.service, report.incarnation);
         }
     }
     for (const auto& [worker, crash] : state.unconfirmedCrashes()) {
         if ((worker == report.id || crash.address == report.address) && crash.incarnation < report.incarnation) {
-            proposeCrash({ worker, crash.incarnation, crash.runs, true, unixNow() }, report.incarnation);
+            // The service of a worker that was removed isn't known; mostly what comes to its place is of the same pool.
+            proposeCrash(
+                { worker, crash.incarnation, crash.runs, true, unixNow() }, report.service, report.incarnation);
         }
     }
 }
 
-void Leader::proposeCrash(jobs::RecordCrash crash, std::int64_t restartedMs)
+void Leader::proposeCrash(jobs::RecordCrash crash, const std::string& service, std::int64_t restartedMs)
 {
     const jobs::FleetState& state = m_cluster.state();
     const jobs::Worker* worker = state.findWorker(crash.worker);
@@ -266,19 +271,18 @@
     const auto session = isPresent ? m_sessions.find(worker->number) : m_sessions.end();
     const bool isRack = session != m_sessions.end() && isRackCrash(*session->second);
     const auto hasCrashes = [&](const jobs::CrashedRun& run) { return state.crashes().contains(run.task); };
-    const bool isLogged = isPresent && !m_loggedCrashes.emplace(worker->number, crash.isConfirmed).second;
-    if (!isLogged && isRack && std::ranges::none_of(crash.runs, hasCrashes)) {
+    const bool wasLogged = isPresent && !m_loggedCrashes.emplace(worker->number, crash.isConfirmed).second;
+    if (!wasLogged && isRack && std::ranges::none_of(crash.runs, hasCrashes)) {
         m_metrics.count("worker_crash", "rack");
         m_log.warning("rack_crash",
             { { "worker", crash.worker }, { "incarnation", crash.incarnation },
                 { "rack", jobs::rackOf(worker->report) }, { "confirmed", crash.isConfirmed },
                 { "restarted_ms", restartedMs }, { "tasks", runNames(crash.runs) } });
-    } else if (!isLogged) {
-        logCrash({ crash, restartedMs, isRack });
+    } else if (!wasLogged) {
+        logCrash({ crash, service, restartedMs, isRack });
     }
     if (crash.isConfirmed) {
-        logExcusedCrashes(crash);
-        proposeCommand(jobs::RecordConfirmedCrash { std::move(crash), restartedMs, isRack }, nullptr);
+        proposeCommand(jobs::RecordConfirmedCrash { std::move(crash), service, restartedMs, isRack }, nullptr);
         return;
     }
     if (isRack) {
@@ -343,25 +347,18 @@
     }
 }
 
-void Leader::logExcusedCrashes(const jobs::RecordCrash& crash)
+void Leader::onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed)
 {
+    const jobs::FleetState& state = m_cluster.state();
     for (const jobs::CrashedRun& run : crash.runs) {
-        const std::size_t excused = m_cluster.state().countCrashesInBursts(run.task);
-        if (excused > 0) {
+        const jobs::Job* job = state.findJob(run.task.job);
+        const auto crashes = state.crashes().find(run.task);
+        if (const std::uint32_t excused = state.excusedCrashes(run.task); excused > 0) {
             m_metrics.count("worker_crash", "restart-burst");
             m_log.info("crashes_excused",
                 { { "task", platform::taskName(run.task) }, { "run", run.run }, { "worker", crash.worker },
                     { "crashes", excused }, { "reason", "restart-burst" } });
         }
-    }
-}
-
-void Leader::onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed)
-{
-    const jobs::FleetState& state = m_cluster.state();
-    for (const jobs::CrashedRun& run : crash.runs) {
-        const jobs::Job* job = state.findJob(run.task.job);
-        const auto crashes = state.crashes().find(run.task);
         if (job == nullptr || job->isActive() || crashes == state.crashes().end() || !crashes->second.isDeadly()
             || job->finishedMs != crash.nowMs || job->spec.steps[run.task.step].isLongRunning) {
             continue;
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -67,15 +67,13 @@
     /// Adds the workers whose orders may have changed with an applied command.
     void collectChanged(const jobs::Command& command, std::set<jobs::WorkerNumber>& changed);
     void collectTasksOfEndedJob(jobs::JobId job, std::set<jobs::WorkerNumber>& changed) const;
-    /// `restartedMs` is as in jobs::RecordConfirmedCrash.
-    void proposeCrash(jobs::RecordCrash crash, std::int64_t restartedMs);
+    /// `service` and `restartedMs` are as in jobs::RecordConfirmedCrash.
+    void proposeCrash(jobs::RecordCrash crash, const std::string& service, std::int64_t restartedMs);
     /// Tells whether the worker of a session crashed with its rack.
     [[nodiscard]] bool isRackCrash(const WorkerSession& session) const;
     /// Remembers when a worker was last there whose session ends.
     void rememberContact(const WorkerSession& session);
     void logCrash(const jobs::RecordConfirmedCrash& record);
-    /// Logs which earlier crashes no longer count against the tasks under which a worker crashed.
-    void logExcusedCrashes(const jobs::RecordCrash& crash);
     void onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed);
     void schedulePlan();
     void plan();
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -569,7 +569,7 @@
         const bool isStartKnown = order != m_orders.end() && order->second.wasAccepted;
         runs.push_back({ key, job.find(key)->run, isYoung, isStartKnown, m_state.crashes().contains(key) });
     }
-    if (runs.empty()) {
+    if (runs.empty() && !isConfirmed) {
         return std::nullopt;
     }
     const std::int64_t nowMs = base::wallNow().time_since_epoch().count();
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -77,8 +77,8 @@
 
     /// Tells whether an assigned task is known to have started here.
     [[nodiscard]] bool hasStarted(const jobs::TaskKey& task) const;
-    /// Returns what the end of this incarnation without notice counts against, or nothing if the end was planned or
-    /// nothing can have been executing that may be given up.
+    /// Returns what the end of this incarnation without notice counts against, or nothing if the end was planned, or
+    /// isn't confirmed and nothing can have been executing that may be given up.
     [[nodiscard]] std::optional<jobs::RecordCrash> crash(bool isConfirmed) const;
     [[nodiscard]] const std::string& service() const { return m_service; }
     [[nodiscard]] const std::string& rack() const { return m_rack; }
--- a/src/crocuscove/jobs/crash.cpp
+++ b/src/crocuscove/jobs/crash.cpp
@@ -27,7 +27,8 @@
         return result;
     }
     const auto before = static_cast<std::uint32_t>(first - crashes.begin());
-    result.crashes = static_cast<std::uint32_t>(crashes.end() - first) + (before > 0 ? before - 1 : 0);
+    const std::uint32_t ofRacks = std::min(before > 0 ? before - 1 : 0, maxRackCrashes);
+    result.crashes = static_cast<std::uint32_t>(crashes.end() - first) + ofRacks;
     result.attributed = static_cast<std::uint32_t>(std::ranges::count_if(crashes, &CountedCrash::isAttributed));
     result.lastRun = std::ranges::max_element(crashes, {}, &CountedCrash::run)->run;
     return result;
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -14,7 +14,7 @@
     std::map<std::uint64_t, Wave>, std::map<std::string, std::string>, std::map<std::string, Queue>,
     std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>, std::map<TaskKey, TaskCrashes>,
     std::map<std::string, UnconfirmedCrash>, std::map<std::string, RemovedWorker>, std::uint64_t, std::set<TaskKey>,
-    std::set<WorkerNumber>, std::map<TaskKey, std::vector<CountedCrash>>, RestartHistory>;
+    std::set<WorkerNumber>, std::map<TaskKey, CrashRecord>, RestartHistory>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -167,7 +167,6 @@
         if (other->report.incarnation > report.incarnation) {
             return;
         }
-        recordRestart(report, other->report);
         applyCommand(RemoveWorker { other->number });
     }
     std::vector<TaskKey> unsettled;
@@ -189,7 +188,6 @@
             return;
         }
         hasPredecessor = true;
-        recordRestart(report, worker.report);
         unsettled = detachUnsettled(worker.number);
         applyCommand(RemoveWorker { worker.number });
     }
@@ -200,9 +198,6 @@
     if (removed != m_removedWorkers.end()) {
         const bool isSame = removed->second.incarnation == report.incarnation;
         hasPredecessor = hasPredecessor || !isSame;
-        if (!isSame && !removed->second.hasLeft && !removed->second.wasDraining) {
-            recordRestart(report, report.service);
-        }
         worker.report.isDraining = report.isDraining || (isSame && removed->second.wasDraining);
         m_removalOrder.erase(removed->second.order);
         m_removedWorkers.erase(removed);
@@ -221,20 +216,6 @@
     }
 }
 
-void FleetState::recordRestart(const WorkerReport& report, const WorkerReport& predecessor)
-{
-    if (!predecessor.isDraining) {
-        recordRestart(report, predecessor.service);
-    }
-}
-
-void FleetState::recordRestart(const WorkerReport& report, const std::string& service)
-{
-    if (report.incarnation > 0) {
-        m_restarts.record(report.incarnation, report.id, service);
-    }
-}
-
 // The start of a run that reaches the later incarnation would take up capacity there.
 std::vector<TaskKey> FleetState::detachUnsettled(WorkerNumber worker)
 {
@@ -598,7 +579,7 @@
 {
     return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
         m_lastWorker, m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval,
-        m_unsettledStarts, m_successors, m_countedCrashes, m_restarts));
+        m_unsettledStarts, m_successors, m_crashRecords, m_restarts));
 }
 
 // A snapshot of an earlier version ends before the crashes or later, and what it lacks is then empty.
@@ -606,14 +587,16 @@
 {
     std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
         m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts,
-        m_successors, m_countedCrashes, m_restarts)
+        m_successors, m_crashRecords, m_restarts)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
+    m_restarts.rebuildIndex();
     // An earlier version kept the sums only.
     for (const auto& [key, crashes] : m_crashes) {
-        const bool isAdded = m_countedCrashes.try_emplace(key).second;
-        for (std::uint32_t crash = 0; isAdded && crash < crashes.crashes; ++crash) {
-            m_countedCrashes[key].push_back({ crashes.lastRun, 0, crash < crashes.attributed, false });
+        const auto [record, isNew] = m_crashRecords.try_emplace(key);
+        const std::uint32_t known = isNew ? std::min<std::uint32_t>(crashes.crashes, maxCrashesPerTask) : 0;
+        for (std::uint32_t crash = 0; crash < known; ++crash) {
+            record->second.counted.push_back({ crashes.lastRun, {}, 0, crash < crashes.attributed, false });
         }
     }
 }
--- a/src/crocuscove/jobs/fleet_state_crashes.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes.cpp
@@ -8,12 +8,16 @@
 #include <limits>
 #include <ranges>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace crocuscove::jobs {
 
 namespace {
 
+/// Tasks of a job whose crashes are compared with one crash.
+constexpr std::size_t maxComparedRecords = 256;
+
 /// Returns the entries of a map by task that belong to a job.
 template <typename Map> auto entriesOf(Map& map, JobId job)
 {
@@ -26,21 +30,21 @@
 void FleetState::forgetCrashes(const TaskKey& key)
 {
     m_crashes.erase(key);
-    m_countedCrashes.erase(key);
+    m_crashRecords.erase(key);
 }
 
 void FleetState::forgetCrashes(JobId job)
 {
     const auto sums = entriesOf(m_crashes, job);
     m_crashes.erase(sums.begin(), sums.end());
-    const auto counted = entriesOf(m_countedCrashes, job);
-    m_countedCrashes.erase(counted.begin(), counted.end());
+    const auto records = entriesOf(m_crashRecords, job);
+    m_crashRecords.erase(records.begin(), records.end());
 }
 
 void FleetState::applyCommand(const RecordCrash& command)
 {
     if (command.isConfirmed) {
-        applyCommand(RecordConfirmedCrash { command });
+        applyCommand(RecordConfirmedCrash { command, {}, 0, false });
     } else {
         recordUnconfirmedCrash(command);
     }
@@ -48,9 +52,12 @@
 
 void FleetState::applyCommand(const RecordConfirmedCrash& command)
 {
+    const std::string& worker = command.crash.worker;
+    m_restarts.record(command.service, command.restartedMs, worker);
     for (const CrashedRun& run : takeConfirmedRuns(command.crash)) {
         const bool isAttributed = run.isAttributed && !command.isOfRack;
-        countCrash(run.task, { run.run, command.restartedMs, isAttributed, command.isOfRack }, command.crash.nowMs);
+        countCrash(
+            run.task, { run.run, worker, command.restartedMs, isAttributed, command.isOfRack }, command.crash.nowMs);
     }
 }
 
@@ -76,9 +83,10 @@
     std::ranges::copy_if(command.runs, std::back_inserter(result), [&](const CrashedRun& run) {
         const Job* job = findJob(run.task.job);
         const Task* task = job == nullptr ? nullptr : job->find(run.task);
-        const auto counted = m_countedCrashes.find(run.task);
-        const bool isCounted = counted != m_countedCrashes.end()
-            && std::ranges::any_of(counted->second, [&](const CountedCrash& crash) { return crash.run >= run.run; });
+        const auto record = m_crashRecords.find(run.task);
+        const bool isCounted = record != m_crashRecords.end()
+            && std::ranges::any_of(
+                record->second.counted, [&](const CountedCrash& crash) { return crash.run >= run.run; });
         return task != nullptr && task->phase == TaskPhase::Assigned && task->worker == worker->number
             && task->run == run.run && !isCounted;
     });
@@ -106,62 +114,73 @@
     if (task == nullptr || task->phase == TaskPhase::Done || !job->second.isActive()) {
         return;
     }
-    if (!m_countedCrashes.contains(key) && m_countedCrashes.size() >= maxCrashRecords) {
+    if (!m_crashRecords.contains(key) && m_crashRecords.size() >= maxCrashRecords) {
         return;
     }
-    std::vector<CountedCrash>& counted = m_countedCrashes[key];
-    counted = withoutBursts(job->second, counted);
-    counted.push_back(crash);
-    if (counted.size() > maxCrashesPerTask) {
-        counted.erase(counted.begin());
+    CrashRecord& record = m_crashRecords[key];
+    // The others of a burst report only after the first, so that crashes are looked at when a later one is counted.
+    const auto isExcused = [&](const CountedCrash& known) {
+        return record.excused < maxExcusedCrashes && isInBurst(job->second, known);
+    };
+    for (auto known = record.counted.begin(); known != record.counted.end();) {
+        const bool isForgotten = isExcused(*known);
+        record.excused += isForgotten ? 1 : 0;
+        known = isForgotten ? record.counted.erase(known) : known + 1;
+    }
+    record.counted.push_back(crash);
+    if (record.counted.size() > maxCrashesPerTask) {
+        record.counted.erase(record.counted.begin());
     }
     updateCrashes(key);
     const auto crashes = m_crashes.find(key);
     const bool isDeadly = crashes != m_crashes.end() && crashes->second.isDeadly();
     // A long-running task is restarted however it ends (PROTOCOL).
-    if (isDeadly && !job->second.spec.steps[key.step].isLongRunning) {
+    if (isDeadly && !job->second.spec.steps[key.step].isLongRunning && !isExcused(crash)) {
         finishJob(job->second, JobPhase::Failed, nowMs);
     }
 }
 
-// The others of a burst report only after the first, so that a crash is looked at when the next one is counted.
-std::vector<CountedCrash> FleetState::withoutBursts(const Job& job, const std::vector<CountedCrash>& crashes) const
+bool FleetState::isInBurst(const Job& job, const CountedCrash& crash) const
 {
-    std::vector<CountedCrash> result;
     const Queue* queue = findQueue(job.queue);
-    std::ranges::copy_if(crashes, std::back_inserter(result), [&](const CountedCrash& crash) {
-        return queue == nullptr
-            || !m_restarts.isInBurst(crash.restartedMs, queue->service, countOtherCrashes(job.id, crash.restartedMs));
-    });
-    return result;
-}
-
-std::size_t FleetState::countCrashesInBursts(const TaskKey& key) const
-{
-    const Job* job = findJob(key.job);
-    const auto counted = m_countedCrashes.find(key);
-    return job == nullptr || counted == m_countedCrashes.end()
-        ? 0
-        : counted->second.size() - withoutBursts(*job, counted->second).size();
+    if (queue == nullptr) {
+        return false;
+    }
+    const std::size_t workers = countWorkers(queue->service);
+    return m_restarts.isInBurst(queue->service, crash.restartedMs, workers, 0)
+        && m_restarts.isInBurst(queue->service, crash.restartedMs, workers, countAttributedBeside(job.id, crash));
 }
 
-std::size_t FleetState::countOtherCrashes(JobId job, std::int64_t restartedMs) const
+std::size_t FleetState::countAttributedBeside(JobId job, const CountedCrash& crash) const
 {
-    std::set<std::int64_t> others;
-    for (const auto& [task, crashes] : entriesOf(m_countedCrashes, job)) {
-        for (const CountedCrash& crash : crashes) {
-            if (std::abs(crash.restartedMs - restartedMs) <= restartSpread.count()) {
-                others.insert(crash.restartedMs);
+    std::set<std::string_view> workers;
+    for (const auto& [task, record] : entriesOf(m_crashRecords, job) | std::views::take(maxComparedRecords)) {
+        for (const CountedCrash& other : record.counted) {
+            const bool isTogether
+                = other.restartedMs > 0 && std::abs(other.restartedMs - crash.restartedMs) <= restartSpread.count();
+            if (other.isAttributed && isTogether && other.worker != crash.worker) {
+                workers.insert(other.worker);
             }
         }
     }
-    others.erase(restartedMs);
-    return others.size();
+    return workers.size();
+}
+
+std::size_t FleetState::countWorkers(const std::string& service) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_workers, [&](const auto& worker) { return worker.second.report.service == service; }));
+}
+
+std::uint32_t FleetState::excusedCrashes(const TaskKey& key) const
+{
+    const auto record = m_crashRecords.find(key);
+    return record == m_crashRecords.end() ? 0 : record->second.excused;
 }
 
 void FleetState::updateCrashes(const TaskKey& key)
 {
-    const TaskCrashes crashes = summarizeCrashes(m_countedCrashes.at(key));
+    const TaskCrashes crashes = summarizeCrashes(m_crashRecords.at(key).counted);
     if (crashes.crashes > 0) {
         m_crashes[key] = crashes;
     } else {
--- a/src/crocuscove/jobs/fleet_state_crashes_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <map>
 #include <string>
 #include <tuple>
@@ -37,15 +38,15 @@
     }
 
     /// The worker crashes under its tasks, and starts again at `restartedMs`.
-    void restart(std::size_t number, std::int64_t restartedMs, bool isOfRack = false)
+    void restart(std::size_t number, std::int64_t restartedMs, bool isOfRack = false, bool isAttributed = false)
     {
         const Worker& worker = *m_state.findWorker(workerId(number));
         std::vector<CrashedRun> runs;
         for (const TaskKey& task : m_state.tasksOf(worker.number)) {
-            runs.push_back({ task, m_state.findJob(task.job)->find(task)->run, false });
+            runs.push_back({ task, m_state.findJob(task.job)->find(task)->run, isAttributed });
         }
         const RecordCrash crash = testing::crash(workerId(number), worker.report.incarnation, runs);
-        m_state.apply(RecordConfirmedCrash { crash, restartedMs, isOfRack });
+        m_state.apply(RecordConfirmedCrash { crash, "pool", restartedMs, isOfRack });
         m_state.apply(RecordWorker { report(workerId(number), restartedMs) });
     }
 
@@ -65,7 +66,7 @@
 TEST_F(FleetStateCrashesTest, RestartsOfManyWorkersAtOnceGiveUpNoJob)
 {
     m_state.apply(accept(1, { step(1) }));
-    for (std::uint32_t round = 0; round < 2 * maxCrashes; ++round) {
+    for (std::uint32_t round = 0; round < maxExcusedCrashes; ++round) {
         m_nowMs += restartPeriodMs;
         assignTo(round % 7, key);
         for (std::size_t number = 0; number < 7; ++number) {
@@ -93,22 +94,100 @@
 }
 
 // Guards against a job that crashes many workers at the same moment and is excused by the crashes of its own tasks.
-TEST_F(FleetStateCrashesTest, CrashesUnderTasksOfOneJobAreNoBurst)
+TEST_F(FleetStateCrashesTest, CrashesThatAreAttributedToOneJobAreNoBurst)
 {
     m_state.apply(accept(1, { step(7) }));
-    for (std::uint32_t round = 1; round <= maxCrashes; ++round) {
+    for (std::uint32_t round = 1; round <= maxAttributedCrashes; ++round) {
         ASSERT_TRUE(isActive());
         m_nowMs += restartPeriodMs;
         for (std::uint32_t number = 0; number < 7; ++number) {
             assignTo(number, { 1, 0, 0, number });
         }
         for (std::size_t number = 0; number < 7 && isActive(); ++number) {
-            restart(number, m_nowMs + static_cast<std::int64_t>(number));
+            restart(number, m_nowMs, false, true);
         }
     }
     EXPECT_FALSE(isActive());
 }
 
+// Guards against a job with tasks on all workers that is given up for restarts of most of them at once.
+TEST_F(FleetStateCrashesTest, RestartsUnderAllTasksOfAJobDoNotGiveItUp)
+{
+    m_state.apply(accept(1, { step(12) }));
+    for (std::uint32_t round = 1; round <= 2 * maxCrashes; ++round) {
+        m_nowMs += restartPeriodMs;
+        for (std::uint32_t number = 0; number < 12; ++number) {
+            assignTo(number, { 1, 0, 0, number });
+        }
+        for (std::size_t number = 0; number < 12; ++number) {
+            restart(number, m_nowMs + static_cast<std::int64_t>(number) * 30);
+        }
+        ASSERT_TRUE(isActive()) << "round " << round;
+    }
+}
+
+// Guards against deadly tasks of several jobs that start, and crash their workers, in step without end.
+TEST_F(FleetStateCrashesTest, DeadlyTasksInStepAreGivenUp)
+{
+    for (JobId job = 1; job <= 6; ++job) {
+        m_state.apply(accept(job, { step(1) }));
+    }
+    std::uint32_t rounds = 0;
+    for (; isActive() && rounds < 2 * maxExcusedCrashes; ++rounds) {
+        m_nowMs += restartPeriodMs;
+        for (std::uint32_t number = 0; number < 6; ++number) {
+            if (m_state.findJob(number + 1)->isActive()) {
+                assignTo(number, { number + 1, 0, 0, 0 });
+            }
+        }
+        for (std::size_t number = 0; number < 6; ++number) {
+            restart(number, m_nowMs + static_cast<std::int64_t>(number), false, true);
+        }
+    }
+    EXPECT_LE(rounds, maxExcusedCrashes + maxAttributedCrashes);
+    EXPECT_FALSE(isActive());
+}
+
+// Guards against a task that is given up for a last crash that is already known to be part of a burst.
+TEST_F(FleetStateCrashesTest, ALastCrashInABurstGivesUpNoJob)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (std::uint32_t crash = 1; crash < maxCrashes; ++crash) {
+        m_nowMs += restartPeriodMs;
+        assignTo(0, key);
+        restart(0, m_nowMs);
+    }
+    m_nowMs += restartPeriodMs;
+    assignTo(11, key);
+    for (std::size_t number = 0; number < 12; ++number) {
+        restart(number, m_nowMs + static_cast<std::int64_t>(number) * 20);
+    }
+    EXPECT_TRUE(isActive());
+    assignTo(0, key);
+    restart(0, m_nowMs + restartPeriodMs);
+    EXPECT_FALSE(isActive()) << "the fourth that isn't part of one";
+}
+
+// Guards against times out of range in what workers send.
+TEST_F(FleetStateCrashesTest, CrashesCountWhenTheStartOfTheSuccessorIsOutOfRange)
+{
+    constexpr auto latest = std::numeric_limits<std::int64_t>::max();
+    JobId job = 10;
+    for (const std::int64_t startedMs : { std::int64_t { 0 }, std::int64_t { -1 }, latest, latest - 1, -latest }) {
+        const TaskKey task { ++job, 0, 0, 0 };
+        m_state.apply(accept(job, { step(1) }));
+        for (std::uint32_t round = 1; round <= maxCrashes; ++round) {
+            assignTo(0, task);
+            const std::int64_t incarnation = m_state.findWorker(workerId(0))->report.incarnation;
+            const RecordCrash crash
+                = testing::crash(workerId(0), incarnation, { { task, m_state.findJob(job)->find(task)->run, false } });
+            m_state.apply(RecordConfirmedCrash { crash, "pool", startedMs, false });
+            m_state.apply(RecordWorker { report(workerId(0), incarnation + 1) });
+        }
+        EXPECT_FALSE(m_state.findJob(job)->isActive()) << startedMs;
+    }
+}
+
 // Guards against a task that is started three times more after three crashes, as others of its racks crash at the same
 // time under other tasks.
 TEST_F(FleetStateCrashesTest, OnlyTheFirstOfSeveralCrashesOfRacksStaysUncounted)
@@ -124,6 +203,19 @@
     EXPECT_EQ(m_state.findJob(1)->find(key)->run, 5U);
 }
 
+// Guards against a job that is given up for its first ordinary crash after several racks of it have crashed.
+TEST_F(FleetStateCrashesTest, CrashesOfRacksNeedTwoOthersToGiveUpAJob)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (const bool isOfRack : { true, true, true, true, true, false }) {
+        m_nowMs += restartPeriodMs;
+        assignTo(0, key);
+        restart(0, m_nowMs, isOfRack);
+    }
+    EXPECT_TRUE(isActive());
+    EXPECT_EQ(crashes(), 1 + maxRackCrashes);
+}
+
 // Guards against a job that is given up because its racks crashed one after the other.
 TEST_F(FleetStateCrashesTest, CrashesOfRacksAloneGiveUpNoJob)
 {
--- a/src/crocuscove/jobs/restart_history.cpp
+++ b/src/crocuscove/jobs/restart_history.cpp
@@ -1,35 +1,60 @@
 #include "crocuscove/jobs/restart_history.h"
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
+#include <vector>
 
 namespace crocuscove::jobs {
 
-void RestartHistory::record(std::int64_t startedMs, const std::string& worker, const std::string& service)
+namespace {
+
+bool isKnown(std::int64_t startedMs) { return startedMs > 0 && startedMs <= latestStartMs; }
+
+} // namespace
+
+void RestartHistory::record(const std::string& service, std::int64_t startedMs, const std::string& worker)
 {
-    m_services[{ startedMs, worker }] = service;
-    if (m_services.size() > maxRestarts) {
-        m_services.erase(m_services.begin());
+    const Restart restart { service, startedMs, worker };
+    if (!isKnown(startedMs) || !m_byTime.insert(restart).second) {
+        return;
+    }
+    m_restarts[++m_lastNumber] = restart;
+    if (m_restarts.size() > maxRestarts) {
+        m_byTime.erase(m_restarts.begin()->second);
+        m_restarts.erase(m_restarts.begin());
     }
 }
 
-bool RestartHistory::isInBurst(std::int64_t startedMs, const std::string& service, std::size_t excepted) const
+bool RestartHistory::isInBurst(
+    const std::string& service, std::int64_t startedMs, std::size_t workers, std::size_t excepted) const
 {
-    if (startedMs == 0) {
+    if (!isKnown(startedMs)) {
         return false;
     }
-    const std::size_t together = countWithin(restartSpread, startedMs, service);
-    const std::size_t around = countWithin(restartNeighbourhood, startedMs, service);
-    return together >= minSharedRestarts + excepted
-        && static_cast<double>(together) >= minSharedPart * static_cast<double>(around);
+    const std::size_t together = countWorkers(restartSpread, service, startedMs);
+    if (together < minBurstWorkers + excepted || 100 * together < minBurstPercent * workers) {
+        return false;
+    }
+    return 100 * together >= minTogetherPercent * countWorkers(restartNeighbourhood, service, startedMs);
+}
+
+std::size_t RestartHistory::countWorkers(
+    base::Milliseconds spread, const std::string& service, std::int64_t startedMs) const
+{
+    const auto begin = m_byTime.lower_bound({ service, startedMs - spread.count(), "" });
+    const auto end = m_byTime.lower_bound({ service, startedMs + spread.count() + 1, "" });
+    std::vector<std::string_view> ids;
+    std::transform(begin, end, std::back_inserter(ids),
+        [](const Restart& restart) { return std::string_view(std::get<2>(restart)); });
+    std::ranges::sort(ids);
+    return static_cast<std::size_t>(std::ranges::unique(ids).begin() - ids.begin());
 }
 
-std::size_t RestartHistory::countWithin(
-    base::Milliseconds spread, std::int64_t startedMs, const std::string& service) const
+void RestartHistory::rebuildIndex()
 {
-    const auto begin = m_services.lower_bound({ startedMs - spread.count(), "" });
-    const auto end = m_services.lower_bound({ startedMs + spread.count() + 1, "" });
-    return static_cast<std::size_t>(
-        std::count_if(begin, end, [&](const auto& restart) { return restart.second == service; }));
+    m_byTime.clear();
+    std::ranges::for_each(m_restarts, [this](const auto& entry) { m_byTime.insert(entry.second); });
 }
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/restart_history_test.cpp
+++ b/src/crocuscove/jobs/restart_history_test.cpp
@@ -11,13 +11,14 @@
 
 constexpr std::int64_t startMs = 1'000'000;
 
-/// Records the restarts of `count` workers of the service, each `stepMs` after the one before.
-void record(RestartHistory& history, std::int64_t firstMs, std::size_t count, std::int64_t stepMs,
-    const std::string& service = "pool")
+constexpr std::size_t workers = 12;
+
+/// Records the restarts of `count` workers, each `stepMs` after the one before.
+void record(RestartHistory& history, std::int64_t firstMs, std::size_t count, std::int64_t stepMs)
 {
     for (std::size_t number = 0; number < count; ++number) {
         const auto startedMs = firstMs + static_cast<std::int64_t>(number) * stepMs;
-        history.record(startedMs, "w" + std::to_string(number), service);
+        history.record("pool", startedMs, "w" + std::to_string(number));
     }
 }
 
@@ -25,14 +26,16 @@
 TEST(RestartHistoryTest, WorkersThatRestartTogetherAreABurst)
 {
     RestartHistory history;
-    record(history, startMs, minSharedRestarts, 50);
-    EXPECT_TRUE(history.isInBurst(startMs, "pool", 0));
-    EXPECT_TRUE(history.isInBurst(startMs + 200, "pool", 0));
-    EXPECT_FALSE(history.isInBurst(startMs + 3'000, "pool", 0)) << "nothing restarted then";
-    EXPECT_FALSE(history.isInBurst(startMs, "other", 0));
-    EXPECT_FALSE(history.isInBurst(startMs, "pool", 1)) << "one of them may have another cause";
-    const auto copy = base::decode<RestartHistory>(base::encode(history));
-    EXPECT_TRUE(copy.isInBurst(startMs, "pool", 0));
+    record(history, startMs, minBurstWorkers, 50);
+    EXPECT_TRUE(history.isInBurst("pool", startMs, workers, 0));
+    EXPECT_TRUE(history.isInBurst("pool", startMs + 200, workers, 0));
+    EXPECT_FALSE(history.isInBurst("pool", startMs + 3'000, workers, 0)) << "nothing restarted then";
+    EXPECT_FALSE(history.isInBurst("other", startMs, workers, 0));
+    EXPECT_FALSE(history.isInBurst("pool", startMs, workers, 1)) << "one of them may have another cause";
+    EXPECT_FALSE(history.isInBurst("pool", startMs, 100 * workers, 0)) << "few of many";
+    auto copy = base::decode<RestartHistory>(base::encode(history));
+    copy.rebuildIndex();
+    EXPECT_TRUE(copy.isInBurst("pool", startMs, workers, 0));
 }
 
 // Guards against tasks that are never blamed because many of them crash their workers all the time.
@@ -41,26 +44,29 @@
     RestartHistory history;
     record(history, startMs, 60, 80);
     for (std::int64_t atMs = startMs; atMs < startMs + 60 * 80; atMs += 80) {
-        EXPECT_FALSE(history.isInBurst(atMs, "pool", 0)) << atMs - startMs;
+        EXPECT_FALSE(history.isInBurst("pool", atMs, workers, 0)) << atMs - startMs;
     }
 }
 
-TEST(RestartHistoryTest, AStartThatIsNotKnownIsNoBurst)
+// Guards against one worker that starts again and again and is taken for many.
+TEST(RestartHistoryTest, AWorkerCountsOnce)
 {
     RestartHistory history;
-    record(history, 0, 10, 1);
-    EXPECT_FALSE(history.isInBurst(0, "pool", 0));
+    for (std::int64_t restart = 0; restart < 2 * static_cast<std::int64_t>(minBurstWorkers); ++restart) {
+        history.record("pool", startMs + restart, "w1");
+    }
+    EXPECT_FALSE(history.isInBurst("pool", startMs, workers, 0));
 }
 
 // Guards against a history that grows for as long as workers restart.
-TEST(RestartHistoryTest, TheEarliestRestartIsForgottenFirst)
+TEST(RestartHistoryTest, TheRestartThatWasRecordedFirstIsForgottenFirst)
 {
     RestartHistory history;
-    record(history, startMs, minSharedRestarts, 1);
-    record(history, startMs + 10'000, maxRestarts - minSharedRestarts, 10'000);
-    EXPECT_TRUE(history.isInBurst(startMs, "pool", 0));
-    history.record(startMs + 5'000, "x", "pool");
-    EXPECT_FALSE(history.isInBurst(startMs, "pool", 0));
+    record(history, startMs + 100'000'000, minBurstWorkers, 1);
+    record(history, startMs, maxRestarts - minBurstWorkers, 10'000);
+    EXPECT_TRUE(history.isInBurst("pool", startMs + 100'000'000, workers, 0));
+    history.record("pool", startMs + 5'000, "x");
+    EXPECT_FALSE(history.isInBurst("pool", startMs + 100'000'000, workers, 0));
 }
 
 } // namespace
