Take no list that lacks a VM as proof that its maintenance is over

Cause: WaveRunner took a VM of a confirmed order that a list lacks for one that is back, dropped it, and removed its worker.

Change: such a list shows nothing. The VM counts as down until a later list shows it, or 3 s have passed since the confirmation, so that a wave doesn't wait for a VM that is gone. A worker that has ended in between is found by a later list or by its silence.

Evidence: AVmThatAListLacksDuringItsMaintenanceIsDown failed before with 2 VMs down, and passes.

--- a/src/crocuscove/control/wave_runner.cpp
+++ b/src/crocuscove/control/wave_runner.cpp
@@ -24,8 +24,9 @@
 /// VMs of one wave that are closed in a round. The others wait for the next one, so that a large wave doesn't hold the
 /// loop.
 constexpr std::size_t maxClosingsPerRound = 32;
-/// A VM that is listed as up with its earlier worker so long after its order was confirmed had been maintained before:
-/// maintenance takes 2 s on the users' installations, and half as much is left for slow lists.
+/// A VM that is listed as up with its earlier worker so long after its order was confirmed had been maintained before,
+/// and one that the list lacks is back or gone: maintenance takes 2 s on the users' installations, and half as much is
+/// left for slow lists.
 constexpr base::Milliseconds maxMaintenanceTime { 3'000 };
 /// A VM whose drain was given up stays open for so long.
 constexpr base::Milliseconds reopenedTime { 5'000 };
@@ -82,23 +83,25 @@
 void WaveRunner::observeOrdered(const std::string& vm, Drain& drain)
 {
     const auto listed = m_directory.vms().find(vm);
-    const bool isUp = listed != m_directory.vms().end() && listed->second.isUp;
-    drain.wasAway = drain.wasAway || !isUp;
-    const bool isSameWorker = isUp && listed->second.workerId == drain.workerId;
+    if (listed == m_directory.vms().end()) {
+        return;
+    }
+    drain.wasAway = drain.wasAway || !listed->second.isUp;
+    const bool isSameWorker = listed->second.isUp && listed->second.workerId == drain.workerId;
     const jobs::Worker* worker = m_cluster.state().findWorker(drain.workerId);
     if (worker != nullptr && !isSameWorker) {
         m_cluster.propose(jobs::RemoveWorker { worker->number }, nullptr);
     }
 }
 
-// A list may show the VM as up after the confirmation and before it goes down.
+// A list may show the VM as up after the confirmation and before it goes down, and one that lacks it proves nothing.
 bool WaveRunner::isBack(const std::string& vm, const Drain& drain) const
 {
+    const bool mustBeOver = *m_directory.askedAt() - *drain.orderedAt >= maxMaintenanceTime;
     const auto listed = m_directory.vms().find(vm);
     if (listed == m_directory.vms().end()) {
-        return true;
+        return mustBeOver;
     }
-    const bool mustBeOver = *m_directory.askedAt() - *drain.orderedAt >= maxMaintenanceTime;
     const bool runsAnother
         = !drain.workerId.empty() && !listed->second.workerId.empty() && listed->second.workerId != drain.workerId;
     return listed->second.isUp && (drain.wasAway || runsAnother || mustBeOver);
--- a/tests/integration/platform_maintenance_test.cpp
+++ b/tests/integration/platform_maintenance_test.cpp
@@ -73,6 +73,18 @@
     expectMostDown(1);
 }
 
+// Guards against a second VM of a wave that is taken because a list lacks the first one during its maintenance.
+TEST_F(PlatformMaintenanceTest, AVmThatAListLacksDuringItsMaintenanceIsDown)
+{
+    ASSERT_TRUE(configure());
+    startWorker("w1");
+    startWorker("w2");
+    startVms({ flag("maintenance-ms", 2'000), flag("left-out", "vm-w1") });
+    ASSERT_EQ(startWave(R"({"wave":1,"machines":["vm-w1","vm-w2"],"completeByS":20,"maxCount":1})"), 200);
+    EXPECT_TRUE(waitUntil([&] { return isWaveDone(1); }));
+    expectMostDown(1);
+}
+
 // Guards against a wave that waits without end for VMs that were maintained before their orders were confirmed.
 TEST_F(PlatformMaintenanceTest, AWaveGoesOnAfterAnOrderThatWasCarriedOutBefore)
 {
