Forget payload and tasks of jobs that have ended

Only the state of such a job is asked for, until it is pruned.

The steps stay, since the leader reads them after a crash that ends a job, and a node of an earlier version reads them too. An end or a start of a run that comes later finds no task, and is stopped as not assigned, as before. The record of crashes of a failed job now stays until it is pruned even if a done end comes late.

--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -23,7 +23,8 @@
 /// committed commands, and deterministically, so that all nodes reach the same state.
 class FleetState {
 public:
-    /// Applies a committed command. A command that is no longer valid in the current state has no effect.
+    /// Applies a committed command. A command that is no longer valid in the current state has no effect. Of a job that
+    /// has ended, its payload and its tasks are forgotten once none of them is assigned.
     void apply(const Command& command);
 
     [[nodiscard]] const Configuration& configuration() const { return m_configuration; }
@@ -123,6 +124,8 @@
     void countCrash(const CrashedRun& run, std::int64_t nowMs);
     void forgetCrashes(JobId job);
     void finishJob(Job& job, JobPhase phase, std::int64_t nowMs);
+    /// Forgets what no one asks of jobs that have ended, once none of their tasks is assigned.
+    void shrinkEndedJobs();
     void finishIfDone(Job& job, std::int64_t nowMs);
     /// Updates the index of ready jobs after a change of the job's tasks or phase.
     void updateReady(Job& job);
@@ -155,6 +158,8 @@
     /// Ids by RemovedWorker::order.
     std::map<std::uint64_t, std::string> m_removalOrder;
     std::map<std::string, WorkerNumber> m_workerByAddress;
+    /// Jobs that shrinkEndedJobs() looks at after the command in progress. Empty between commands.
+    std::vector<JobId> m_jobsToShrink;
 };
 
 /// Encodes commands that are committed as one log entry.
--- a/include/crocuscove/jobs/job.h
+++ b/include/crocuscove/jobs/job.h
@@ -69,13 +69,16 @@
     /// When the job was done, failed or was cancelled, in Unix milliseconds.
     std::int64_t finishedMs = 0;
     JobPhase phase = JobPhase::Queued;
-    /// Indexed by occurrence, then by step. All occurrences are created when the job is accepted.
+    /// Indexed by occurrence, then by step. All occurrences are created when the job is accepted. Empty once the job
+    /// has ended and none of its tasks is assigned; its payload is empty then too.
     std::vector<std::vector<StepProgress>> occurrences;
     /// Whether a task waits in a step whose dependencies are done. Derived from the members above by the owner of the
     /// job; not encoded.
     bool hasReadyTask = false;
 
     [[nodiscard]] bool isActive() const { return phase == JobPhase::Queued || phase == JobPhase::Running; }
+    /// Returns whether a worker still holds a task of the job.
+    [[nodiscard]] bool hasAssignedTask() const;
     /// Returns whether every dependency of `step` is done.
     [[nodiscard]] bool isStepReady(std::uint32_t occurrence, std::uint32_t step) const;
     /// Returns whether some task waits in a step whose dependencies are done. Due times are not considered.
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <tuple>
+#include <utility>
 
 namespace crocuscove::jobs {
 
@@ -33,6 +34,20 @@
 void FleetState::apply(const Command& command)
 {
     std::visit([this](const auto& typed) { applyCommand(typed); }, command);
+    shrinkEndedJobs();
+}
+
+// Only after a command, which may hold references to the tasks of a job that it ends.
+void FleetState::shrinkEndedJobs()
+{
+    for (const JobId id : std::exchange(m_jobsToShrink, {})) {
+        const auto found = m_jobs.find(id);
+        if (found != m_jobs.end() && !found->second.isActive() && !found->second.hasAssignedTask()) {
+            // An assignment would keep the memory.
+            std::exchange(found->second.spec.payload, {});
+            std::exchange(found->second.occurrences, {});
+        }
+    }
 }
 
 const std::set<TaskKey>& FleetState::tasksOf(WorkerNumber worker) const
@@ -376,6 +391,9 @@
     task->worker = 0;
     ++job.occurrences[key.occurrence][key.step].waitingTasks;
     updateReady(job);
+    if (!job.isActive()) {
+        m_jobsToShrink.push_back(job.id);
+    }
 }
 
 void FleetState::applyCommand(const ReleaseTask& command)
@@ -478,6 +496,7 @@
     job.phase = phase;
     job.finishedMs = nowMs;
     m_activeJobs[job.queue].erase(job.id);
+    m_jobsToShrink.push_back(job.id);
     updateReady(job);
     if (phase != JobPhase::Failed) {
         forgetCrashes(job.id);
@@ -561,6 +580,9 @@
         updateReady(job);
         if (job.isActive()) {
             m_activeJobs[job.queue].insert(id);
+        } else {
+            // An earlier version kept all of it.
+            m_jobsToShrink.push_back(id);
         }
         for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
             for (std::uint32_t step = 0; step < job.occurrences[occurrence].size(); ++step) {
@@ -590,6 +612,7 @@
         m_successors)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
+    shrinkEndedJobs();
 }
 
 std::string encodeCommands(const std::vector<Command>& commands) { return base::encode(commands); }
--- a/src/crocuscove/jobs/job.cpp
+++ b/src/crocuscove/jobs/job.cpp
@@ -32,6 +32,14 @@
 
 std::string_view taskEndReasonName(TaskEndReason kind) { return endReasonNames.name(kind); }
 
+bool Job::hasAssignedTask() const
+{
+    return std::ranges::any_of(occurrences, [](const auto& steps) {
+        return std::ranges::any_of(
+            steps, [](const StepProgress& step) { return step.doneTasks + step.waitingTasks < step.tasks.size(); });
+    });
+}
+
 bool Job::isStepReady(std::uint32_t occurrence, std::uint32_t step) const
 {
     const auto& steps = occurrences[occurrence];
