--- a/src/crocuscove/jobs/fleet_state_crashes_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes_test.cpp
@@ -200,7 +200,7 @@
         restart(0, m_nowMs, isOfRack);
     }
     EXPECT_FALSE(isActive());
-    EXPECT_EQ(m_state.findJob(1)->find(key)->run, 5U);
+    EXPECT_EQ(m_state.crashes().at(key).lastRun, 5U);
 }
 
 // Guards against a job that is given up for its first ordinary crash after several racks of it have crashed.
