Accept the reports of an incarnation whose earlier start a list has shown

Callers saw a worker get no tasks until its next start, when it had started again under its id with its time of day set back.

Cause: a start lies in Unix milliseconds of the worker's own time of day. The removal of the incarnation before remembers that start, and refuses all reports of an earlier one as delayed.

Change: a list of runs is of the incarnation that is there now. Once its unsettled starts are settled, RemoveReplacedWorker (a new command at the end of the log's) removes the one before and records which one is there, and the latest start of a life that is over. Reports of the one that is there are accepted. Reports between its start and the latest one change nothing while it is recorded, since they may be delayed ones, which would free its tasks; a list shows such an incarnation as well. As before, nothing starts before a list of the recorded incarnation. Its age isn't known by its start, so that its sessions assume the longest lease.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -155,9 +155,18 @@
     std::vector<UnsettledStart> starts;
 };
 
+/// Removes a worker after a list of runs has shown that another incarnation of its id is there, whose start lies
+/// earlier because its time of day was set back. Reports of that one are then accepted, and those of incarnations that
+/// are known to be over are not.
+struct RemoveReplacedWorker {
+    WorkerNumber worker = 0;
+    /// The one that is there.
+    std::int64_t incarnation = 0;
+};
+
 using Command = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks,
     ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash,
-    CancelJob, RemoveLeftWorker, RecordUnsettledStarts>;
+    CancelJob, RemoveLeftWorker, RecordUnsettledStarts, RemoveReplacedWorker>;
 
 CROCUSCOVE_FIELDS(PutConfiguration, v.configuration)
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
@@ -177,6 +186,7 @@
 CROCUSCOVE_FIELDS(RemoveLeftWorker, v.worker)
 CROCUSCOVE_FIELDS(UnsettledStart, v.task, v.run)
 CROCUSCOVE_FIELDS(RecordUnsettledStarts, v.worker, v.starts)
+CROCUSCOVE_FIELDS(RemoveReplacedWorker, v.worker, v.incarnation)
 CROCUSCOVE_FIELDS(CancelJob, v.job, v.nowMs)
 CROCUSCOVE_FIELDS(RecordCrash, v.worker, v.incarnation, v.runs, v.isConfirmed, v.nowMs)
 
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -61,6 +61,9 @@
     /// Tells whether an earlier incarnation of the worker's id was known, so that orders for it may have reached this
     /// one.
     [[nodiscard]] bool hasPredecessor(WorkerNumber worker) const { return m_successors.contains(worker); }
+    /// Tells whether the start of a worker lies earlier than that of an incarnation before it, so that it tells nothing
+    /// about the worker's age.
+    [[nodiscard]] bool hasEarlierStart(const Worker& worker) const { return m_latestStarts.contains(worker.report.id); }
 
     /// Returns the last definition of a queue, even if it was removed from the configuration, or a null pointer.
     [[nodiscard]] const Queue* findQueue(const std::string& name) const;
@@ -73,7 +76,7 @@
     [[nodiscard]] const Worker* findWorker(const std::string& id) const;
     /// Returns the worker at an address, or a null pointer.
     [[nodiscard]] const Worker* findWorkerAt(const std::string& address) const;
-    /// Tells whether a report is a delayed one of a removed worker, which changes nothing.
+    /// Tells whether a report is, or may be, a delayed one of a removed worker, which changes nothing.
     [[nodiscard]] bool isOfRemovedWorker(const WorkerReport& report) const;
     /// Counts the accepted jobs of a queue that have no due time and no started task.
     [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const;
@@ -100,6 +103,7 @@
     void applyCommand(const CancelJob& command);
     void applyCommand(const RemoveLeftWorker& command);
     void applyCommand(const RecordUnsettledStarts& command);
+    void applyCommand(const RemoveReplacedWorker& command);
 
     void removeWorker(WorkerNumber number, bool hasLeft);
 
@@ -146,6 +150,8 @@
     std::set<TaskKey> m_unsettledStarts;
     /// Workers for which hasPredecessor() holds.
     std::set<WorkerNumber> m_successors;
+    /// The latest start of an incarnation that is over, by worker id, where the one that was seen last started earlier.
+    std::map<std::string, std::int64_t> m_latestStarts;
     // Indexes derived from the members above; not part of a snapshot.
     std::map<std::string, WorkerNumber> m_workerById;
     std::map<std::string, std::set<JobId>> m_activeJobs;
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -50,7 +50,8 @@
 bool changesWorkers(const jobs::Command& command)
 {
     return std::holds_alternative<jobs::RecordWorker>(command) || std::holds_alternative<jobs::RemoveWorker>(command)
-        || std::holds_alternative<jobs::RemoveLeftWorker>(command);
+        || std::holds_alternative<jobs::RemoveLeftWorker>(command)
+        || std::holds_alternative<jobs::RemoveReplacedWorker>(command);
 }
 
 std::optional<jobs::WorkerNumber> removedWorker(const jobs::Command& command)
@@ -61,6 +62,9 @@
     if (const auto* removal = std::get_if<jobs::RemoveLeftWorker>(&command)) {
         return removal->worker;
     }
+    if (const auto* removal = std::get_if<jobs::RemoveReplacedWorker>(&command)) {
+        return removal->worker;
+    }
     return std::nullopt;
 }
 
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -56,7 +56,9 @@
     , m_rack(jobs::rackOf(worker.report))
     , m_knownSince(base::monotonicNow())
     , m_mayHoldLongestLease(state.hasPredecessor(worker.number)
-          && base::wallNow().time_since_epoch() < base::Milliseconds(worker.report.incarnation) + predecessorWindow)
+          && (state.hasEarlierStart(worker)
+              || base::wallNow().time_since_epoch()
+                  < base::Milliseconds(worker.report.incarnation) + predecessorWindow))
     , m_endpoint(base::parseEndpoint(worker.report.address))
     , m_fencingToken(fencingTokenOf(term, worker.number))
 {
@@ -276,11 +278,9 @@
         m_hooks.onCrash(std::move(*record));
     }
     m_log.warning("worker_removed",
-        { { "worker", m_id }, { "incarnation", m_incarnation }, { "reason", reason },
-            { "tasks", m_state.tasksOf(m_number).size() } });
-    const jobs::Command command = cause == RemovalCause::Left ? jobs::Command(jobs::RemoveLeftWorker { m_number })
-                                                              : jobs::Command(jobs::RemoveWorker { m_number });
-    m_hooks.propose(command, [this, alive = m_isAlive](bool isApplied) {
+        { { "worker", m_id }, { "incarnation", m_incarnation }, { "later", m_laterIncarnation.value_or(0) },
+            { "reason", reason }, { "tasks", m_state.tasksOf(m_number).size() } });
+    m_hooks.propose(removal(cause), [this, alive = m_isAlive](bool isApplied) {
         if (*alive && !isApplied) {
             m_isRemoving = false;
             m_hasLeft = false;
@@ -289,6 +289,18 @@
     });
 }
 
+jobs::Command WorkerSession::removal(RemovalCause cause) const
+{
+    if (cause == RemovalCause::Left) {
+        return jobs::RemoveLeftWorker { m_number };
+    }
+    // Only a list makes this session adopt an incarnation whose start lies earlier.
+    if (m_laterIncarnation && *m_laterIncarnation < m_incarnation) {
+        return jobs::RemoveReplacedWorker { m_number, *m_laterIncarnation };
+    }
+    return jobs::RemoveWorker { m_number };
+}
+
 void WorkerSession::onStatus(const platform::WorkerStatus& status, base::MonotonicTime sentAt)
 {
     if (m_incarnation != 0 && !status.incarnation) {
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -181,6 +181,7 @@
     /// Frees the tasks whose lease has ended, when others run on under that of another incarnation.
     void freeOwnTasks();
     void remove(std::string_view reason, RemovalCause cause);
+    [[nodiscard]] jobs::Command removal(RemovalCause cause) const;
     /// Tells whether a run may have been executing when the worker crashed.
     [[nodiscard]] bool mayHaveExecuted(const jobs::TaskKey& key) const;
     /// Tells whether a run that may have been executing may have done so for less than the probation time.
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -46,12 +46,27 @@
     }
 
     /// Handles the worker's report about its current incarnation.
-    void receiveReport()
+    void receiveReport() { receive(report()); }
+
+    void receive(const jobs::WorkerReport& received)
     {
-        if (m_session) {
-            m_session->noteLaterIncarnation(m_worker.incarnation());
+        const jobs::Worker* known = m_state.findWorker(received.id);
+        if (m_state.isOfRemovedWorker(received)
+            || (known != nullptr && known->report.incarnation > received.incarnation)) {
+            return;
+        }
+        if (m_session && known != nullptr && known->report.incarnation < received.incarnation) {
+            m_session->noteLaterIncarnation(received.incarnation);
         }
-        propose(jobs::RecordWorker { report() }, nullptr);
+        propose(jobs::RecordWorker { received }, nullptr);
+    }
+
+    /// Another incarnation than the one that is known begins, whose time of day was set back, and takes a start.
+    void restartWithEarlierStart()
+    {
+        m_worker.restart(-500);
+        assign(task);
+        ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(task)); }));
     }
 
     void propose(jobs::Command command, std::function<void(bool)> callback)
@@ -246,13 +261,47 @@
 TEST_F(WorkerSessionTest, AnIncarnationWithAnEarlierStartRunsNoTaskTwice)
 {
     reachWorker();
-    m_worker.restart(-500);
-    assign(task);
-    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(task)); }));
+    restartWithEarlierStart();
     EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
     EXPECT_GE(m_worker.stops(), 1U);
 }
 
+// Guards against a worker that gets no tasks until its next start because its time of day was set back.
+TEST_F(WorkerSessionTest, AnIncarnationWithAnEarlierStartGetsTasks)
+{
+    reachWorker();
+    restartWithEarlierStart();
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_state.findWorker(std::string(workerId)) == nullptr; }));
+    receiveReport();
+    ASSERT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker(); }));
+    assign(otherTask);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(otherTask)); }));
+    jobs::WorkerReport delayed = report();
+    delayed.incarnation = m_firstIncarnation;
+    delayed.sequence = 9;
+    receive(delayed);
+    runFor(100ms);
+    EXPECT_FALSE(isFree(otherTask));
+    EXPECT_TRUE(hasUsedWorker());
+}
+
+// Guards against the same when that one is cut off right after it was seen.
+TEST_F(WorkerSessionTest, AnIncarnationWithAnEarlierStartThatWasCutOffGetsTasks)
+{
+    useShortLeases();
+    m_options.maxTaskLease = 1'000ms;
+    m_worker.maxLeaseMs = m_options.maxTaskLease.count();
+    reachWorker();
+    m_worker.onListed = [this] { m_worker.isSilent = m_worker.hasMovedRun(); };
+    restartWithEarlierStart();
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isSilent; }));
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_state.findWorker(std::string(workerId)) == nullptr; }));
+    m_worker.onListed = nullptr;
+    m_worker.isSilent = false;
+    receiveReport();
+    EXPECT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker(); }));
+}
+
 // Guards against a task that starts elsewhere while its worker, which is cut off, keeps it under the lease that an
 // order for the incarnation before has given it.
 TEST_F(WorkerSessionTest, AnOrderForTheEarlierIncarnationMayHaveExtendedTheLease)
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -14,7 +14,7 @@
     std::map<std::uint64_t, Wave>, std::map<std::string, std::string>, std::map<std::string, Queue>,
     std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>, std::map<TaskKey, TaskCrashes>,
     std::map<std::string, UnconfirmedCrash>, std::map<std::string, RemovedWorker>, std::uint64_t, std::set<TaskKey>,
-    std::set<WorkerNumber>>;
+    std::set<WorkerNumber>, std::map<std::string, std::int64_t>>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -197,11 +197,15 @@
     const auto removed = m_removedWorkers.find(report.id);
     if (removed != m_removedWorkers.end()) {
         const bool isSame = removed->second.incarnation == report.incarnation;
-        hasPredecessor = hasPredecessor || !isSame;
+        hasPredecessor = hasPredecessor || !isSame || m_latestStarts.contains(report.id);
         worker.report.isDraining = report.isDraining || (isSame && removed->second.wasDraining);
         m_removalOrder.erase(removed->second.order);
         m_removedWorkers.erase(removed);
     }
+    const auto latest = m_latestStarts.find(report.id);
+    if (latest != m_latestStarts.end() && latest->second < report.incarnation) {
+        m_latestStarts.erase(latest);
+    }
     m_workerById[report.id] = worker.number;
     m_workerByAddress[report.address] = worker.number;
     const WorkerNumber number = worker.number;
@@ -254,6 +258,25 @@
 
 void FleetState::applyCommand(const RemoveLeftWorker& command) { removeWorker(command.worker, true); }
 
+void FleetState::applyCommand(const RemoveReplacedWorker& command)
+{
+    const Worker* worker = findWorker(command.worker);
+    if (worker == nullptr) {
+        return;
+    }
+    const std::string id = worker->report.id;
+    const std::int64_t ended = worker->report.incarnation;
+    removeWorker(command.worker, false);
+    if (command.incarnation > 0 && command.incarnation < ended) {
+        RemovedWorker& removed = m_removedWorkers.at(id);
+        removed.incarnation = command.incarnation;
+        removed.sequence = 0;
+        removed.wasDraining = false;
+        std::int64_t& latest = m_latestStarts[id];
+        latest = std::max(latest, ended);
+    }
+}
+
 void FleetState::removeWorker(WorkerNumber number, bool hasLeft)
 {
     const auto worker = m_workers.find(number);
@@ -282,17 +305,27 @@
     m_removalOrder[entry.order] = report.id;
     if (m_removedWorkers.size() > maxRemovedWorkers) {
         m_removedWorkers.erase(m_removalOrder.begin()->second);
+        m_latestStarts.erase(m_removalOrder.begin()->second);
         m_removalOrder.erase(m_removalOrder.begin());
     }
 }
 
 bool FleetState::isOfRemovedWorker(const WorkerReport& report) const
 {
+    const auto latest = m_latestStarts.find(report.id);
+    const std::int64_t latestStart = latest == m_latestStarts.end() ? 0 : latest->second;
+    if (const Worker* current = findWorker(report.id)) {
+        // Whether an incarnation in between is over or began since, only a list of runs tells.
+        return report.incarnation > current->report.incarnation && report.incarnation <= latestStart;
+    }
     const auto removed = m_removedWorkers.find(report.id);
-    if (removed == m_removedWorkers.end() || m_workerById.contains(report.id)) {
+    if (removed == m_removedWorkers.end()) {
         return false;
     }
     const RemovedWorker& known = removed->second;
+    if (latestStart != 0 && report.incarnation == latestStart) {
+        return true;
+    }
     // The report that was recorded last may have been sent again.
     const bool isOlder = known.hasLeft || report.sequence < known.sequence;
     return report.incarnation < known.incarnation || (report.incarnation == known.incarnation && isOlder);
@@ -579,7 +612,7 @@
 {
     return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
         m_lastWorker, m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval,
-        m_unsettledStarts, m_successors));
+        m_unsettledStarts, m_successors, m_latestStarts));
 }
 
 // A snapshot of an earlier version ends before the crashes or later, and what it lacks is then empty.
@@ -587,7 +620,7 @@
 {
     std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
         m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts,
-        m_successors)
+        m_successors, m_latestStarts)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
 }
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -558,6 +558,71 @@
     EXPECT_TRUE(m_state.unsettledStarts().empty());
 }
 
+// Guards against a worker that gets no tasks until its next start because its time of day was set back, and against a
+// delayed report of the life before that brings that one back.
+TEST_F(FleetStateTest, AnIncarnationWithAnEarlierStartIsAcceptedOnceAListHasShownIt)
+{
+    WorkerReport ended = report("w1", 1000, 9);
+    ended.isDraining = true;
+    m_state.apply(RecordWorker { ended });
+    m_state.apply(RemoveReplacedWorker { m_state.findWorker("w1")->number, 500 });
+    FleetState restarted;
+    restarted.restoreSnapshot(m_state.encodeSnapshot());
+    for (FleetState* state : { &m_state, &restarted }) {
+        ended.sequence = 10;
+        state->apply(RecordWorker { ended });
+        EXPECT_EQ(state->findWorker("w1"), nullptr) << "that one is over";
+        state->apply(RecordWorker { report("w1", 400, 9) });
+        EXPECT_EQ(state->findWorker("w1"), nullptr) << "no list has shown that one";
+        state->apply(RecordWorker { report("w1", 500, 3) });
+        const Worker* worker = state->findWorker("w1");
+        ASSERT_NE(worker, nullptr);
+        EXPECT_FALSE(worker->report.isDraining);
+        EXPECT_TRUE(state->hasPredecessor(worker->number));
+        EXPECT_TRUE(state->hasEarlierStart(*worker));
+    }
+}
+
+// Guards against a delayed report that ends the incarnation that is there, whose tasks then run twice.
+TEST_F(FleetStateTest, ADelayedReportEndsNoIncarnationWithAnEarlierStart)
+{
+    const TaskKey key { 1, 0, 0, 0 };
+    m_state.apply(RecordWorker { report("w1", 1000) });
+    m_state.apply(RemoveReplacedWorker { m_state.findWorker("w1")->number, 500 });
+    m_state.apply(RecordWorker { report("w1", 500) });
+    ASSERT_NE(m_state.findWorker("w1"), nullptr);
+    const WorkerNumber there = m_state.findWorker("w1")->number;
+    m_state.apply(accept(1, { step(1) }));
+    m_state.apply(assign(key, 1, there));
+    for (const std::int64_t incarnation : { 800, 1000 }) {
+        EXPECT_TRUE(m_state.isOfRemovedWorker(report("w1", incarnation, 9)));
+        m_state.apply(RecordWorker { report("w1", incarnation, 9) });
+        EXPECT_EQ(m_state.findWorker("w1")->number, there);
+        EXPECT_EQ(task(key).phase, TaskPhase::Assigned);
+    }
+    EXPECT_FALSE(m_state.isOfRemovedWorker(report("w1", 500, 2)));
+    EXPECT_FALSE(m_state.isOfRemovedWorker(report("w1", 1001)));
+    m_state.apply(RecordWorker { report("w1", 1001) });
+    EXPECT_EQ(task(key).phase, TaskPhase::Waiting);
+    EXPECT_FALSE(m_state.hasEarlierStart(*m_state.findWorker("w1"))) << "its start is the latest again";
+}
+
+// Guards against a worker that gets no tasks when it starts once more while its time of day is still set back.
+TEST_F(FleetStateTest, AStartBetweenAnEarlierOneAndTheLatestIsAcceptedOnceTheEarlierOneIsRemoved)
+{
+    m_state.apply(RecordWorker { report("w1", 1000) });
+    m_state.apply(RemoveReplacedWorker { m_state.findWorker("w1")->number, 500 });
+    m_state.apply(RecordWorker { report("w1", 500) });
+    ASSERT_NE(m_state.findWorker("w1"), nullptr);
+    m_state.apply(RemoveWorker { m_state.findWorker("w1")->number });
+    m_state.apply(RecordWorker { report("w1", 700) });
+    ASSERT_NE(m_state.findWorker("w1"), nullptr);
+    m_state.apply(RemoveReplacedWorker { m_state.findWorker("w1")->number, 600 });
+    EXPECT_TRUE(m_state.isOfRemovedWorker(report("w1", 1000, 9))) << "the latest start is still known";
+    m_state.apply(RecordWorker { report("w1", 600) });
+    EXPECT_NE(m_state.findWorker("w1"), nullptr);
+}
+
 /// Returns a random command over few jobs, workers and run numbers, so that commands often concern the same objects.
 Command randomCommand(base::Random& random)
 {
@@ -575,6 +640,9 @@
     case 1:
         return RecordWorker { report("w" + std::to_string(pick(3)), static_cast<std::int64_t>(1 + pick(3)), pick(9)) };
     case 2:
+        if (pick(3) == 0) {
+            return RemoveReplacedWorker { worker, static_cast<std::int64_t>(pick(4)) };
+        }
         return pick(2) == 0 ? Command(RemoveWorker { worker }) : Command(RemoveLeftWorker { worker });
     case 3:
         return pick(2) == 0 ? Command(CancelAcceptedJob { key.job, 1 }) : Command(CancelJob { key.job, 1 });
