Settle starts when a worker that refutes its leaving has an earlier start

Callers could see two runs of one task when a worker had started again with its time of day set back, had accepted a start, and the message that an incarnation before it leaves arrived then.

Cause: the answer to the question whether the worker has left is a list of runs. One of an incarnation with a later start was settled; one with an earlier start removed the worker at once, with the run that it had accepted.

Change: such an answer is treated as any list of another incarnation.

--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -204,11 +204,11 @@
     const bool isIdentified = answer.incarnation || m_incarnation == 0;
     const bool isOther = answer.incarnation && m_incarnation != 0 && *answer.incarnation != m_incarnation;
     const bool isOtherId = answer.outcome == platform::OrderOutcome::OtherIncarnation;
-    if (isOther && !isOtherId && *answer.incarnation > m_incarnation) {
-        noteLaterIncarnation(*answer.incarnation);
+    if (isOther && !isOtherId) {
+        noteListedIncarnation(*answer.incarnation);
         return;
     }
-    if (isOther || isOtherId) {
+    if (isOtherId) {
         remove("other-incarnation", RemovalCause::Restarted);
         return;
     }
@@ -352,11 +352,7 @@
 
 void WorkerSession::onOtherIncarnation(const platform::WorkerStatus& status, base::MonotonicTime sentAt)
 {
-    // A list is of the incarnation that is there now. Its start may lie earlier by a time of day that was set back.
-    if (m_laterIncarnation != status.incarnation) {
-        adoptIncarnation(*status.incarnation);
-    }
-    recordUnsettledStarts();
+    noteListedIncarnation(*status.incarnation);
     if (areStartsSettled(status, sentAt)) {
         remove("restarted", RemovalCause::Restarted);
         return;
@@ -365,6 +361,15 @@
     scheduleRenew(retryPause);
 }
 
+// A list is of the incarnation that is there now. Its start may lie earlier by a time of day that was set back.
+void WorkerSession::noteListedIncarnation(std::int64_t incarnation)
+{
+    if (m_laterIncarnation != incarnation) {
+        adoptIncarnation(incarnation);
+    }
+    recordUnsettledStarts();
+}
+
 void WorkerSession::noteLaterIncarnation(std::int64_t incarnation)
 {
     if (!m_laterIncarnation || *m_laterIncarnation < incarnation) {
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -154,6 +154,9 @@
     void onRenewed(const http::ExchangeResult& result, base::MonotonicTime sentAt);
     void onStatus(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
     void onOtherIncarnation(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
+    /// Handles that a list of runs, or the answer to the question whether the worker has left, which is one, is of
+    /// another incarnation.
+    void noteListedIncarnation(std::int64_t incarnation);
     /// Handles that the worker's id has another incarnation now, which has confirmed nothing yet.
     void adoptIncarnation(std::int64_t incarnation);
     /// Records what the answer to a start tells of who has the run. Returns whether another incarnation gave it.
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -302,6 +302,17 @@
     EXPECT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker(); }));
 }
 
+// Guards against the same when the answer to the question whether the worker has left is the first to show it.
+TEST_F(WorkerSessionTest, AnIncarnationWithAnEarlierStartThatRefutesItsLeavingRunsNoTaskTwice)
+{
+    reachWorker();
+    restartWithEarlierStart();
+    m_session->checkLeave();
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
+    receiveReport();
+    EXPECT_TRUE(runUntil(m_loop, [this] { return hasUsedWorker(); }));
+}
+
 // Guards against a task that starts elsewhere while its worker, which is cut off, keeps it under the lease that an
 // order for the incarnation before has given it.
 TEST_F(WorkerSessionTest, AnOrderForTheEarlierIncarnationMayHaveExtendedTheLease)
