--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -155,6 +155,9 @@
     void onRenewed(const http::ExchangeResult& result, base::MonotonicTime sentAt);
     void onStatus(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
     void onOtherIncarnation(const platform::WorkerStatus& status, base::MonotonicTime sentAt);
+    /// Handles that a list of runs, or the answer to the question whether the worker has left, which is one, is of
+    /// another incarnation.
+    void noteListedIncarnation(std::int64_t incarnation);
     /// Handles that the worker's id has another incarnation now, which has confirmed nothing yet.
     void adoptIncarnation(std::int64_t incarnation);
     /// Records what the answer to a start tells of who has the run. Returns whether another incarnation gave it.
@@ -182,6 +185,7 @@
     /// Frees the tasks whose lease has ended, when others run on under that of another incarnation.
     void freeOwnTasks();
     void remove(std::string_view reason, RemovalCause cause);
+    [[nodiscard]] jobs::Command removal(RemovalCause cause) const;
     /// Tells whether a run may have been executing when the worker crashed.
     [[nodiscard]] bool mayHaveExecuted(const jobs::TaskKey& key) const;
     /// Tells whether a run that may have been executing may have done so for less than the probation time.
