Let a leader compact its log later than its followers

Change: a leader with followers compacts at three times its bound, 24 to 36 MB (leaderCompactionFactor). A node that no longer leads makes up for it at once.

A restarted leader and a new member replay up to three times as much log; not measured.

Test: ALeaderCompactsLaterThanAnyFollower failed with a factor of 1 (11.2 MB instead of more than 13.6 MB). crocuscove_replication_test (its 11 cases of ReplicatedLog), crocuscove_jobs_test (112) and crocuscove_control_test (63) passed.

--- a/include/crocuscove/replication/replicated_log.h
+++ b/include/crocuscove/replication/replicated_log.h
@@ -134,6 +134,8 @@
     void finishReads(const std::vector<consensus::ReadResult>& reads);
     void completeReads();
     void expirePending();
+    /// Returns the size of the log in memory from which on it is compacted.
+    [[nodiscard]] std::size_t largestLogBytes() const;
     void compactIfLarge();
     /// Returns the indexes through which the log may be compacted, those that keep most entries first: for members that
     /// catch up, as usual, and through the snapshot.
--- a/src/crocuscove/replication/replicated_log.cpp
+++ b/src/crocuscove/replication/replicated_log.cpp
@@ -19,6 +19,9 @@
 /// A snapshot is taken when the log in memory is larger than this, and up to half as much more on some nodes: a
 /// snapshot holds up the loop, and a quorum must not be held up at the same time.
 constexpr std::size_t compactionBytes = std::size_t { 8 } * 1024 * 1024;
+/// A leader waits until its log is this many times larger than that, so that the others have taken their snapshots
+/// before: everyone waits for a leader that a snapshot holds up, and no one for a follower.
+constexpr std::size_t leaderCompactionFactor = 3;
 /// Entries kept before a snapshot, so that a follower that lags a little needs no snapshot.
 constexpr consensus::Index entriesKept = 1024;
 /// Entries kept at most for a member that catches up.
@@ -458,10 +461,16 @@
     std::ranges::for_each(reads, [](const auto& callback) { callback(false); });
 }
 
+std::size_t ReplicatedLog::largestLogBytes() const
+{
+    const bool hasFollowers = isLeader() && m_raft.membership().voters.size() > 1;
+    return m_compactionBytes * (hasFollowers ? leaderCompactionFactor : 1);
+}
+
 void ReplicatedLog::compactIfLarge()
 {
     // The core can't describe the state while it is behind it.
-    if (m_raft.logBytes() < m_compactionBytes || m_applied <= m_snapshotIndex || m_reported < m_applied
+    if (m_raft.logBytes() < largestLogBytes() || m_applied <= m_snapshotIndex || m_reported < m_applied
         || base::monotonicNow() < m_nextCompactionAt) {
         return;
     }
--- a/src/crocuscove/replication/replicated_log_test.cpp
+++ b/src/crocuscove/replication/replicated_log_test.cpp
@@ -244,12 +244,11 @@
         return outcomes;
     }
 
-    /// Applies entries of 1,000 bytes until `done`, and runs `onPart` before each part of them.
+    /// Applies entries until `done`, and runs `onPart` before each part of them.
     void fill(
-        const std::function<bool()>& done, const std::function<void()>& onPart = [] {})
+        const std::function<bool()>& done, const std::function<void()>& onPart = [] {}, std::size_t entryBytes = 1'000)
     {
-        constexpr std::size_t entryBytes = 1'000;
-        constexpr int mostParts = 100;
+        constexpr int mostParts = 250;
         for (int part = 0; part < mostParts && !done(); ++part) {
             onPart();
             for (consensus::Index entry = 0; entry < partEntries; ++entry) {
@@ -263,7 +262,8 @@
     }
 
     /// Fills the log until it is compacted. Returns the bytes of entries that it had.
-    std::size_t fillUntilCompacted(const std::function<void()>& onPart = [] {})
+    std::size_t fillUntilCompacted(
+        const std::function<void()>& onPart = [] {}, std::size_t entryBytes = 1'000)
     {
         const consensus::Index before = m_log->raft().compactedIndex();
         std::size_t bytes = 0;
@@ -272,7 +272,7 @@
                 bytes = std::max(bytes, m_log->raft().logBytes());
                 return m_log->raft().compactedIndex() > before;
             },
-            onPart);
+            onPart, entryBytes);
         return bytes;
     }
 
@@ -281,6 +281,15 @@
         return m_log->raft().matchIndex(base::NodeId(peer)).value_or(0);
     }
 
+    [[nodiscard]] std::uintmax_t folderBytes() const
+    {
+        std::uintmax_t bytes = 0;
+        for (const auto& file : std::filesystem::directory_iterator(m_folder)) {
+            bytes += file.is_regular_file() ? file.file_size() : 0;
+        }
+        return bytes;
+    }
+
     /// Entries that fill() adds at a time.
     static constexpr consensus::Index partEntries = 200;
     static constexpr consensus::Index everything = ~consensus::Index { 0 };
@@ -312,6 +321,32 @@
     EXPECT_TRUE(third.empty());
 }
 
+// Guards against a leader that is deposed because a snapshot holds it up, when a follower could have taken it.
+TEST_F(ReplicatedLogOfThreeTest, ALeaderCompactsLaterThanAnyFollower)
+{
+    constexpr std::size_t largestOfFollowers = 12UL * 1024 * 1024;
+    constexpr std::size_t largestOfLeaders = 36UL * 1024 * 1024;
+    constexpr std::uintmax_t largestOfLeadersOnDisk = 48UL * 1024 * 1024;
+    constexpr std::size_t entryBytes = 4'000;
+    constexpr std::size_t partBytes = partEntries * entryBytes * 5 / 4;
+    m_reach = { { "n2", everything }, { "n3", everything } };
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_log->isLeader(); }));
+    std::uintmax_t diskBytes = 0;
+    const std::size_t bytes = fillUntilCompacted([&] { diskBytes = std::max(diskBytes, folderBytes()); }, entryBytes);
+    EXPECT_GT(bytes, largestOfFollowers + partBytes);
+    EXPECT_LE(bytes, largestOfLeaders + partBytes);
+    EXPECT_LE(diskBytes, largestOfLeadersOnDisk);
+    fill([&] { return m_log->raft().logBytes() > largestOfFollowers; }, [] {}, entryBytes);
+    const consensus::Index compacted = m_log->raft().compactedIndex();
+    const consensus::Index last = m_log->raft().lastIndex();
+    const consensus::Term term = m_log->raft().term();
+    m_log->step({ base::NodeId("n2"), base::NodeId("n1"), term + 1,
+        consensus::AppendRequest { last, term, last, 1, { { last + 1, term + 1, consensus::EntryKind::NoOp, {} } } } });
+    ASSERT_FALSE(m_log->isLeader());
+    EXPECT_TRUE(runUntil(m_loop, [&] { return m_log->raft().compactedIndex() > compacted; }))
+        << "a node that no longer leads makes up for it";
+}
+
 // Guards against a member that is a few thousand entries behind and is sent a snapshot of megabytes.
 TEST_F(ReplicatedLogOfThreeTest, EntriesAreKeptForAMemberThatCatchesUp)
 {
