Hold a start without an answer for the longest lease, after silence too

Callers could see two runs of one task when a worker had started again, accepted a start, and was cut off before its answer and its first report came.

Cause: such a start was held for the ordinary lease of 4 s, counted on the clock of the incarnation before. Its deadline on the later one's clock may give that one the longest lease (10 s). Until now the longest lease counted only once another incarnation was seen.

Change: when the lease of a silent worker has ended, its tasks are freed but for those whose start got no answer while no identified list was requested later. These wait until the longest lease has ended, counted from the last order with a deadline. Long-running tasks are left out: LOST has them at work again sooner, and the loss of a worker is far likelier than a restart right before a cut.

--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -179,7 +179,10 @@
     }
     Order& order = found->second;
     order.isInFlight = false;
-    order.mayArriveLate = order.mayArriveLate || (!result.response && result.mayHaveStarted);
+    if (!result.response && result.mayHaveStarted) {
+        order.mayArriveLate = true;
+        order.unansweredSince = sentAt;
+    }
     const auto answer = result.response ? std::optional(platform::decodeOrderAnswer(*result.response)) : std::nullopt;
     const bool isOtherId = answer && answer->outcome == platform::OrderOutcome::OtherIncarnation;
     const bool isLater = answer && answer->incarnation && m_incarnation != 0 && *answer->incarnation > m_incarnation;
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -249,11 +249,11 @@
 
 std::optional<base::MonotonicTime> WorkerSession::otherLeaseExpiry() const
 {
-    if (!m_otherSeenAt || findUnsettledStarts().empty()) {
+    if (m_otherSeenAt ? findUnsettledStarts().empty() : findUnansweredStarts().empty()) {
         return std::nullopt;
     }
     // An order with a deadline arrives before its answer is given up.
-    return std::max<base::MonotonicTime>(*m_otherSeenAt, m_grantedAt + answerTimeout)
+    return std::max<base::MonotonicTime>(m_otherSeenAt.value_or(base::MonotonicTime {}), m_grantedAt + answerTimeout)
         + longestLease(m_options.maxTaskLease);
 }
 
@@ -266,7 +266,7 @@
         m_isCrashRecorded = true;
         m_hooks.onCrash(std::move(*record));
     }
-    recordUnsettledStarts();
+    recordStarts(m_otherSeenAt ? findUnsettledStarts() : findUnansweredStarts());
 }
 
 void WorkerSession::remove(std::string_view reason, RemovalCause cause)
@@ -423,9 +423,27 @@
         && std::ranges::any_of(m_state.tasksOf(m_number), [&](const auto& key) { return unsettled.contains(key); });
 }
 
-void WorkerSession::recordUnsettledStarts()
+std::vector<jobs::UnsettledStart> WorkerSession::findUnansweredStarts() const
+{
+    std::vector<jobs::UnsettledStart> result;
+    for (const jobs::TaskKey& key : m_state.tasksOf(m_number)) {
+        const auto order = m_orders.find(key);
+        const jobs::Job& job = *m_state.findJob(key.job);
+        const std::uint32_t run = job.find(key)->run;
+        // A long-running task has to be at work again before the longest lease has ended (RULES, LOST), and the loss of
+        // a worker is far likelier than a restart right before a cut.
+        if (order != m_orders.end() && order->second.run == run && !job.spec.steps[key.step].isLongRunning
+            && (order->second.unansweredSince || order->second.isInFlight)) {
+            result.push_back({ key, run });
+        }
+    }
+    return result;
+}
+
+void WorkerSession::recordUnsettledStarts() { recordStarts(findUnsettledStarts()); }
+
+void WorkerSession::recordStarts(std::vector<jobs::UnsettledStart> starts)
 {
-    std::vector<jobs::UnsettledStart> starts = findUnsettledStarts();
     const bool isRecorded = std::ranges::all_of(
         starts, [this](const auto& start) { return m_state.unsettledStarts().contains(start.task); });
     if (m_isRecordingUnsettled || isRecorded) {
@@ -527,6 +545,9 @@
         }
     }
     for (auto& [key, order] : m_orders) {
+        if (order.unansweredSince < sentAt) {
+            order.unansweredSince.reset();
+        }
         // Incarnations of an id follow each other, so that an answer before this list was requested is of this one too.
         const bool isProven = order.answeredAt < sentAt || isRunning(key, order.run) || hasEnded(key, order.run);
         if (order.isUnproven && isProven) {
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -135,6 +135,9 @@
         bool isInFlight = false;
         /// A start got no answer, so that it may still be carried out by a later incarnation of the worker.
         bool mayArriveLate = false;
+        /// When the last start without an answer was sent, until a list of this incarnation is requested later. Another
+        /// one may have taken it right before a cut.
+        std::optional<base::MonotonicTime> unansweredSince {};
         /// The worker has the run by an answer that names no incarnation, and no list of this one has confirmed it
         /// since.
         bool isUnproven = false;
@@ -166,7 +169,10 @@
     /// Tells whether a start of the run may still be on its way, sent by this leader or an earlier one.
     [[nodiscard]] bool isUnsettled(const jobs::TaskKey& task, std::uint32_t run) const;
     [[nodiscard]] std::vector<jobs::UnsettledStart> findUnsettledStarts() const;
+    /// Returns the starts that another incarnation, which wasn't seen, may have taken, but for long-running tasks.
+    [[nodiscard]] std::vector<jobs::UnsettledStart> findUnansweredStarts() const;
     void recordUnsettledStarts();
+    void recordStarts(std::vector<jobs::UnsettledStart> starts);
     [[nodiscard]] bool hasRecordedUnsettledStart() const;
     /// Tells whether the later incarnation has confirmed the stops, and lists none of the runs that were to be stopped.
     [[nodiscard]] bool areStartsSettled(const platform::WorkerStatus& status, base::MonotonicTime sentAt) const;
@@ -175,7 +181,8 @@
     /// The incarnation that orders are meant for.
     [[nodiscard]] std::int64_t intendedIncarnation() const { return m_laterIncarnation.value_or(m_incarnation); }
     void onSilence();
-    /// Returns when the lease has certainly ended of unsettled runs that another incarnation may have, if one was seen.
+    /// Returns when the lease has certainly ended of runs that another incarnation may have: of unsettled ones if it
+    /// was seen, otherwise of those whose start got no answer.
     [[nodiscard]] std::optional<base::MonotonicTime> otherLeaseExpiry() const;
     /// Counts an order that got no answer.
     void countUnanswered();
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -223,6 +223,26 @@
     EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
 }
 
+// Guards against the same when the cut takes its answer to the start too.
+TEST_F(WorkerSessionTest, ALaterIncarnationWhoseAnswerIsLostInACutKeepsItsTaskForTheLongestLease)
+{
+    useShortLeases();
+    reachWorker();
+    assign(otherTask);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(otherTask)); }));
+    runFor(150ms);
+    m_worker.restart();
+    m_worker.onRun = [this] {
+        m_worker.isSilent = true;
+        checkRuns();
+    };
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(task)); }));
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(otherTask); }));
+    EXPECT_TRUE(m_worker.isRunning(platform::taskName(task))) << "what ran on the earlier incarnation is free before";
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
+}
+
 // Guards against the same when that one has answered a renewal before it is cut off.
 TEST_F(WorkerSessionTest, ALaterIncarnationThatIsCutOffAfterItsFirstListKeepsItsTaskForTheLongestLease)
 {
@@ -238,6 +258,28 @@
     EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
 }
 
+// Guards against a long-running task that isn't at work for the longest lease whenever its worker is lost with its
+// start.
+TEST_F(WorkerSessionTest, ALongRunningTaskWhoseStartGetsNoAnswerWaitsForTheOrdinaryLeaseOnly)
+{
+    constexpr jobs::TaskKey lasting { 3, 0, 0, 0 };
+    jobs::StepSpec step = jobs::testing::step(1);
+    step.isLongRunning = true;
+    apply(jobs::testing::accept(lasting.job, { step }));
+    useShortLeases();
+    reachWorker();
+    m_worker.holdsStarts = true;
+    assign(lasting);
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.starts() == 2; }));
+    m_worker.isSilent = true;
+    const auto isWaiting
+        = [&] { return m_state.findJob(lasting.job)->find(lasting)->phase == jobs::TaskPhase::Waiting; };
+    EXPECT_TRUE(runUntil(m_loop, isWaiting));
+    EXPECT_FALSE(isFree(task));
+    EXPECT_TRUE(runUntil(m_loop, [this] { return isFree(task); }));
+}
+
 // Guards against a start that is forgotten with the earlier incarnation because a stop was confirmed before it.
 TEST_F(WorkerSessionTest, AStartThatIsOnItsWayWhenAStopIsConfirmedStaysUnsettled)
 {
