--- a/src/crocuscove/jobs/fleet_state_crashes.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes.cpp
@@ -6,7 +6,6 @@
 #include <cstdlib>
 #include <iterator>
 #include <limits>
-#include <ranges>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -18,11 +17,11 @@
 /// Tasks of a job whose crashes are compared with one crash.
 constexpr std::size_t maxComparedRecords = 256;
 
-/// Returns the entries of a map by task that belong to a job.
+/// Returns the range of the entries of a map by task that belong to a job.
 template <typename Map> auto entriesOf(Map& map, JobId job)
 {
     constexpr auto last = std::numeric_limits<std::uint32_t>::max();
-    return std::ranges::subrange(map.lower_bound({ job, 0, 0, 0 }), map.upper_bound({ job, last, last, last }));
+    return std::pair(map.lower_bound({ job, 0, 0, 0 }), map.upper_bound({ job, last, last, last }));
 }
 
 } // namespace
@@ -35,10 +34,10 @@
 
 void FleetState::forgetCrashes(JobId job)
 {
-    const auto sums = entriesOf(m_crashes, job);
-    m_crashes.erase(sums.begin(), sums.end());
-    const auto records = entriesOf(m_crashRecords, job);
-    m_crashRecords.erase(records.begin(), records.end());
+    const auto [firstSum, endOfSums] = entriesOf(m_crashes, job);
+    m_crashes.erase(firstSum, endOfSums);
+    const auto [firstRecord, endOfRecords] = entriesOf(m_crashRecords, job);
+    m_crashRecords.erase(firstRecord, endOfRecords);
 }
 
 void FleetState::applyCommand(const RecordCrash& command)
@@ -154,8 +153,9 @@
 std::size_t FleetState::countAttributedBeside(JobId job, const CountedCrash& crash) const
 {
     std::set<std::string_view> workers;
-    for (const auto& [task, record] : entriesOf(m_crashRecords, job) | std::views::take(maxComparedRecords)) {
-        for (const CountedCrash& other : record.counted) {
+    auto [record, end] = entriesOf(m_crashRecords, job);
+    for (std::size_t compared = 0; record != end && compared < maxComparedRecords; ++compared, ++record) {
+        for (const CountedCrash& other : record->second.counted) {
             const bool isTogether
                 = other.restartedMs > 0 && std::abs(other.restartedMs - crash.restartedMs) <= restartSpread.count();
             if (other.isAttributed && isTogether && other.worker != crash.worker) {
--- a/src/crocuscove/jobs/restart_history.cpp
+++ b/src/crocuscove/jobs/restart_history.cpp
@@ -48,7 +48,7 @@
     std::transform(begin, end, std::back_inserter(ids),
         [](const Restart& restart) { return std::string_view(std::get<2>(restart)); });
     std::ranges::sort(ids);
-    return static_cast<std::size_t>(std::ranges::unique(ids).begin() - ids.begin());
+    return static_cast<std::size_t>(std::unique(ids.begin(), ids.end()) - ids.begin());
 }
 
 void RestartHistory::rebuildIndex()
