--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -460,10 +460,11 @@
     ASSERT_EQ(putConfiguration(first), 200);
     const int other = first % 3 + 1;
     const auto report = [&](int node, const std::string& state, int sequence) {
-        const std::string body
-            = fmt::format(R"({{"service":"pool","address":"127.0.0.1:9","zone":"z","state":"{}","seq":{},"born":1,)"
-                          R"("capacity":{{"cpu":1000,"memMb":64}},"labels":["a"]}})",
-                state, sequence);
+        const std::string body = fmt::format(
+            R"({{"service":"pool","address":"127.0.0.1:9","zone":"z","version":"v1","slots":8,"state":"{}",)"
+            R"("coldLeftMs":0,"seq":{},"born":1,"clockMs":1000,)"
+            R"("capacity":{{"cpu":1000,"memMb":64,"gpu":0}},"labels":["a"]}})",
+            state, sequence);
         const auto result = Cluster::request(control(node), "PUT", "/api/instances/w9", body);
         return result.response ? result.response->status : 0;
     };
--- a/tests/integration/platform_worker_test.cpp
+++ b/tests/integration/platform_worker_test.cpp
@@ -55,10 +55,11 @@
     /// Sends a report of a worker that nothing else stands for, and returns the status of the answer.
     [[nodiscard]] int report(int node, int sequence, std::int64_t cpu, std::int64_t incarnation = 1) const
     {
-        const std::string body
-            = fmt::format(R"({{"service":"pool","address":"127.0.0.1:9","zone":"z","state":"ready","seq":{},"born":{},)"
-                          R"("clockMs":1000,"capacity":{{"cpu":{},"memMb":64}},"labels":["a"]}})",
-                sequence, incarnation, cpu);
+        const std::string body = fmt::format(
+            R"({{"service":"pool","address":"127.0.0.1:9","zone":"z","version":"v1","slots":8,"state":"ready",)"
+            R"("coldLeftMs":0,"seq":{},"born":{},)"
+            R"("clockMs":1000,"capacity":{{"cpu":{},"memMb":64,"gpu":0}},"labels":["a"]}})",
+            sequence, incarnation, cpu);
         const auto result = Cluster::request(control(node), "PUT", "/api/instances/w9", body);
         return result.response ? result.response->status : 0;
     }
