Ask the worker at an address before a report takes it over

A report that names the address of another worker, or a later start of a known id, freed the tasks of the known worker at once, at the word of whoever sent it; every other lost worker is asked, or its lease waited for. Now the leader asks who answers at the known worker's address (300 ms at most). An address changes hands when another worker answers there; it doesn't while the known one answers (400), and without an answer the report is refused for now (503), so that the lease decides. A later incarnation is recorded unless the earlier one still answers to a question asked after the report came.

--- a/src/crocuscove/control/control_api.cpp
+++ b/src/crocuscove/control/control_api.cpp
@@ -145,8 +145,7 @@
     try {
         report = decodeReport(id, request.body);
     } catch (const platform::MalformedMessage& error) {
-        m_log.warning("worker_report_refused", { { "worker", id }, { "cause", error.what() } });
-        responder.respond(response(statusBadRequest));
+        refuseReport(id, error.what(), responder);
         return;
     }
     const std::string body
@@ -175,12 +174,78 @@
     if (known != nullptr && known->report.capacity != report.capacity) {
         recordCapacityChange(known->number);
     }
+    checkReplacement(std::move(report), responder, body);
+}
+
+void ControlApi::checkReplacement(jobs::WorkerReport report, const http::Responder& responder, const std::string& body)
+{
+    const jobs::Worker* holder = m_cluster.state().findWorkerAt(report.address);
+    const bool isHeld
+        = holder != nullptr && holder->report.id != report.id && holder->report.incarnation <= report.incarnation;
+    if (!isHeld) {
+        checkPredecessor(std::move(report), responder, body);
+        return;
+    }
+    const jobs::WorkerNumber number = holder->number;
+    m_hooks.askHolder(
+        number, [this, known = holder->report.id, report = std::move(report), responder, body](AddressHolder answered) {
+            onAddressHolder(answered, known, report, responder, body);
+        });
+}
+
+// A worker that doesn't answer keeps its tasks until its lease has ended; the report is sent again meanwhile.
+void ControlApi::onAddressHolder(AddressHolder holder, const std::string& known, jobs::WorkerReport report,
+    const http::Responder& responder, const std::string& body)
+{
+    const jobs::Worker* current = m_cluster.state().findWorkerAt(report.address);
+    const bool isFree = current == nullptr || current->report.id != known;
+    m_log.info("worker_address_claimed",
+        { { "worker", report.id }, { "incarnation", report.incarnation }, { "address", report.address },
+            { "known", known }, { "answered_by", addressHolderName(holder) } });
+    if (isFree || holder == AddressHolder::OtherWorker) {
+        checkPredecessor(std::move(report), responder, body);
+    } else if (holder == AddressHolder::Unknown) {
+        responder.respond(response(statusUnavailable));
+    } else {
+        refuseReport(report.id, "another worker answers at its address", responder);
+    }
+}
+
+void ControlApi::checkPredecessor(jobs::WorkerReport report, const http::Responder& responder, const std::string& body)
+{
+    const jobs::Worker* known = m_cluster.state().findWorker(report.id);
+    if (known == nullptr || known->report.incarnation >= report.incarnation) {
+        recordReport(std::move(report), responder, body);
+        return;
+    }
+    const jobs::WorkerNumber number = known->number;
+    m_hooks.askHolder(number, [this, report = std::move(report), responder, body](AddressHolder answered) {
+        if (answered == AddressHolder::KnownIncarnation) {
+            refuseReport(report.id, "an earlier incarnation still answers", responder);
+        } else {
+            recordReport(report, responder, body);
+        }
+    });
+}
+
+void ControlApi::recordReport(jobs::WorkerReport report, const http::Responder& responder, std::string body)
+{
+    if (!m_cluster.isServing()) {
+        responder.respond(response(statusUnavailable));
+        return;
+    }
     m_log.info("worker_report",
-        { { "worker", id }, { "incarnation", report.incarnation }, { "service", report.service },
+        { { "worker", report.id }, { "incarnation", report.incarnation }, { "service", report.service },
             { "draining", report.isDraining }, { "cpu_milli", report.capacity.cpuMilli },
             { "memory_mb", report.capacity.memoryMb }, { "sequence", report.sequence } });
     m_hooks.onReport(report);
-    commit(jobs::RecordWorker { std::move(report) }, responder, body);
+    commit(jobs::RecordWorker { std::move(report) }, responder, std::move(body));
+}
+
+void ControlApi::refuseReport(const std::string& id, std::string_view cause, const http::Responder& responder) const
+{
+    m_log.warning("worker_report_refused", { { "worker", id }, { "cause", cause } });
+    responder.respond(response(statusBadRequest));
 }
 
 jobs::WorkerReport ControlApi::limitGrowth(
@@ -226,8 +291,7 @@
             return false;
         }
     } catch (const platform::MalformedMessage& error) {
-        m_log.warning("worker_report_refused", { { "worker", id }, { "cause", error.what() } });
-        responder.respond(response(statusBadRequest));
+        refuseReport(id, error.what(), responder);
         return true;
     }
     responder.respond(response(statusOk, platform::encodeReportAnswer(m_options.listen.text())));
--- a/src/crocuscove/control/control_api.h
+++ b/src/crocuscove/control/control_api.h
@@ -4,6 +4,7 @@
 #include "crocuscove/base/log.h"
 #include "crocuscove/control/control_options.h"
 #include "crocuscove/http/http_server.h"
+#include "worker_session.h"
 
 #include <cstdint>
 #include <functional>
@@ -20,6 +21,8 @@
     std::function<std::optional<base::Milliseconds>(jobs::WorkerNumber, std::int64_t clockMs)> reportAge;
     /// Tells that a worker, or an earlier incarnation of it, says that it leaves.
     std::function<void(jobs::WorkerNumber)> onLeave;
+    /// Asks who answers at the address of a worker.
+    std::function<void(jobs::WorkerNumber, std::function<void(AddressHolder)>)> askHolder;
     /// Runs on the leader before a report that changes something is proposed.
     std::function<void(const jobs::WorkerReport&)> onReport;
 };
@@ -36,6 +39,14 @@
     void putConfiguration(const http::HttpRequest& request, const http::Responder& responder);
     void getConfiguration(const http::Responder& responder);
     void reportWorker(const http::HttpRequest& request, const std::string& id, const http::Responder& responder);
+    /// Records a report once nothing shows that it is of another writer: the worker whose address it names must be
+    /// gone, and so must the incarnation that it says to follow.
+    void checkReplacement(jobs::WorkerReport report, const http::Responder& responder, const std::string& body);
+    void onAddressHolder(AddressHolder holder, const std::string& known, jobs::WorkerReport report,
+        const http::Responder& responder, const std::string& body);
+    void checkPredecessor(jobs::WorkerReport report, const http::Responder& responder, const std::string& body);
+    void recordReport(jobs::WorkerReport report, const http::Responder& responder, std::string body);
+    void refuseReport(const std::string& id, std::string_view cause, const http::Responder& responder) const;
     /// Answers a report on a node that doesn't lead, if it changes nothing. Returns false for one that the leader must
     /// see.
     bool answerUnchangedReport(
--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -116,6 +116,13 @@
                 m_leader->checkLeave(worker);
             }
         };
+        hooks.askHolder = [this](jobs::WorkerNumber worker, std::function<void(AddressHolder)> callback) {
+            if (m_leader) {
+                m_leader->askHolder(worker, std::move(callback));
+            } else {
+                callback(AddressHolder::Unknown);
+            }
+        };
         hooks.onReport = [this](const jobs::WorkerReport& report) {
             if (m_leader) {
                 m_leader->recordCrashBefore(report);
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -438,6 +438,16 @@
     }
 }
 
+void Leader::askHolder(jobs::WorkerNumber worker, std::function<void(AddressHolder)> callback) const
+{
+    const auto session = m_sessions.find(worker);
+    if (session == m_sessions.end()) {
+        callback(AddressHolder::Unknown);
+        return;
+    }
+    session->second->askHolder(std::move(callback));
+}
+
 std::optional<base::Milliseconds> Leader::reportAge(jobs::WorkerNumber worker, std::int64_t clockMs) const
 {
     const auto session = m_sessions.find(worker);
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -17,6 +17,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,6 +41,8 @@
     void onApplied(const std::vector<jobs::Command>& commands);
     /// Handles the message that a worker, or an earlier incarnation of it, leaves.
     void checkLeave(jobs::WorkerNumber worker);
+    /// Asks who answers at the address of a worker.
+    void askHolder(jobs::WorkerNumber worker, std::function<void(AddressHolder)> callback) const;
     /// Returns how long ago the clock of a worker showed `clockMs`, or nothing if its clock isn't known.
     [[nodiscard]] std::optional<base::Milliseconds> reportAge(jobs::WorkerNumber worker, std::int64_t clockMs) const;
 
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -1,5 +1,6 @@
 #include "worker_session.h"
 
+#include "crocuscove/base/enum_names.h"
 #include "platform/json_fields.h"
 #include "platform/task_name.h"
 #include "run_names.h"
@@ -32,6 +33,28 @@
 /// longest lease and a step of the time of day.
 constexpr base::Milliseconds predecessorWindow { 60'000 };
 
+constexpr auto addressHolderNames = base::enumNames<AddressHolder>({
+    { AddressHolder::KnownIncarnation, "known-incarnation" },
+    { AddressHolder::OtherIncarnation, "other-incarnation" },
+    { AddressHolder::OtherWorker, "other-worker" },
+    { AddressHolder::Unknown, "unknown" },
+});
+
+AddressHolder holderOf(const http::ExchangeResult& result, std::int64_t incarnation)
+{
+    if (!result.response) {
+        return AddressHolder::Unknown;
+    }
+    const auto answer = platform::decodeOrderAnswer(*result.response);
+    if (answer.outcome == platform::OrderOutcome::OtherIncarnation) {
+        return AddressHolder::OtherWorker;
+    }
+    if (answer.outcome != platform::OrderOutcome::Accepted || !answer.incarnation) {
+        return AddressHolder::Unknown;
+    }
+    return *answer.incarnation == incarnation ? AddressHolder::KnownIncarnation : AddressHolder::OtherIncarnation;
+}
+
 /// Returns how long a lease may last by the local clock.
 base::Milliseconds longestLease(base::Milliseconds lease)
 {
@@ -40,6 +63,8 @@
 
 } // namespace
 
+std::string_view addressHolderName(AddressHolder holder) { return addressHolderNames.name(holder); }
+
 WorkerSession::WorkerSession(http::EventLoop& loop, http::HttpClient& client, const ControlOptions& options,
     const base::Log& log, const jobs::FleetState& state, const jobs::Worker& worker, std::uint64_t term,
     SessionHooks hooks)
@@ -158,6 +183,15 @@
     }
 }
 
+void WorkerSession::askHolder(std::function<void(AddressHolder)> callback) const
+{
+    m_client.call(
+        m_endpoint, platform::renewRequest(target(), {}), base::monotonicNow() + holderTimeout,
+        [incarnation = m_incarnation, callback = std::move(callback)](
+            const http::ExchangeResult& result) { callback(holderOf(result, incarnation)); },
+        [this, alive = m_isAlive] { return *alive && m_hooks.mayOrder(); });
+}
+
 void WorkerSession::checkLeave()
 {
     const auto now = base::monotonicNow();
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -36,6 +36,20 @@
     std::function<void(jobs::RecordCrash, std::int64_t restartedMs)> onCrash;
 };
 
+/// Who answers at the address of a worker.
+enum class AddressHolder {
+    /// The incarnation that is known.
+    KnownIncarnation,
+    /// Another incarnation of the worker's id.
+    OtherIncarnation,
+    /// Another worker.
+    OtherWorker,
+    /// No answer, or none that tells.
+    Unknown,
+};
+
+std::string_view addressHolderName(AddressHolder holder);
+
 /// How a worker has done lately, for the choice of workers.
 struct WorkerHealth {
     /// Share of its last runs that ended as failed, between 0 and 1.
@@ -61,6 +75,10 @@
     /// removed once it no longer answers.
     void checkLeave();
 
+    /// Asks who answers at the worker's address. The question extends no lease. `callback` runs also after the end of
+    /// the session.
+    void askHolder(std::function<void(AddressHolder)> callback) const;
+
     /// Handles a later incarnation of the worker's id: nothing is started any more, and starts that this one may not
     /// have answered are settled there by a stop. Counts the crash. To be called before the later incarnation is
     /// recorded.
--- a/src/crocuscove/control/worker_timing.h
+++ b/src/crocuscove/control/worker_timing.h
@@ -18,6 +18,9 @@
 inline constexpr base::Milliseconds leaveProbeDelay { 200 };
 /// How long the answer to that question may take: several round trips between data centres.
 inline constexpr base::Milliseconds leaveProbeTimeout { 300 };
+/// How long a worker may take to answer whether it is still at its address, when a report names that address or a later
+/// incarnation of its id. The sender of the report waits for a second in all (PROTOCOL, Service discovery).
+inline constexpr base::Milliseconds holderTimeout { 300 };
 /// For this long after the message, a worker that no longer answers has left.
 inline constexpr base::Milliseconds leaveWindow { 5'000 };
 /// Weight of one more run in the share of failed runs.
