Don't stop a run that nobody has ordered

A row of another writer in a worker's list of running tasks, with a run number above any that was assigned, was answered with a stop of that run. A stop also ends the earlier runs of the task, so that it ended the true one. Assignments are committed before a worker is called, so that the state knows each run that can have been ordered; rows above that are logged (run_never_ordered) and left alone.

WorkerSessionTest.ARunThatNobodyHasOrderedIsNotStopped guards it.

--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -570,7 +570,10 @@
         const auto known = m_orders.find(task.task);
         const bool isOurs
             = assigned.contains(task.task) && m_state.findJob(task.task.job)->find(task.task)->run == task.run;
-        if (!isOurs) {
+        if (isNeverOrdered(task)) {
+            m_log.warning("run_never_ordered",
+                { { "task", platform::taskName(task.task) }, { "run", task.run }, { "worker", m_id } });
+        } else if (!isOurs) {
             // A late order of an earlier run was carried out after all.
             stop(task.task, task.run, "not-assigned");
         } else if (known == m_orders.end()) {
@@ -603,6 +606,15 @@
     }
 }
 
+// A stop ends every run of the task up to its number, so that one of a run that nobody has ordered would end the true
+// run.
+bool WorkerSession::isNeverOrdered(const platform::RunningTask& running) const
+{
+    const jobs::Job* job = m_state.findJob(running.task.job);
+    const jobs::Task* known = job == nullptr ? nullptr : job->find(running.task);
+    return known != nullptr && running.run > known->run;
+}
+
 bool WorkerSession::mayHaveExecuted(const jobs::TaskKey& key) const
 {
     if (!m_answeredAt) {
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -211,6 +211,8 @@
     void freeOwnTasks();
     void remove(std::string_view reason, RemovalCause cause);
     [[nodiscard]] jobs::Command removal(RemovalCause cause) const;
+    /// Tells whether a row of a list names a run with a higher number than any that was assigned.
+    [[nodiscard]] bool isNeverOrdered(const platform::RunningTask& running) const;
     /// Tells whether a run may have been executing when the worker crashed.
     [[nodiscard]] bool mayHaveExecuted(const jobs::TaskKey& key) const;
     /// Tells whether a run that may have been executing may have done so for less than the probation time.
--- a/src/crocuscove/control/worker_session_test.cpp
+++ b/src/crocuscove/control/worker_session_test.cpp
@@ -431,6 +431,19 @@
     EXPECT_EQ(m_crashes.front().runs.front().task, otherTask);
 }
 
+// Guards against a task that is stopped because a row of another writer names a run of it that nobody has ordered.
+TEST_F(WorkerSessionTest, ARunThatNobodyHasOrderedIsNotStopped)
+{
+    reachWorker();
+    assign(task);
+    ASSERT_TRUE(runUntil(m_loop, [this] { return m_worker.isRunning(platform::taskName(task)); }));
+    m_worker.foreignRow = nlohmann::json::array({ platform::taskName(task), 7, "", 100, 0 });
+    const std::size_t renewals = m_worker.renewals();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_worker.renewals() >= renewals + 3; }));
+    EXPECT_EQ(m_worker.stops(), 0U);
+    EXPECT_TRUE(m_worker.isRunning(platform::taskName(task)));
+}
+
 // Guards against a list of runs that is taken for the known incarnation's though it doesn't say whose it is.
 TEST_F(WorkerSessionTest, AListWithoutAnIncarnationProvesNothing)
 {
