Let a task that has lost three runs wait for its silent workers

A crash counts only once its worker is back, while the task went on to the next worker 6 ms after each lease had ended: with workers that are away for 12 s the fourth crash was confirmed after the sixth start. Crashes that count for nothing (racks, bursts of restarts, silent racks, which left no trace) had no bound either.

Each run that is lost with a worker that crashed, or may have, is counted now in the replicated state, whatever the cause, and taken back when the same incarnation answers. From three on, a task that isn't long-running waits before its next start: up to 10 s (30 s from five on) while a worker under it is silent, and else 4 to 8 s after the last loss, by its name and run. The latter keeps tasks that crash their workers from doing so in step, which is what makes a burst. After five lost runs two crashes that are neither of racks nor in bursts give the task up. A silent rack is recorded (RecordSuspectedCrash), so that it counts like one that is back at once. The head of a queue that waits for this says so (lost-runs), and task_paused logs it.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -175,9 +175,18 @@
     std::int64_t incarnation = 0;
 };
 
-using Command = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks,
-    ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash,
-    CancelJob, RemoveLeftWorker, RecordUnsettledStarts, RecordConfirmedCrash, RemoveReplacedWorker>;
+/// Records that a worker is silent and may have crashed. RecordCrash without `isConfirmed` told less of it, and is kept
+/// for logs of earlier versions.
+struct RecordSuspectedCrash {
+    RecordCrash crash;
+    /// The worker fell silent with its rack.
+    bool isOfRack = false;
+};
+
+using Command
+    = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks, ReleaseTask,
+        RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash, CancelJob,
+        RemoveLeftWorker, RecordUnsettledStarts, RecordConfirmedCrash, RemoveReplacedWorker, RecordSuspectedCrash>;
 
 CROCUSCOVE_FIELDS(PutConfiguration, v.configuration)
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
@@ -201,5 +210,6 @@
 CROCUSCOVE_FIELDS(CancelJob, v.job, v.nowMs)
 CROCUSCOVE_FIELDS(RecordCrash, v.worker, v.incarnation, v.runs, v.isConfirmed, v.nowMs)
 CROCUSCOVE_FIELDS(RecordConfirmedCrash, v.crash, v.service, v.restartedMs, v.isOfRack)
+CROCUSCOVE_FIELDS(RecordSuspectedCrash, v.crash, v.isOfRack)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -29,6 +29,24 @@
 /// A run that has executed for this long, counted from its accepted start, is not the certain cause of a crash, though
 /// it may be the cause.
 inline constexpr base::Milliseconds crashProbation { 1'000 };
+/// A task that has lost this many runs to crashes of any kind waits before its next start: it may have two more after
+/// three crashes (issue 27, BUDGET).
+inline constexpr std::uint32_t lostRunsBeforePause = 3;
+/// A task that has lost this many runs is given up if at least `minOrdinaryCrashes` of the crashes were neither of
+/// racks nor part of bursts.
+inline constexpr std::uint32_t maxLostRuns = 5;
+inline constexpr std::ptrdiff_t minOrdinaryCrashes = 2;
+/// The wait after the last lost run, and how much longer it may be. It differs from task to task, so that tasks that
+/// crash their workers do so apart from each other and their crashes aren't taken for those of a rack or a burst.
+inline constexpr base::Milliseconds lostRunPause { 4'000 };
+inline constexpr base::Milliseconds lostRunSpread { 4'000 };
+/// A task waits this long for its silent workers, which may have crashed: longer than a crashed one is mostly away, and
+/// well within the 14 s in which work has to go on after trouble has ended (RULES, LOST).
+inline constexpr base::Milliseconds confirmationWait { 10'000 };
+/// The same for a task that has lost `maxLostRuns` runs; no crash is confirmed later.
+inline constexpr base::Milliseconds lastConfirmationWait { maxConfirmationDelayMs };
+/// A rack or a worker beside a task with this many lost runs may have crashed by it.
+inline constexpr std::uint32_t suspectedLostRuns = 2;
 /// Crashes that are remembered of one task; the earliest is forgotten first. A long-running task, and one whose racks
 /// crash, may have more.
 inline constexpr std::size_t maxCrashesPerTask = 16;
@@ -93,6 +111,19 @@
     [[nodiscard]] bool isDeadly() const { return crashes >= maxCrashes || attributed >= maxAttributedCrashes; }
 };
 
+/// The runs of a task that were lost with a worker that crashed, or may have crashed, whatever the cause.
+struct LostRuns {
+    std::uint32_t runs = 0;
+    /// The last one.
+    std::uint32_t lastRun = 0;
+    /// When it was lost, in Unix milliseconds.
+    std::int64_t lastMs = 0;
+};
+
+/// Returns when a task may start again, in Unix milliseconds; 0 for at once. `isUnconfirmed` tells that a worker under
+/// it is silent and may yet come back, which shows whether it has crashed.
+std::int64_t nextStartMs(const TaskKey& task, const LostRuns& lost, bool isUnconfirmed);
+
 /// Returns what stands against a task. A crash of a rack counts for nothing before another crash. Once there is one, up
 /// to `maxRackCrashes` of those before it count, without the first, since what looks like the crash of a rack may be
 /// that of several tasks.
@@ -110,6 +141,7 @@
 CROCUSCOVE_FIELDS(CrashedRun, v.task, v.run, v.isAttributed)
 CROCUSCOVE_FIELDS(CountedCrash, v.run, v.worker, v.restartedMs, v.isAttributed, v.isOfRack)
 CROCUSCOVE_FIELDS(CrashRecord, v.counted, v.excused)
+CROCUSCOVE_FIELDS(LostRuns, v.runs, v.lastRun, v.lastMs)
 CROCUSCOVE_FIELDS(TaskCrashes, v.crashes, v.attributed, v.lastRun)
 CROCUSCOVE_FIELDS(UnconfirmedCrash, v.incarnation, v.address, v.runs, v.recordedMs)
 
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -51,6 +51,12 @@
     [[nodiscard]] const std::set<TaskKey>& tasksOf(WorkerNumber worker) const;
     /// Crashes of workers that stand against tasks. Those of a job that was given up stay until it is pruned.
     [[nodiscard]] const std::map<TaskKey, TaskCrashes>& crashes() const { return m_crashes; }
+    /// Tells whether so many crashes stand against a task that it is given up, unless it is long-running.
+    [[nodiscard]] bool isDeadly(const TaskKey& key) const;
+    /// Runs that were lost with their workers, of tasks that aren't done.
+    [[nodiscard]] const std::map<TaskKey, LostRuns>& lostRuns() const { return m_lostRuns; }
+    /// Returns when a task may start again after it has lost runs, in Unix milliseconds; 0 for at once.
+    [[nodiscard]] std::int64_t nextStartMs(const TaskKey& key) const;
     /// Returns how many crashes under a task were forgotten as parts of bursts of restarts.
     [[nodiscard]] std::uint32_t excusedCrashes(const TaskKey& key) const;
     /// Workers that were removed because they were silent, by worker id.
@@ -109,6 +115,7 @@
     void applyCommand(const RecordUnsettledStarts& command);
     void applyCommand(const RecordConfirmedCrash& command);
     void applyCommand(const RemoveReplacedWorker& command);
+    void applyCommand(const RecordSuspectedCrash& command);
 
     void removeWorker(WorkerNumber number, bool hasLeft);
 
@@ -127,9 +134,15 @@
     void freeReservation(const Job& job, const TaskKey& key, WorkerNumber worker);
     /// Returns the runs of the command that are assigned to the worker and have not been counted yet.
     [[nodiscard]] std::vector<CrashedRun> uncountedRuns(const RecordCrash& command) const;
-    void recordUnconfirmedCrash(const RecordCrash& command);
+    void recordUnconfirmedCrash(const RecordCrash& command, bool isOfRack);
     /// Returns the runs that a confirmed crash counts against, and forgets that it was unconfirmed.
     std::vector<CrashedRun> takeConfirmedRuns(const RecordCrash& command);
+    /// Forgets the unconfirmed crashes that a report refutes or has overtaken: those of the worker, or of another one
+    /// at its address.
+    void settleUnconfirmedCrashes(const WorkerReport& report);
+    void forgetUnconfirmedCrash(const std::string& worker);
+    void noteLostRun(const CrashedRun& run, std::int64_t nowMs);
+    void takeBackLostRun(const CrashedRun& run);
     /// Counts a crash against a task, and ends its job when the task has reached its limit.
     void countCrash(const TaskKey& key, const CountedCrash& crash, std::int64_t nowMs);
     /// Tells whether the worker restarted in a burst, which has a cause outside the tasks.
@@ -165,6 +178,9 @@
     std::map<TaskKey, CrashRecord> m_crashRecords;
     RestartHistory m_restarts;
     std::map<std::string, UnconfirmedCrash> m_unconfirmedCrashes;
+    /// Workers of m_unconfirmedCrashes that fell silent with their rack.
+    std::set<std::string> m_silentWithRack;
+    std::map<TaskKey, LostRuns> m_lostRuns;
     /// By worker id.
     std::map<std::string, RemovedWorker> m_removedWorkers;
     std::uint64_t m_lastRemoval = 0;
@@ -174,6 +190,8 @@
     /// The latest start of an incarnation that is over, by worker id, where the one that was seen last started earlier.
     std::map<std::string, std::int64_t> m_latestStarts;
     // Indexes derived from the members above; not part of a snapshot.
+    /// The number of unconfirmed crashes of workers under each task.
+    std::map<TaskKey, std::uint32_t> m_unconfirmedByTask;
     std::map<std::string, WorkerNumber> m_workerById;
     std::map<std::string, std::set<JobId>> m_activeJobs;
     std::map<std::string, std::set<JobId>> m_readyJobs;
--- a/include/crocuscove/jobs/queue_head.h
+++ b/include/crocuscove/jobs/queue_head.h
@@ -22,6 +22,8 @@
     NoRoom,
     /// A worker has room: the next plan, the rest of a gang, or a worker that is kept free for another task is missing.
     NotPlanned,
+    /// Workers have crashed, or may have, under its last runs.
+    LostRuns,
 };
 
 std::string_view waitReasonName(WaitReason reason);
--- a/include/crocuscove/jobs/scheduler.h
+++ b/include/crocuscove/jobs/scheduler.h
@@ -42,6 +42,10 @@
     std::vector<HeldRoom> held;
 };
 
+/// Tells whether a task of a known job waits because it has lost runs with workers that crashed or may have crashed. A
+/// long-running task doesn't, since it has to be at work again at once (RULES, LOST).
+bool isPaused(const FleetState& state, const TaskKey& task, std::int64_t nowMs);
+
 /// Assigns waiting tasks to workers, at most `maxTasks` in total.
 ///
 /// A long-running task that fits nowhere has room held for it, since smaller tasks would otherwise take each place that
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -226,6 +226,9 @@
                 collectTasksOfEndedJob(typed.job, changed);
             } else if constexpr (std::is_same_v<Type, jobs::RecordConfirmedCrash>) {
                 onCrashApplied(typed.crash, changed);
+                logPausedTasks(typed.crash);
+            } else if constexpr (std::is_same_v<Type, jobs::RecordSuspectedCrash>) {
+                logPausedTasks(typed.crash);
             } else if constexpr (std::is_same_v<Type, jobs::AcceptJob>) {
                 if (const jobs::Job* job = m_cluster.state().findJob(typed.job)) {
                     m_fleet.addArrival(*job);
@@ -289,12 +292,8 @@
         proposeCommand(jobs::RecordConfirmedCrash { std::move(crash), service, restartedMs, isRack }, nullptr);
         return;
     }
-    if (isRack) {
-        std::erase_if(crash.runs, [&](const jobs::CrashedRun& run) { return !hasCrashes(run); });
-        std::ranges::for_each(crash.runs, [](jobs::CrashedRun& run) { run.isAttributed = false; });
-    }
     if (!crash.runs.empty()) {
-        proposeCommand(std::move(crash), nullptr);
+        proposeCommand(jobs::RecordSuspectedCrash { std::move(crash), isRack }, nullptr);
     }
 }
 
@@ -363,7 +362,7 @@
                 { { "task", platform::taskName(run.task) }, { "run", run.run }, { "worker", crash.worker },
                     { "crashes", excused }, { "reason", "restart-burst" } });
         }
-        if (job == nullptr || job->isActive() || crashes == state.crashes().end() || !crashes->second.isDeadly()
+        if (job == nullptr || job->isActive() || crashes == state.crashes().end() || !state.isDeadly(run.task)
             || job->finishedMs != crash.nowMs || job->spec.steps[run.task.step].isLongRunning) {
             continue;
         }
@@ -375,6 +374,21 @@
     }
 }
 
+void Leader::logPausedTasks(const jobs::RecordCrash& crash)
+{
+    const jobs::FleetState& state = m_cluster.state();
+    for (const jobs::CrashedRun& run : crash.runs) {
+        const auto lost = state.lostRuns().find(run.task);
+        if (lost == state.lostRuns().end() || !jobs::isPaused(state, run.task, unixNow())) {
+            continue;
+        }
+        m_metrics.count("task_paused", crash.isConfirmed ? "crashed" : "silent");
+        m_log.info("task_paused",
+            { { "task", platform::taskName(run.task) }, { "run", run.run }, { "worker", crash.worker },
+                { "lost_runs", lost->second.runs }, { "start_ms", state.nextStartMs(run.task) } });
+    }
+}
+
 void Leader::onApplied(const std::vector<jobs::Command>& commands)
 {
     m_workTimes.measure(Work::FollowLog, [&] { followLog(commands); });
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -77,6 +77,8 @@
     /// Remembers when a worker was last there whose session ends.
     void rememberContact(const WorkerSession& session);
     void logCrash(const jobs::RecordConfirmedCrash& record);
+    /// Logs which tasks of a crash wait for it, or for silent workers.
+    void logPausedTasks(const jobs::RecordCrash& crash);
     void onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed);
     void schedulePlan();
     void plan();
--- a/src/crocuscove/jobs/crash.cpp
+++ b/src/crocuscove/jobs/crash.cpp
@@ -1,6 +1,9 @@
 #include "crocuscove/jobs/crash.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <array>
 #include <iterator>
 
 namespace crocuscove::jobs {
@@ -19,6 +22,21 @@
     return result;
 }
 
+std::int64_t nextStartMs(const TaskKey& task, const LostRuns& lost, bool isUnconfirmed)
+{
+    if (lost.runs < lostRunsBeforePause) {
+        return 0;
+    }
+    if (isUnconfirmed) {
+        return lost.lastMs + (lost.runs < maxLostRuns ? confirmationWait : lastConfirmationWait).count();
+    }
+    // The run is part of it, so that two tasks don't stay in step.
+    const std::array<std::uint64_t, 5> parts { task.job, task.occurrence, task.step, task.index, lost.lastRun };
+    const std::uint64_t hash = XXH3_64bits(parts.data(), sizeof(parts));
+    const auto extraMs = static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(lostRunSpread.count()));
+    return lost.lastMs + lostRunPause.count() + extraMs;
+}
+
 TaskCrashes summarizeCrashes(const std::vector<CountedCrash>& crashes)
 {
     TaskCrashes result;
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -15,7 +15,8 @@
     std::map<std::uint64_t, Wave>, std::map<std::string, std::string>, std::map<std::string, Queue>,
     std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>, std::map<TaskKey, TaskCrashes>,
     std::map<std::string, UnconfirmedCrash>, std::map<std::string, RemovedWorker>, std::uint64_t, std::set<TaskKey>,
-    std::set<WorkerNumber>, std::map<TaskKey, CrashRecord>, RestartHistory, std::map<std::string, std::int64_t>>;
+    std::set<WorkerNumber>, std::map<TaskKey, CrashRecord>, RestartHistory, std::map<std::string, std::int64_t>,
+    std::set<std::string>, std::map<TaskKey, LostRuns>>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -172,11 +173,7 @@
     if (isOfRemovedWorker(report)) {
         return;
     }
-    // The same incarnation was only silent; the crash before a later one was counted before this report.
-    std::erase_if(m_unconfirmedCrashes, [&](const auto& entry) {
-        return (entry.first == report.id || entry.second.address == report.address)
-            && entry.second.incarnation <= report.incarnation;
-    });
+    settleUnconfirmedCrashes(report);
     const Worker* other = findWorkerAt(report.address);
     if (other != nullptr && other->report.id != report.id) {
         if (other->report.incarnation > report.incarnation) {
@@ -596,6 +593,7 @@
 {
     m_workerById.clear();
     m_workerByAddress.clear();
+    m_unconfirmedByTask.clear();
     m_removalOrder.clear();
     m_activeJobs.clear();
     m_readyJobs.clear();
@@ -608,6 +606,9 @@
     for (const auto& [id, removed] : m_removedWorkers) {
         m_removalOrder[removed.order] = id;
     }
+    for (const auto& [id, crash] : m_unconfirmedCrashes) {
+        std::ranges::for_each(crash.runs, [this](const CrashedRun& run) { ++m_unconfirmedByTask[run.task]; });
+    }
     for (auto& [id, job] : m_jobs) {
         job.hasReadyTask = false;
         updateReady(job);
@@ -634,7 +635,7 @@
 {
     return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
         m_lastWorker, m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval,
-        m_unsettledStarts, m_successors, m_crashRecords, m_restarts, m_latestStarts));
+        m_unsettledStarts, m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns));
 }
 
 // A snapshot of an earlier version ends before the crashes or later, and what it lacks is then empty.
@@ -642,7 +643,7 @@
 {
     std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
         m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts,
-        m_successors, m_crashRecords, m_restarts, m_latestStarts)
+        m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
     m_restarts.rebuildIndex();
--- a/src/crocuscove/jobs/fleet_state_crashes.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes.cpp
@@ -30,6 +30,7 @@
 {
     m_crashes.erase(key);
     m_crashRecords.erase(key);
+    m_lostRuns.erase(key);
 }
 
 void FleetState::forgetCrashes(JobId job)
@@ -38,6 +39,8 @@
     m_crashes.erase(firstSum, endOfSums);
     const auto [firstRecord, endOfRecords] = entriesOf(m_crashRecords, job);
     m_crashRecords.erase(firstRecord, endOfRecords);
+    const auto [firstLost, endOfLost] = entriesOf(m_lostRuns, job);
+    m_lostRuns.erase(firstLost, endOfLost);
 }
 
 void FleetState::applyCommand(const RecordCrash& command)
@@ -45,18 +48,23 @@
     if (command.isConfirmed) {
         applyCommand(RecordConfirmedCrash { command, {}, 0, false });
     } else {
-        recordUnconfirmedCrash(command);
+        recordUnconfirmedCrash(command, false);
     }
 }
 
+void FleetState::applyCommand(const RecordSuspectedCrash& command)
+{
+    recordUnconfirmedCrash(command.crash, command.isOfRack);
+}
+
 void FleetState::applyCommand(const RecordConfirmedCrash& command)
 {
     const std::string& worker = command.crash.worker;
     m_restarts.record(command.service, command.restartedMs, worker);
+    const bool isOfRack = command.isOfRack || m_silentWithRack.contains(worker);
     for (const CrashedRun& run : takeConfirmedRuns(command.crash)) {
-        const bool isAttributed = run.isAttributed && !command.isOfRack;
-        countCrash(
-            run.task, { run.run, worker, command.restartedMs, isAttributed, command.isOfRack }, command.crash.nowMs);
+        const bool isAttributed = run.isAttributed && !isOfRack;
+        countCrash(run.task, { run.run, worker, command.restartedMs, isAttributed, isOfRack }, command.crash.nowMs);
     }
 }
 
@@ -67,8 +75,8 @@
         return uncountedRuns(command);
     }
     const bool isTimely = command.nowMs <= unconfirmed->second.recordedMs + maxConfirmationDelayMs;
-    auto runs = isTimely ? std::move(unconfirmed->second.runs) : std::vector<CrashedRun>();
-    m_unconfirmedCrashes.erase(unconfirmed);
+    auto runs = isTimely ? unconfirmed->second.runs : std::vector<CrashedRun>();
+    forgetUnconfirmedCrash(command.worker);
     return runs;
 }
 
@@ -92,18 +100,101 @@
     return result;
 }
 
-void FleetState::recordUnconfirmedCrash(const RecordCrash& command)
+void FleetState::recordUnconfirmedCrash(const RecordCrash& command, bool isOfRack)
 {
     const std::vector<CrashedRun> runs = uncountedRuns(command);
     if (runs.empty()) {
         return;
     }
+    forgetUnconfirmedCrash(command.worker);
     m_unconfirmedCrashes[command.worker]
         = { command.incarnation, findWorker(command.worker)->report.address, runs, command.nowMs };
+    if (isOfRack) {
+        m_silentWithRack.insert(command.worker);
+    }
+    for (const CrashedRun& run : runs) {
+        ++m_unconfirmedByTask[run.task];
+        noteLostRun(run, command.nowMs);
+    }
     if (m_unconfirmedCrashes.size() > maxUnconfirmedCrashes) {
-        m_unconfirmedCrashes.erase(std::ranges::min_element(
-            m_unconfirmedCrashes, {}, [](const auto& entry) { return entry.second.recordedMs; }));
+        const std::string earliest = std::ranges::min_element(m_unconfirmedCrashes, {}, [](const auto& entry) {
+            return entry.second.recordedMs;
+        })->first;
+        forgetUnconfirmedCrash(earliest);
+    }
+}
+
+void FleetState::settleUnconfirmedCrashes(const WorkerReport& report)
+{
+    std::vector<std::string> settled;
+    for (const auto& [worker, crash] : m_unconfirmedCrashes) {
+        const bool isOfReport = worker == report.id || crash.address == report.address;
+        if (isOfReport && crash.incarnation <= report.incarnation) {
+            settled.push_back(worker);
+            // The same incarnation was only silent; the crash before a later one was counted before this report.
+            if (worker == report.id && crash.incarnation == report.incarnation) {
+                std::ranges::for_each(crash.runs, [this](const CrashedRun& run) { takeBackLostRun(run); });
+            }
+        }
+    }
+    std::ranges::for_each(settled, [this](const std::string& worker) { forgetUnconfirmedCrash(worker); });
+}
+
+void FleetState::forgetUnconfirmedCrash(const std::string& worker)
+{
+    const auto found = m_unconfirmedCrashes.find(worker);
+    if (found == m_unconfirmedCrashes.end()) {
+        return;
+    }
+    for (const CrashedRun& run : found->second.runs) {
+        const auto count = m_unconfirmedByTask.find(run.task);
+        if (count != m_unconfirmedByTask.end() && --count->second == 0) {
+            m_unconfirmedByTask.erase(count);
+        }
+    }
+    m_silentWithRack.erase(worker);
+    m_unconfirmedCrashes.erase(found);
+}
+
+void FleetState::noteLostRun(const CrashedRun& run, std::int64_t nowMs)
+{
+    if (!m_lostRuns.contains(run.task) && m_lostRuns.size() >= maxCrashRecords) {
+        return;
+    }
+    LostRuns& lost = m_lostRuns[run.task];
+    if (run.run > lost.lastRun) {
+        lost = { lost.runs + 1, run.run, nowMs };
+    }
+}
+
+void FleetState::takeBackLostRun(const CrashedRun& run)
+{
+    const auto lost = m_lostRuns.find(run.task);
+    if (lost != m_lostRuns.end() && --lost->second.runs == 0) {
+        m_lostRuns.erase(lost);
+    }
+}
+
+std::int64_t FleetState::nextStartMs(const TaskKey& key) const
+{
+    const auto lost = m_lostRuns.find(key);
+    return lost == m_lostRuns.end() ? 0 : jobs::nextStartMs(key, lost->second, m_unconfirmedByTask.contains(key));
+}
+
+bool FleetState::isDeadly(const TaskKey& key) const
+{
+    const auto crashes = m_crashes.find(key);
+    if (crashes == m_crashes.end()) {
+        return false;
     }
+    const auto lost = m_lostRuns.find(key);
+    const auto record = m_crashRecords.find(key);
+    if (crashes->second.isDeadly() || lost == m_lostRuns.end() || record == m_crashRecords.end()) {
+        return crashes->second.isDeadly();
+    }
+    const auto ordinary
+        = std::ranges::count_if(record->second.counted, [](const CountedCrash& crash) { return !crash.isOfRack; });
+    return lost->second.runs >= maxLostRuns && ordinary >= minOrdinaryCrashes;
 }
 
 void FleetState::countCrash(const TaskKey& key, const CountedCrash& crash, std::int64_t nowMs)
@@ -116,6 +207,7 @@
     if (!m_crashRecords.contains(key) && m_crashRecords.size() >= maxCrashRecords) {
         return;
     }
+    noteLostRun({ key, crash.run, false }, nowMs);
     CrashRecord& record = m_crashRecords[key];
     // The others of a burst report only after the first, so that crashes are looked at when a later one is counted.
     const auto isExcused = [&](const CountedCrash& known) {
@@ -131,10 +223,8 @@
         record.counted.erase(record.counted.begin());
     }
     updateCrashes(key);
-    const auto crashes = m_crashes.find(key);
-    const bool isDeadly = crashes != m_crashes.end() && crashes->second.isDeadly();
     // A long-running task is restarted however it ends (PROTOCOL).
-    if (isDeadly && !job->second.spec.steps[key.step].isLongRunning && !isExcused(crash)) {
+    if (isDeadly(key) && !job->second.spec.steps[key.step].isLongRunning && !isExcused(crash)) {
         finishJob(job->second, JobPhase::Failed, nowMs);
     }
 }
--- a/src/crocuscove/jobs/fleet_state_crashes_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes_test.cpp
@@ -50,6 +50,26 @@
         m_state.apply(RecordWorker { report(workerId(number), restartedMs) });
     }
 
+    /// The worker is removed because it no longer answers.
+    void fallSilent(std::size_t number, bool isOfRack = false)
+    {
+        const Worker& worker = *m_state.findWorker(workerId(number));
+        RecordCrash crash = testing::crash(
+            workerId(number), worker.report.incarnation, { { key, m_state.findJob(1)->find(key)->run, false } }, false);
+        crash.nowMs = m_nowMs;
+        m_state.apply(RecordSuspectedCrash { crash, isOfRack });
+        m_state.apply(RemoveWorker { worker.number });
+    }
+
+    /// A worker that fell silent is back as a later incarnation.
+    void confirm(std::size_t number)
+    {
+        const UnconfirmedCrash known = m_state.unconfirmedCrashes().at(workerId(number));
+        const RecordCrash crash { workerId(number), known.incarnation, known.runs, true, m_nowMs };
+        m_state.apply(RecordConfirmedCrash { crash, "pool", 0, false });
+        m_state.apply(RecordWorker { report(workerId(number), known.incarnation + 1) });
+    }
+
     [[nodiscard]] std::uint32_t crashes() const
     {
         const auto found = m_state.crashes().find(key);
@@ -229,6 +249,67 @@
     EXPECT_TRUE(m_state.crashes().empty());
 }
 
+// Guards against a task that starts without end while the workers that it has crashed are still away.
+TEST_F(FleetStateCrashesTest, SilentWorkersCountAsLostRunsUntilTheyAnswer)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (std::size_t number = 0; number < lostRunsBeforePause; ++number) {
+        EXPECT_EQ(m_state.nextStartMs(key), 0) << number;
+        assignTo(number, key);
+        fallSilent(number);
+    }
+    EXPECT_EQ(m_state.lostRuns().at(key).runs, lostRunsBeforePause);
+    EXPECT_EQ(m_state.nextStartMs(key), m_nowMs + confirmationWait.count());
+    FleetState copy;
+    copy.restoreSnapshot(m_state.encodeSnapshot());
+    EXPECT_EQ(copy.encodeSnapshot(), m_state.encodeSnapshot());
+    EXPECT_EQ(copy.nextStartMs(key), m_state.nextStartMs(key));
+    // Two have crashed, and one was only silent.
+    confirm(0);
+    EXPECT_EQ(m_state.nextStartMs(key), m_nowMs + confirmationWait.count()) << "two are still away";
+    confirm(1);
+    m_state.apply(RecordWorker { report(workerId(2), 1'000'000, 2) });
+    EXPECT_EQ(crashes(), 2U);
+    EXPECT_EQ(m_state.lostRuns().at(key).runs, 2U);
+    EXPECT_EQ(m_state.nextStartMs(key), 0);
+    m_state.apply(CancelJob { 1, m_nowMs });
+    EXPECT_TRUE(m_state.lostRuns().empty());
+}
+
+// Guards against crashes of silent racks that leave no trace, so that tasks which crash the workers of a rack in step
+// are started without a bound.
+TEST_F(FleetStateCrashesTest, ACrashOfASilentRackIsRemembered)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (std::size_t number = 0; number < 2; ++number) {
+        assignTo(number, key);
+        fallSilent(number, true);
+        confirm(number);
+        EXPECT_EQ(crashes(), 0U);
+        EXPECT_EQ(m_state.lostRuns().at(key).runs, number + 1);
+    }
+    assignTo(2, key);
+    restart(2, m_nowMs);
+    EXPECT_EQ(crashes(), 2U) << "of the two before another one, the second counts";
+}
+
+// Guards against a task that is started three times more after three workers have crashed under it, as most of the
+// crashes were part of bursts of restarts.
+TEST_F(FleetStateCrashesTest, ATaskThatHasLostFiveRunsIsGivenUpForTwoCrashesOfItsOwn)
+{
+    m_state.apply(accept(1, { step(1) }));
+    for (std::uint32_t run = 1; run <= maxLostRuns; ++run) {
+        ASSERT_TRUE(isActive()) << "run " << run;
+        m_nowMs += 4 * restartPeriodMs;
+        assignTo(0, key);
+        const std::size_t restarted = run + minOrdinaryCrashes <= maxLostRuns ? 7 : 1;
+        for (std::size_t number = 0; number < restarted; ++number) {
+            restart(number, m_nowMs);
+        }
+    }
+    EXPECT_FALSE(isActive());
+}
+
 // Guards against crashes that a node forgets, or counts twice, when it restarts with the snapshot of an earlier
 // version.
 TEST_F(FleetStateCrashesTest, ASnapshotThatHoldsOnlyNumbersOfCrashesLoads)
--- a/src/crocuscove/jobs/queue_head.cpp
+++ b/src/crocuscove/jobs/queue_head.cpp
@@ -18,6 +18,7 @@
     { WaitReason::ExceedsWorkers, "exceeds-workers" },
     { WaitReason::NoRoom, "no-room" },
     { WaitReason::NotPlanned, "not-planned" },
+    { WaitReason::LostRuns, "lost-runs" },
 });
 
 /// Jobs of a queue that are ranked, since a backlog can be tens of thousands.
@@ -117,6 +118,9 @@
             improve(WaitReason::NoRoom);
         }
     }
+    if (isPaused(view.state, head.task, view.nowMs)) {
+        improve(WaitReason::LostRuns);
+    }
 }
 
 } // namespace
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -9,6 +9,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <ranges>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -169,7 +170,7 @@
     {
         const StepSpec& spec = job.spec.steps[step];
         const StepProgress& progress = job.occurrences[occurrence][step];
-        if (spec.isGang && progress.waitingTasks != progress.tasks.size()) {
+        if (spec.isGang && (progress.waitingTasks != progress.tasks.size() || hasPausedTask(job, occurrence, step))) {
             return;
         }
         auto perWorker = countPerWorker(job, occurrence, step);
@@ -180,7 +181,8 @@
         for (std::uint32_t index = 0; index < progress.tasks.size() && chosen.size() < m_budget; ++index) {
             const Task& task = progress.tasks[index];
             const TaskKey key { job.id, occurrence, step, index };
-            if (task.phase != TaskPhase::Waiting || m_isolated.contains(key)) {
+            if (task.phase != TaskPhase::Waiting || m_isolated.contains(key)
+                || isPaused(m_view.state, key, m_view.nowMs)) {
                 continue;
             }
             const bool isSuspect = m_view.state.crashes().contains(key);
@@ -210,6 +212,14 @@
         addToPlan(spec, progress, chosen, plan);
     }
 
+    [[nodiscard]] bool hasPausedTask(const Job& job, std::uint32_t occurrence, std::uint32_t step) const
+    {
+        const auto tasks = static_cast<std::uint32_t>(job.occurrences[occurrence][step].tasks.size());
+        return std::ranges::any_of(std::views::iota(0U, tasks), [&](std::uint32_t index) {
+            return isPaused(m_view.state, { job.id, occurrence, step, index }, m_view.nowMs);
+        });
+    }
+
     void addToPlan(const StepSpec& spec, const StepProgress& progress, const std::vector<Assignment>& chosen,
         std::vector<AssignTasks>& plan)
     {
@@ -452,7 +462,7 @@
             suspects.isolatedJob = isIsolated && isUnproven ? key.job : suspects.isolatedJob;
         } else if (isIsolated && task->phase == TaskPhase::Waiting && queue != nullptr
             && !job->spec.steps[key.step].isGang && job->isStepReady(key.occurrence, key.step)
-            && job->spec.dueMs(key.occurrence) <= view.nowMs) {
+            && !isPaused(view.state, key, view.nowMs) && job->spec.dueMs(key.occurrence) <= view.nowMs) {
             result.isolatedByService[queue->service].push_back(key);
         }
     }
@@ -510,6 +520,16 @@
 
 } // namespace
 
+// A step back of the time of day must not prolong the wait.
+bool isPaused(const FleetState& state, const TaskKey& task, std::int64_t nowMs)
+{
+    if (state.lostRuns().empty() || state.findJob(task.job)->spec.steps[task.step].isLongRunning) {
+        return false;
+    }
+    const std::int64_t startMs = state.nextStartMs(task);
+    return nowMs < startMs && startMs <= nowMs + lastConfirmationWait.count();
+}
+
 // The budget of a plan is shared, so that a service with a long backlog doesn't keep the others from starting anything:
 // long-running tasks of all services come first, then each service has an equal share, then what is left goes round.
 AssignmentPlan planAssignments(const SchedulingView& view, std::size_t maxTasks)
--- a/src/crocuscove/jobs/scheduler_test.cpp
+++ b/src/crocuscove/jobs/scheduler_test.cpp
@@ -400,6 +400,32 @@
     EXPECT_EQ(plan().size(), 12U) << "its probation has ended";
 }
 
+// Guards against a task that is started again and again while the workers that it may have crashed are away, and
+// against tasks that wait with it.
+TEST_F(SchedulerTest, ATaskThatHasLostThreeRunsWaits)
+{
+    StepSpec lasting = step(1, 100);
+    lasting.isLongRunning = true;
+    StepSpec gang = step(2, 100);
+    gang.isGang = true;
+    m_state.apply(accept(1, { step(2, 100) }));
+    m_state.apply(accept(2, { lasting }));
+    m_state.apply(accept(3, { gang }));
+    for (const JobId job : { 1, 2, 3 }) {
+        crashUnder({ job, 0, 0, 0 }, lostRunsBeforePause);
+    }
+    const std::int64_t lostMs = m_state.lostRuns().at({ 1, 0, 0, 0 }).lastMs;
+    const auto waiting = plan(lostMs + lostRunPause.count() - 1);
+    EXPECT_EQ(workerOf(waiting, { 1, 0, 0, 0 }), 0U);
+    EXPECT_NE(workerOf(waiting, { 1, 0, 0, 1 }), 0U) << "the other task of its step";
+    EXPECT_NE(workerOf(waiting, { 2, 0, 0, 0 }), 0U) << "long-running";
+    EXPECT_EQ(workerOf(waiting, { 3, 0, 0, 1 }), 0U) << "a gang starts whole";
+    const auto later = plan(lostMs + (lostRunPause + lostRunSpread).count());
+    EXPECT_NE(workerOf(later, { 1, 0, 0, 0 }), 0U);
+    EXPECT_NE(workerOf(later, { 3, 0, 0, 1 }), 0U);
+    EXPECT_FALSE(isPaused(m_state, { 1, 0, 0, 0 }, lostMs - 3'600'000)) << "the time of day was set back";
+}
+
 // Guards against a task that waits for an empty worker while there is room, and against workers kept free for many
 // such tasks.
 TEST_F(SchedulerTest, OneWorkerIsKeptFreeForATaskThatMustStartAlone)
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -198,6 +198,20 @@
     expectNoTaskTwice();
 }
 
+// Guards against a task that goes on from worker to worker while those that it has crashed are still away (review case
+// 3, with workers that come back late).
+TEST_F(PlatformTest, ATaskThatCrashesItsWorkersWaitsUntilTheyAreBack)
+{
+    ASSERT_TRUE(configure());
+    for (int number = 1; number <= 6; ++number) {
+        startWorker("w" + std::to_string(number), { flag("crash-delay-ms", 2'500), flag("crash-ms", 12'000) });
+    }
+    submit("00000000000000dd", R"({"spec":"4000 deadly=.0.0.0","steps":[{"count":1,"cpu":1000,"memMb":64}]})");
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000dd") == "failed"; }, 90s));
+    EXPECT_LE(startsAfterCrashes("00000000000000dd.0.0.0", 3), maxStartsAfterThreeCrashes);
+    expectNoTaskTwice();
+}
+
 // Guards against crashes that are not counted because each worker comes back under another id, at its address.
 TEST_F(PlatformTest, ATaskIsGivenUpAlsoWhenCrashedWorkersComeBackUnderOtherIds)
 {
