Don't take tasks that crash a rack's workers in step for a crash of the rack

Callers saw the tasks of one job started without a bound (BUDGET): three tasks on the three workers of a rack that crash them 1.5 s after their start had 22 starts each after the third crash, in 94 s. All workers of the service on the rack fell silent within a second each time, and crashes of a rack alone count for nothing.

A rack crashed only if on one of the workers that fell silent together no task had lost two runs before: otherwise these tasks may have crashed them one by one, and the crashes count. Long-running tasks, which are never given up, explain nothing.

--- a/include/crocuscove/jobs/rack_crash.h
+++ b/include/crocuscove/jobs/rack_crash.h
@@ -24,10 +24,13 @@
     base::MonotonicTime knownSince;
     /// The first order without an answer since the last answer.
     std::optional<base::MonotonicTime> silentSince;
+    /// A task under which other workers have crashed ran there.
+    bool hasSuspectedTask = false;
 };
 
 /// Tells whether a worker crashed with its rack as a whole, so that what ran on it need not be the cause: all workers
-/// of its service on the rack, and at least two, fell silent together.
+/// of its service on the rack, and at least two, fell silent together. If a suspected task ran on each of them, they
+/// may have crashed one by one.
 bool isRackCrash(const WorkerContact& crashed, const std::vector<WorkerContact>& others);
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -26,6 +26,9 @@
         const jobs::Job* job = m_state.findJob(order.first.job);
         return !assigned.contains(order.first) || job->find(order.first)->run != order.second.run;
     });
+    if (!m_silentSince) {
+        m_hasSuspectedTask = std::ranges::any_of(assigned, [this](const auto& key) { return isSuspected(key); });
+    }
     settleStarts();
     if (m_laterIncarnation || !m_clock.isKnown()) {
         armRetry();
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -660,12 +660,19 @@
     return jobs::RecordCrash { m_id, m_incarnation, jobs::suspectsOf(runs), isConfirmed, nowMs };
 }
 
+bool WorkerSession::isSuspected(const jobs::TaskKey& key) const
+{
+    const auto lost = m_state.lostRuns().find(key);
+    return lost != m_state.lostRuns().end() && lost->second.runs >= jobs::suspectedLostRuns
+        && !m_state.findJob(key.job)->spec.steps[key.step].isLongRunning;
+}
+
 std::optional<jobs::WorkerContact> WorkerSession::contact() const
 {
     if (m_hasLeft || m_hooks.isReserved(m_id)) {
         return std::nullopt;
     }
-    return jobs::WorkerContact { m_number, m_service, m_rack, m_knownSince, m_silentSince };
+    return jobs::WorkerContact { m_number, m_service, m_rack, m_knownSince, m_silentSince, m_hasSuspectedTask };
 }
 
 std::int64_t WorkerSession::unprovenMs(const jobs::TaskKey& task, base::MonotonicTime now) const
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -195,6 +195,7 @@
     [[nodiscard]] bool hasRecordedUnsettledStart() const;
     /// Tells whether the later incarnation has confirmed the stops, and lists none of the runs that were to be stopped.
     [[nodiscard]] bool areStartsSettled(const platform::WorkerStatus& status, base::MonotonicTime sentAt) const;
+    [[nodiscard]] bool isSuspected(const jobs::TaskKey& key) const;
     /// Stops the runs whose starts are recorded as unsettled, until that is confirmed.
     void settleStarts();
     /// The incarnation that orders are meant for.
@@ -246,6 +247,8 @@
     std::string m_service;
     std::string m_rack;
     base::MonotonicTime m_knownSince;
+    /// One of the tasks that were assigned when the worker answered last has lost runs with other workers.
+    bool m_hasSuspectedTask = false;
     /// The latest incarnation of the same id that has answered or reported.
     std::optional<std::int64_t> m_laterIncarnation;
     bool m_isRecordingUnsettled = false;
--- a/src/crocuscove/jobs/rack_crash.cpp
+++ b/src/crocuscove/jobs/rack_crash.cpp
@@ -31,9 +31,12 @@
         return isBeside(other) && other.knownSince < *crashed.silentSince && !fellSilentTogether(crashed, other)
             && (!other.silentSince || *other.silentSince > *crashed.silentSince);
     });
-    return !isAnotherThere && std::ranges::any_of(others, [&](const WorkerContact& other) {
-        return isBeside(other) && fellSilentTogether(crashed, other);
+    const auto isTogether
+        = [&](const WorkerContact& other) { return isBeside(other) && fellSilentTogether(crashed, other); };
+    const bool isExplained = crashed.hasSuspectedTask && std::ranges::none_of(others, [&](const WorkerContact& other) {
+        return isTogether(other) && !other.hasSuspectedTask;
     });
+    return !isAnotherThere && !isExplained && std::ranges::any_of(others, isTogether);
 }
 
 } // namespace crocuscove::jobs
--- a/src/crocuscove/jobs/rack_crash_test.cpp
+++ b/src/crocuscove/jobs/rack_crash_test.cpp
@@ -47,6 +47,20 @@
     EXPECT_FALSE(isRackCrash(unlabelled, { elsewhere })) << "workers without a rack";
 }
 
+// Guards against a task that is never blamed because tasks of its kind crash the other workers of each rack in step.
+TEST(RackCrashTest, WorkersThatEachRanASuspectedTaskDidNotCrashWithTheirRack)
+{
+    WorkerContact crashed = silent(1, 5'300);
+    WorkerContact beside = silent(2, 5'310);
+    crashed.hasSuspectedTask = true;
+    EXPECT_TRUE(isRackCrash(crashed, { beside })) << "nothing else explains the crash of the other one";
+    beside.hasSuspectedTask = true;
+    EXPECT_FALSE(isRackCrash(crashed, { beside }));
+    EXPECT_TRUE(isRackCrash(crashed, { beside, silent(3, 5'320) }));
+    crashed.hasSuspectedTask = false;
+    EXPECT_TRUE(isRackCrash(crashed, { beside }));
+}
+
 // Guards against a worker whose earlier incarnation counts as a worker beside it.
 TEST(RackCrashTest, AWorkerThatCameAfterACrashDidNotCrashWithIt)
 {
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -212,6 +212,23 @@
     expectNoTaskTwice();
 }
 
+// Guards against tasks without a bound because they crash all workers of their rack in step, which is taken for a crash
+// of the rack.
+TEST_F(PlatformTest, TasksThatCrashTheirRackInStepAreGivenUp)
+{
+    ASSERT_TRUE(configure());
+    for (const char* worker : { "w1", "w2", "w3" }) {
+        startWorker(worker, { flag("crash-delay-ms", 1'500), flag("crash-ms", 2'000) });
+    }
+    submit(
+        "00000000000000dd", R"({"spec":"4000 deadly=","steps":[{"count":3,"cpu":1000,"memMb":64,"maxPerServer":1}]})");
+    EXPECT_TRUE(waitUntil([&] { return state("00000000000000dd") == "failed"; }, 90s));
+    for (const char* task : { "00000000000000dd.0.0.0", "00000000000000dd.0.0.1", "00000000000000dd.0.0.2" }) {
+        EXPECT_LE(startsAfterCrashes(task, 3), maxStartsAfterThreeCrashes) << task;
+    }
+    expectNoTaskTwice();
+}
+
 // Guards against crashes that are not counted because each worker comes back under another id, at its address.
 TEST_F(PlatformTest, ATaskIsGivenUpAlsoWhenCrashedWorkersComeBackUnderOtherIds)
 {
