Wait up to 4 s after a lost run, instead of 4 to 8 s

Only the spread keeps tasks that crash their workers out of step; the 4 s that every task waited beside it delayed sound ones.

--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -36,9 +36,8 @@
 /// racks nor part of bursts.
 inline constexpr std::uint32_t maxLostRuns = 5;
 inline constexpr std::ptrdiff_t minOrdinaryCrashes = 2;
-/// The wait after the last lost run, and how much longer it may be. It differs from task to task, so that tasks that
-/// crash their workers do so apart from each other and their crashes aren't taken for those of a rack or a burst.
-inline constexpr base::Milliseconds lostRunPause { 4'000 };
+/// The longest wait after a lost run. It differs from task to task and from run to run, so that tasks that crash their
+/// workers do so apart from each other and their crashes aren't taken for those of a rack or a burst.
 inline constexpr base::Milliseconds lostRunSpread { 4'000 };
 /// A task waits this long for its silent workers, which may have crashed: longer than a crashed one is mostly away, and
 /// well within the 14 s in which work has to go on after trouble has ended (RULES, LOST).
--- a/src/crocuscove/jobs/crash.cpp
+++ b/src/crocuscove/jobs/crash.cpp
@@ -33,8 +33,8 @@
     // The run is part of it, so that two tasks don't stay in step.
     const std::array<std::uint64_t, 5> parts { task.job, task.occurrence, task.step, task.index, lost.lastRun };
     const std::uint64_t hash = XXH3_64bits(parts.data(), sizeof(parts));
-    const auto extraMs = static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(lostRunSpread.count()));
-    return lost.lastMs + lostRunPause.count() + extraMs;
+    const auto waitMs = static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(lostRunSpread.count()));
+    return lost.lastMs + waitMs;
 }
 
 TaskCrashes summarizeCrashes(const std::vector<CountedCrash>& crashes)
