--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -44,7 +44,7 @@
 inline constexpr base::Milliseconds confirmationWait { 10'000 };
 /// The same for a task that has lost `maxLostRuns` runs; no crash is confirmed later.
 inline constexpr base::Milliseconds lastConfirmationWait { maxConfirmationDelayMs };
-/// A rack or a worker beside a task with this many lost runs may have crashed by it.
+/// A task that has lost this many runs may be what crashed its worker, also when the whole rack fell silent.
 inline constexpr std::uint32_t suspectedLostRuns = 2;
 /// Crashes that are remembered of one task; the earliest is forgotten first. A long-running task, and one whose racks
 /// crash, may have more.
