Test tasks of several jobs that crash their workers in step

Seven jobs, each with a task that crashes its worker 1.5 s after its start, on seven workers of seven racks: all crash together, which counts as a burst of restarts with a cause outside the tasks.

--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -229,6 +229,28 @@
     expectNoTaskTwice();
 }
 
+// Guards against tasks without a bound because those of several jobs crash most workers of the service in step, which
+// is taken for a common cause.
+TEST_F(PlatformTest, TasksOfSeveralJobsThatCrashTheirWorkersInStepAreGivenUp)
+{
+    ASSERT_TRUE(configure());
+    const std::vector<int> numbers { 1, 2, 3, 4, 5, 6, 7 };
+    for (const int number : numbers) {
+        startWorker(fmt::format("w{}", number),
+            { flag("rack", fmt::format("r{}", number)), flag("cpu", 1000), flag("crash-delay-ms", 1'500),
+                flag("crash-ms", 1'500) });
+    }
+    const auto job = [](int number) { return fmt::format("00000000000000d{}", number); };
+    for (const int number : numbers) {
+        submit(job(number), R"({"spec":"4000 deadly=","steps":[{"count":1,"cpu":1000,"memMb":64}]})");
+    }
+    for (const int number : numbers) {
+        EXPECT_TRUE(waitUntil([&] { return state(job(number)) == "failed"; }, 120s)) << number;
+        EXPECT_LE(startsAfterCrashes(job(number) + ".0.0.0", 3), maxStartsAfterThreeCrashes) << number;
+    }
+    expectNoTaskTwice();
+}
+
 // Guards against crashes that are not counted because each worker comes back under another id, at its address.
 TEST_F(PlatformTest, ATaskIsGivenUpAlsoWhenCrashedWorkersComeBackUnderOtherIds)
 {
