--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -9,7 +9,6 @@
 #include <limits>
 #include <map>
 #include <optional>
-#include <ranges>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -214,8 +213,9 @@
 
     [[nodiscard]] bool hasPausedTask(const Job& job, std::uint32_t occurrence, std::uint32_t step) const
     {
-        const auto tasks = static_cast<std::uint32_t>(job.occurrences[occurrence][step].tasks.size());
-        return std::ranges::any_of(std::views::iota(0U, tasks), [&](std::uint32_t index) {
+        const auto& tasks = job.occurrences[occurrence][step].tasks;
+        return std::ranges::any_of(tasks, [&](const Task& task) {
+            const auto index = static_cast<std::uint32_t>(&task - tasks.data());
             return isPaused(m_view.state, { job.id, occurrence, step, index }, m_view.nowMs);
         });
     }
