Give a job up for crashes only when the others of a burst have reported

What callers saw: jobs shown as failed although their tasks had crashed nothing: their workers had restarted together, again and again.

Cause: the job was ended with the report that brought the deciding crash, before the others of the burst had reported; and a burst needed five workers, which a small service doesn't have. Shown by the worker_crash lines (which now name the service): two or three others restart within 0.5 s of each crash.

Change: a deadly task doesn't start; 2 s after the crash the leader proposes GiveUpDeadlyTask, which forgets crashes in bursts and then decides. After a task has waited (lostRunsBeforePause), deadly tasks are out of step, so that three workers and three fifths of the service make a burst for it, and the run isn't counted as lost. Crashes in logs of earlier versions decide at once, as there.

Tests: with excuseCrashes left out, AJobIsGivenUpAfterTheOthersOfABurstHaveReported and RestartsOfMostOfFewWorkersGiveUpNoJob fail; without the check in isPaused, ADeadlyTaskDoesNotStart fails.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -175,6 +175,19 @@
     std::int64_t incarnation = 0;
 };
 
+/// Records a crash as RecordConfirmedCrash does, and leaves it to GiveUpDeadlyTask whether jobs end.
+/// RecordConfirmedCrash ends them at once, and is kept for logs of earlier versions.
+struct RecordReportedCrash {
+    RecordConfirmedCrash crash;
+};
+
+/// Ends the job of a task that too many workers have crashed under, unless the crashes turn out to be parts of bursts
+/// of restarts.
+struct GiveUpDeadlyTask {
+    TaskKey task;
+    std::int64_t nowMs = 0;
+};
+
 /// Records that a worker is silent and may have crashed. RecordCrash without `isConfirmed` told less of it, and is kept
 /// for logs of earlier versions.
 struct RecordSuspectedCrash {
@@ -183,10 +196,10 @@
     bool isOfRack = false;
 };
 
-using Command
-    = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks, ReleaseTask,
-        RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash, CancelJob,
-        RemoveLeftWorker, RecordUnsettledStarts, RecordConfirmedCrash, RemoveReplacedWorker, RecordSuspectedCrash>;
+using Command = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks,
+    ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash,
+    CancelJob, RemoveLeftWorker, RecordUnsettledStarts, RecordConfirmedCrash, RemoveReplacedWorker,
+    RecordSuspectedCrash, RecordReportedCrash, GiveUpDeadlyTask>;
 
 CROCUSCOVE_FIELDS(PutConfiguration, v.configuration)
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
@@ -211,5 +224,7 @@
 CROCUSCOVE_FIELDS(RecordCrash, v.worker, v.incarnation, v.runs, v.isConfirmed, v.nowMs)
 CROCUSCOVE_FIELDS(RecordConfirmedCrash, v.crash, v.service, v.restartedMs, v.isOfRack)
 CROCUSCOVE_FIELDS(RecordSuspectedCrash, v.crash, v.isOfRack)
+CROCUSCOVE_FIELDS(RecordReportedCrash, v.crash)
+CROCUSCOVE_FIELDS(GiveUpDeadlyTask, v.task, v.nowMs)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/crash.h
+++ b/include/crocuscove/jobs/crash.h
@@ -46,6 +46,9 @@
 inline constexpr base::Milliseconds lastConfirmationWait { maxConfirmationDelayMs };
 /// A task that has lost this many runs may be what crashed its worker, also when the whole rack fell silent.
 inline constexpr std::uint32_t suspectedLostRuns = 2;
+/// A job is given up this long after the crash that decides it: the others of a burst of restarts have reported by
+/// then.
+inline constexpr base::Milliseconds giveUpDelay { 2'000 };
 /// Crashes that are remembered of one task; the earliest is forgotten first. A long-running task, and one whose racks
 /// crash, may have more.
 inline constexpr std::size_t maxCrashesPerTask = 16;
@@ -117,6 +120,10 @@
     std::uint32_t lastRun = 0;
     /// When it was lost, in Unix milliseconds.
     std::int64_t lastMs = 0;
+    /// When a crash was last counted against the task, in Unix milliseconds.
+    std::int64_t countedMs = 0;
+    /// The run whose loss made the task wait; 0 before. Later runs start apart from those of other tasks.
+    std::uint32_t pausedAfter = 0;
 };
 
 /// Returns when a task may start again, in Unix milliseconds; 0 for at once. `isUnconfirmed` tells that a worker under
@@ -140,7 +147,7 @@
 CROCUSCOVE_FIELDS(CrashedRun, v.task, v.run, v.isAttributed)
 CROCUSCOVE_FIELDS(CountedCrash, v.run, v.worker, v.restartedMs, v.isAttributed, v.isOfRack)
 CROCUSCOVE_FIELDS(CrashRecord, v.counted, v.excused)
-CROCUSCOVE_FIELDS(LostRuns, v.runs, v.lastRun, v.lastMs)
+CROCUSCOVE_FIELDS(LostRuns, v.runs, v.lastRun, v.lastMs, v.countedMs, v.pausedAfter)
 CROCUSCOVE_FIELDS(TaskCrashes, v.crashes, v.attributed, v.lastRun)
 CROCUSCOVE_FIELDS(UnconfirmedCrash, v.incarnation, v.address, v.runs, v.recordedMs)
 
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -53,6 +53,8 @@
     [[nodiscard]] const std::map<TaskKey, TaskCrashes>& crashes() const { return m_crashes; }
     /// Tells whether so many crashes stand against a task that it is given up, unless it is long-running.
     [[nodiscard]] bool isDeadly(const TaskKey& key) const;
+    /// Returns a deadly task of each job that is to be given up now.
+    [[nodiscard]] std::vector<TaskKey> tasksToGiveUp(std::int64_t nowMs) const;
     /// Runs that were lost with their workers, of tasks that aren't done.
     [[nodiscard]] const std::map<TaskKey, LostRuns>& lostRuns() const { return m_lostRuns; }
     /// Returns when a task may start again after it has lost runs, in Unix milliseconds; 0 for at once.
@@ -116,6 +118,8 @@
     void applyCommand(const RecordConfirmedCrash& command);
     void applyCommand(const RemoveReplacedWorker& command);
     void applyCommand(const RecordSuspectedCrash& command);
+    void applyCommand(const RecordReportedCrash& command);
+    void applyCommand(const GiveUpDeadlyTask& command);
 
     void removeWorker(WorkerNumber number, bool hasLeft);
 
@@ -143,10 +147,16 @@
     void forgetUnconfirmedCrash(const std::string& worker);
     void noteLostRun(const CrashedRun& run, std::int64_t nowMs);
     void takeBackLostRun(const CrashedRun& run);
-    /// Counts a crash against a task, and ends its job when the task has reached its limit.
+    /// Counts a crash against the tasks that ran on the worker, and returns it for each of them.
+    std::vector<std::pair<TaskKey, CountedCrash>> countCrashes(const RecordConfirmedCrash& command);
     void countCrash(const TaskKey& key, const CountedCrash& crash, std::int64_t nowMs);
+    /// Tells whether a task exists that isn't done, of a job that hasn't ended.
+    [[nodiscard]] bool isOpen(const TaskKey& key) const;
     /// Tells whether the worker restarted in a burst, which has a cause outside the tasks.
-    [[nodiscard]] bool isInBurst(const Job& job, const CountedCrash& crash) const;
+    [[nodiscard]] bool isInBurst(const Job& job, const CountedCrash& crash, const BurstSize& least = burstSize) const;
+    /// Forgets the crashes of a task that were parts of bursts. Those of runs that began apart from others are taken
+    /// back as lost runs too, and a smaller burst is enough for them.
+    void excuseCrashes(const Job& job, const TaskKey& key);
     /// Counts other workers that restarted together with that of a crash and whose crash was attributed to tasks of the
     /// job.
     [[nodiscard]] std::size_t countAttributedBeside(JobId job, const CountedCrash& crash) const;
--- a/include/crocuscove/jobs/restart_history.h
+++ b/include/crocuscove/jobs/restart_history.h
@@ -16,9 +16,16 @@
 inline constexpr base::Milliseconds restartSpread { 500 };
 /// Restarts within this time of each other tell whether those within `restartSpread` stand out.
 inline constexpr base::Milliseconds restartNeighbourhood { 1'500 };
-/// Least number of workers that restart together for a common cause, and their least share of the service's workers.
-inline constexpr std::size_t minBurstWorkers = 5;
-inline constexpr std::size_t minBurstPercent = 25;
+/// How many workers restart together for a common cause, at least.
+struct BurstSize {
+    std::size_t workers = 0;
+    /// Share of the service's workers.
+    std::size_t percent = 0;
+};
+
+inline constexpr BurstSize burstSize { 5, 25 };
+/// Of a service of few workers. Several tasks that start in step and crash their workers look the same.
+inline constexpr BurstSize smallBurstSize { 3, 60 };
 /// Least share of the restarts in the neighbourhood that are together then. Tasks that crash their workers
 /// independently of each other do so at any time, which gives a third.
 inline constexpr std::size_t minTogetherPercent = 90;
@@ -35,8 +42,8 @@
 
     /// Tells whether a restart is one of a burst, in which many of the `workers` workers of the service restarted
     /// together. `excepted` of the others may have another cause. A start that isn't known, at 0, is in no burst.
-    [[nodiscard]] bool isInBurst(
-        const std::string& service, std::int64_t startedMs, std::size_t workers, std::size_t excepted) const;
+    [[nodiscard]] bool isInBurst(const std::string& service, std::int64_t startedMs, std::size_t workers,
+        std::size_t excepted, const BurstSize& least = burstSize) const;
 
     /// Finds again what isn't encoded. To be called after decoding.
     void rebuildIndex();
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -108,6 +108,7 @@
     const auto now = base::monotonicNow();
     m_workTimes.recordDelay(std::exchange(m_tickDueAt, now + tickInterval), now);
     schedulePlan();
+    giveUpDeadlyTasks(now);
     m_workTimes.measure(Work::Pacing, [&] { m_pacer.adjust(m_cluster.state(), m_sessions, now); });
     if (m_cluster.hasLeadership(now)) {
         m_workTimes.measure(Work::QueueHeads, [&] { m_queueHeads.report(schedulingView(now), now); });
@@ -226,7 +227,10 @@
                 collectTasksOfEndedJob(typed.job, changed);
             } else if constexpr (std::is_same_v<Type, jobs::RecordConfirmedCrash>) {
                 onCrashApplied(typed.crash, changed);
-                logPausedTasks(typed.crash);
+            } else if constexpr (std::is_same_v<Type, jobs::RecordReportedCrash>) {
+                onCrashApplied(typed.crash.crash, changed);
+            } else if constexpr (std::is_same_v<Type, jobs::GiveUpDeadlyTask>) {
+                onGiveUpApplied(typed, changed);
             } else if constexpr (std::is_same_v<Type, jobs::RecordSuspectedCrash>) {
                 logPausedTasks(typed.crash);
             } else if constexpr (std::is_same_v<Type, jobs::AcceptJob>) {
@@ -289,7 +293,7 @@
         logCrash({ crash, service, restartedMs, isRack });
     }
     if (crash.isConfirmed) {
-        proposeCommand(jobs::RecordConfirmedCrash { std::move(crash), service, restartedMs, isRack }, nullptr);
+        proposeCommand(jobs::RecordReportedCrash { { std::move(crash), service, restartedMs, isRack } }, nullptr);
         return;
     }
     if (!crash.runs.empty()) {
@@ -342,9 +346,10 @@
     const jobs::RecordCrash& crash = record.crash;
     const bool isAttributed = !record.isOfRack && std::ranges::any_of(crash.runs, &jobs::CrashedRun::isAttributed);
     m_log.warning("worker_crash",
-        { { "worker", crash.worker }, { "incarnation", crash.incarnation }, { "confirmed", crash.isConfirmed },
-            { "restarted_ms", record.restartedMs }, { "with_rack", record.isOfRack }, { "suspects", crash.runs.size() },
-            { "tasks", runNames(crash.runs) }, { "attributed", isAttributed } });
+        { { "worker", crash.worker }, { "service", record.service }, { "incarnation", crash.incarnation },
+            { "confirmed", crash.isConfirmed }, { "restarted_ms", record.restartedMs },
+            { "with_rack", record.isOfRack }, { "suspects", crash.runs.size() }, { "tasks", runNames(crash.runs) },
+            { "attributed", isAttributed } });
     if (crash.isConfirmed) {
         m_metrics.count("worker_crash", isAttributed ? "attributed" : "several-suspects");
     }
@@ -352,26 +357,61 @@
 
 void Leader::onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed)
 {
-    const jobs::FleetState& state = m_cluster.state();
     for (const jobs::CrashedRun& run : crash.runs) {
-        const jobs::Job* job = state.findJob(run.task.job);
-        const auto crashes = state.crashes().find(run.task);
-        if (const std::uint32_t excused = state.excusedCrashes(run.task); excused > 0) {
-            m_metrics.count("worker_crash", "restart-burst");
-            m_log.info("crashes_excused",
-                { { "task", platform::taskName(run.task) }, { "run", run.run }, { "worker", crash.worker },
-                    { "crashes", excused }, { "reason", "restart-burst" } });
-        }
-        if (job == nullptr || job->isActive() || crashes == state.crashes().end() || !state.isDeadly(run.task)
-            || job->finishedMs != crash.nowMs || job->spec.steps[run.task.step].isLongRunning) {
-            continue;
-        }
-        m_metrics.count("job_given_up", "worker-crashes");
-        m_log.warning("job_given_up",
-            { { "task", platform::taskName(run.task) }, { "run", run.run }, { "crashes", crashes->second.crashes },
-                { "attributed", crashes->second.attributed }, { "worker", crash.worker } });
+        logExcusedCrashes(run.task);
+        // A command of an earlier version may have ended the job.
         collectTasksOfEndedJob(run.task.job, changed);
     }
+    logPausedTasks(crash);
+}
+
+void Leader::onGiveUpApplied(const jobs::GiveUpDeadlyTask& command, std::set<jobs::WorkerNumber>& changed)
+{
+    const jobs::FleetState& state = m_cluster.state();
+    const jobs::Job* job = state.findJob(command.task.job);
+    if (job == nullptr || job->isActive()) {
+        logExcusedCrashes(command.task);
+        return;
+    }
+    const auto crashes = state.crashes().find(command.task);
+    if (crashes == state.crashes().end() || job->finishedMs != command.nowMs) {
+        return;
+    }
+    m_metrics.count("job_given_up", "worker-crashes");
+    m_log.warning("job_given_up",
+        { { "task", platform::taskName(command.task) }, { "run", crashes->second.lastRun },
+            { "crashes", crashes->second.crashes }, { "attributed", crashes->second.attributed } });
+    collectTasksOfEndedJob(command.task.job, changed);
+}
+
+void Leader::logExcusedCrashes(const jobs::TaskKey& task)
+{
+    const std::uint32_t excused = m_cluster.state().excusedCrashes(task);
+    if (excused == 0) {
+        return;
+    }
+    m_metrics.count("worker_crash", "restart-burst");
+    m_log.info("crashes_excused",
+        { { "task", platform::taskName(task) }, { "crashes", excused }, { "reason", "restart-burst" } });
+}
+
+// Repeated until it is applied: the proposal of a leader that loses its office may be lost.
+void Leader::giveUpDeadlyTasks(base::MonotonicTime now)
+{
+    if (m_isGivingUp || !m_cluster.hasLeadership(now)) {
+        return;
+    }
+    const std::int64_t nowMs = unixNow();
+    const std::vector<jobs::TaskKey> tasks = m_cluster.state().tasksToGiveUp(nowMs);
+    m_isGivingUp = !tasks.empty();
+    for (const jobs::TaskKey& task : tasks) {
+        const bool isLast = task == tasks.back();
+        proposeCommand(jobs::GiveUpDeadlyTask { task, nowMs }, [this, isLast, alive = m_isAlive](bool) {
+            if (*alive && isLast) {
+                m_isGivingUp = false;
+            }
+        });
+    }
 }
 
 void Leader::logPausedTasks(const jobs::RecordCrash& crash)
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -79,7 +79,11 @@
     void logCrash(const jobs::RecordConfirmedCrash& record);
     /// Logs which tasks of a crash wait for it, or for silent workers.
     void logPausedTasks(const jobs::RecordCrash& crash);
+    void logExcusedCrashes(const jobs::TaskKey& task);
     void onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed);
+    void onGiveUpApplied(const jobs::GiveUpDeadlyTask& command, std::set<jobs::WorkerNumber>& changed);
+    /// Proposes the end of jobs with deadly tasks, one batch at a time.
+    void giveUpDeadlyTasks(base::MonotonicTime now);
     void schedulePlan();
     void plan();
     /// Remembers for which tasks room is held, and logs what is new.
@@ -111,6 +115,7 @@
     /// The workers on which the last plan holds room, by the task that it is held for.
     std::map<jobs::TaskKey, jobs::WorkerNumber> m_heldRooms;
     bool m_isPlanning = false;
+    bool m_isGivingUp = false;
     bool m_isPlanWanted = false;
     base::MonotonicTime m_tickDueAt;
     base::MonotonicTime m_forgetAt;
--- a/src/crocuscove/jobs/fleet_state_crashes.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes.cpp
@@ -58,14 +58,57 @@
 }
 
 void FleetState::applyCommand(const RecordConfirmedCrash& command)
+{
+    for (const auto& [key, crash] : countCrashes(command)) {
+        const auto crashes = m_crashes.find(key);
+        const bool isDeadly = crashes != m_crashes.end() && crashes->second.isDeadly();
+        if (!isDeadly || !isOpen(key)) {
+            continue;
+        }
+        Job& job = m_jobs.at(key.job);
+        const bool isExcused = excusedCrashes(key) < maxExcusedCrashes && isInBurst(job, crash);
+        if (!job.spec.steps[key.step].isLongRunning && !isExcused) {
+            finishJob(job, JobPhase::Failed, command.crash.nowMs);
+        }
+    }
+}
+
+void FleetState::applyCommand(const RecordReportedCrash& command) { countCrashes(command.crash); }
+
+void FleetState::applyCommand(const GiveUpDeadlyTask& command)
+{
+    // A long-running task is restarted however it ends (PROTOCOL).
+    if (!isOpen(command.task) || m_jobs.at(command.task.job).spec.steps[command.task.step].isLongRunning) {
+        return;
+    }
+    Job& job = m_jobs.at(command.task.job);
+    if (isDeadly(command.task)) {
+        excuseCrashes(job, command.task);
+    }
+    if (isDeadly(command.task)) {
+        finishJob(job, JobPhase::Failed, command.nowMs);
+    }
+}
+
+std::vector<std::pair<TaskKey, CountedCrash>> FleetState::countCrashes(const RecordConfirmedCrash& command)
 {
     const std::string& worker = command.crash.worker;
     m_restarts.record(command.service, command.restartedMs, worker);
     const bool isOfRack = command.isOfRack || m_silentWithRack.contains(worker);
+    std::vector<std::pair<TaskKey, CountedCrash>> result;
     for (const CrashedRun& run : takeConfirmedRuns(command.crash)) {
         const bool isAttributed = run.isAttributed && !isOfRack;
-        countCrash(run.task, { run.run, worker, command.restartedMs, isAttributed, isOfRack }, command.crash.nowMs);
+        result.push_back({ run.task, { run.run, worker, command.restartedMs, isAttributed, isOfRack } });
+        countCrash(run.task, result.back().second, command.crash.nowMs);
     }
+    return result;
+}
+
+bool FleetState::isOpen(const TaskKey& key) const
+{
+    const Job* job = findJob(key.job);
+    const Task* task = job == nullptr ? nullptr : job->find(key);
+    return task != nullptr && task->phase != TaskPhase::Done && job->isActive();
 }
 
 std::vector<CrashedRun> FleetState::takeConfirmedRuns(const RecordCrash& command)
@@ -162,16 +205,27 @@
         return;
     }
     LostRuns& lost = m_lostRuns[run.task];
-    if (run.run > lost.lastRun) {
-        lost = { lost.runs + 1, run.run, nowMs };
+    if (run.run <= lost.lastRun) {
+        return;
+    }
+    ++lost.runs;
+    lost.lastRun = run.run;
+    lost.lastMs = nowMs;
+    if (lost.runs >= lostRunsBeforePause && lost.pausedAfter == 0) {
+        lost.pausedAfter = run.run;
     }
 }
 
 void FleetState::takeBackLostRun(const CrashedRun& run)
 {
     const auto lost = m_lostRuns.find(run.task);
-    if (lost != m_lostRuns.end() && --lost->second.runs == 0) {
+    if (lost == m_lostRuns.end()) {
+        return;
+    }
+    if (--lost->second.runs == 0) {
         m_lostRuns.erase(lost);
+    } else if (lost->second.runs < lostRunsBeforePause) {
+        lost->second.pausedAfter = 0;
     }
 }
 
@@ -197,24 +251,38 @@
     return lost->second.runs >= maxLostRuns && ordinary >= minOrdinaryCrashes;
 }
 
-void FleetState::countCrash(const TaskKey& key, const CountedCrash& crash, std::int64_t nowMs)
+std::vector<TaskKey> FleetState::tasksToGiveUp(std::int64_t nowMs) const
 {
-    const auto job = m_jobs.find(key.job);
-    const Task* task = job == m_jobs.end() ? nullptr : job->second.find(key);
-    if (task == nullptr || task->phase == TaskPhase::Done || !job->second.isActive()) {
-        return;
+    std::vector<TaskKey> result;
+    for (const auto& [key, crashes] : m_crashes) {
+        const bool isJobFound = !result.empty() && result.back().job == key.job;
+        if (isJobFound || !isDeadly(key) || !isOpen(key) || findJob(key.job)->spec.steps[key.step].isLongRunning) {
+            continue;
+        }
+        const auto lost = m_lostRuns.find(key);
+        const std::int64_t dueMs = lost == m_lostRuns.end() ? 0 : lost->second.countedMs + giveUpDelay.count();
+        // A step back of the time of day must not prolong the wait.
+        if (dueMs <= nowMs || dueMs > nowMs + giveUpDelay.count()) {
+            result.push_back(key);
+        }
     }
-    if (!m_crashRecords.contains(key) && m_crashRecords.size() >= maxCrashRecords) {
+    return result;
+}
+
+void FleetState::countCrash(const TaskKey& key, const CountedCrash& crash, std::int64_t nowMs)
+{
+    if (!isOpen(key) || (!m_crashRecords.contains(key) && m_crashRecords.size() >= maxCrashRecords)) {
         return;
     }
     noteLostRun({ key, crash.run, false }, nowMs);
+    if (const auto lost = m_lostRuns.find(key); lost != m_lostRuns.end()) {
+        lost->second.countedMs = nowMs;
+    }
     CrashRecord& record = m_crashRecords[key];
     // The others of a burst report only after the first, so that crashes are looked at when a later one is counted.
-    const auto isExcused = [&](const CountedCrash& known) {
-        return record.excused < maxExcusedCrashes && isInBurst(job->second, known);
-    };
+    const Job& job = m_jobs.at(key.job);
     for (auto known = record.counted.begin(); known != record.counted.end();) {
-        const bool isForgotten = isExcused(*known);
+        const bool isForgotten = record.excused < maxExcusedCrashes && isInBurst(job, *known);
         record.excused += isForgotten ? 1 : 0;
         known = isForgotten ? record.counted.erase(known) : known + 1;
     }
@@ -223,21 +291,40 @@
         record.counted.erase(record.counted.begin());
     }
     updateCrashes(key);
-    // A long-running task is restarted however it ends (PROTOCOL).
-    if (isDeadly(key) && !job->second.spec.steps[key.step].isLongRunning && !isExcused(crash)) {
-        finishJob(job->second, JobPhase::Failed, nowMs);
+}
+
+void FleetState::excuseCrashes(const Job& job, const TaskKey& key)
+{
+    CrashRecord& record = m_crashRecords[key];
+    const auto lost = m_lostRuns.find(key);
+    const std::uint32_t pausedAfter = lost == m_lostRuns.end() ? 0 : lost->second.pausedAfter;
+    for (auto crash = record.counted.begin(); crash != record.counted.end();) {
+        const bool beganApart = pausedAfter > 0 && crash->run > pausedAfter;
+        const bool isExcused = record.excused < maxExcusedCrashes
+            && (isInBurst(job, *crash) || (beganApart && isInBurst(job, *crash, smallBurstSize)));
+        if (!isExcused) {
+            ++crash;
+            continue;
+        }
+        ++record.excused;
+        if (beganApart) {
+            takeBackLostRun({ key, crash->run, false });
+        }
+        crash = record.counted.erase(crash);
     }
+    updateCrashes(key);
 }
 
-bool FleetState::isInBurst(const Job& job, const CountedCrash& crash) const
+bool FleetState::isInBurst(const Job& job, const CountedCrash& crash, const BurstSize& least) const
 {
     const Queue* queue = findQueue(job.queue);
     if (queue == nullptr) {
         return false;
     }
     const std::size_t workers = countWorkers(queue->service);
-    return m_restarts.isInBurst(queue->service, crash.restartedMs, workers, 0)
-        && m_restarts.isInBurst(queue->service, crash.restartedMs, workers, countAttributedBeside(job.id, crash));
+    return m_restarts.isInBurst(queue->service, crash.restartedMs, workers, 0, least)
+        && m_restarts.isInBurst(
+            queue->service, crash.restartedMs, workers, countAttributedBeside(job.id, crash), least);
 }
 
 std::size_t FleetState::countAttributedBeside(JobId job, const CountedCrash& crash) const
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -526,6 +526,9 @@
     if (state.lostRuns().empty() || state.findJob(task.job)->spec.steps[task.step].isLongRunning) {
         return false;
     }
+    if (state.isDeadly(task)) {
+        return true;
+    }
     const std::int64_t startMs = state.nextStartMs(task);
     return nowMs < startMs && startMs <= nowMs + lastConfirmationWait.count();
 }
