Share the loop that excuses crashes, and the check whether a job may be given up

Cause: reading again. Counting a crash and giving a job up forgot crashes with two copies of one loop, and three places asked whether a task is open and not long-running. noteLostRun() and takeBackLostRun() took a CrashedRun of which they used the task and the run alone.

Change: excuse(), mayBeGivenUp(), and parameters that are used.

--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -145,13 +145,15 @@
     /// at its address.
     void settleUnconfirmedCrashes(const WorkerReport& report);
     void forgetUnconfirmedCrash(const std::string& worker);
-    void noteLostRun(const CrashedRun& run, std::int64_t nowMs);
-    void takeBackLostRun(const CrashedRun& run);
+    void noteLostRun(const TaskKey& key, std::uint32_t run, std::int64_t nowMs);
+    void takeBackLostRun(const TaskKey& key);
     /// Counts a crash against the tasks that ran on the worker, and returns it for each of them.
     std::vector<std::pair<TaskKey, CountedCrash>> countCrashes(const RecordConfirmedCrash& command);
     void countCrash(const TaskKey& key, const CountedCrash& crash, std::int64_t nowMs);
     /// Tells whether a task exists that isn't done, of a job that hasn't ended.
     [[nodiscard]] bool isOpen(const TaskKey& key) const;
+    /// Tells whether crashes may end the job of a task.
+    [[nodiscard]] bool mayBeGivenUp(const TaskKey& key) const;
     /// Tells whether the worker restarted in a burst, which has a cause outside the tasks.
     [[nodiscard]] bool isInBurst(const Job& job, const CountedCrash& crash, const BurstSize& least = burstSize) const;
     /// Forgets the crashes of a task that were parts of bursts. Those of runs that began apart from others are taken
--- a/include/crocuscove/jobs/restart_history.h
+++ b/include/crocuscove/jobs/restart_history.h
@@ -24,7 +24,8 @@
 };
 
 inline constexpr BurstSize burstSize { 5, 25 };
-/// Of a service of few workers. Several tasks that start in step and crash their workers look the same.
+/// Of a service of few workers, for runs that began apart from others: tasks that start in step and crash their workers
+/// look the same.
 inline constexpr BurstSize smallBurstSize { 3, 60 };
 /// Least share of the restarts in the neighbourhood that are together then. Tasks that crash their workers
 /// independently of each other do so at any time, which gives a third.
--- a/src/crocuscove/jobs/fleet_state_crashes.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes.cpp
@@ -24,6 +24,23 @@
     return std::pair(map.lower_bound({ job, 0, 0, 0 }), map.upper_bound({ job, last, last, last }));
 }
 
+/// Forgets the crashes that were parts of bursts, up to `maxExcusedCrashes` of a task, and returns their runs. A crash
+/// that is looked at no longer sees those that were forgotten before it.
+template <typename Predicate> std::vector<std::uint32_t> excuse(CrashRecord& record, const Predicate& isPartOfBurst)
+{
+    std::vector<std::uint32_t> runs;
+    for (auto crash = record.counted.begin(); crash != record.counted.end();) {
+        if (record.excused >= maxExcusedCrashes || !isPartOfBurst(*crash)) {
+            ++crash;
+            continue;
+        }
+        ++record.excused;
+        runs.push_back(crash->run);
+        crash = record.counted.erase(crash);
+    }
+    return runs;
+}
+
 } // namespace
 
 void FleetState::forgetCrashes(const TaskKey& key)
@@ -62,12 +79,12 @@
     for (const auto& [key, crash] : countCrashes(command)) {
         const auto crashes = m_crashes.find(key);
         const bool isDeadly = crashes != m_crashes.end() && crashes->second.isDeadly();
-        if (!isDeadly || !isOpen(key)) {
+        if (!isDeadly || !mayBeGivenUp(key)) {
             continue;
         }
         Job& job = m_jobs.at(key.job);
         const bool isExcused = excusedCrashes(key) < maxExcusedCrashes && isInBurst(job, crash);
-        if (!job.spec.steps[key.step].isLongRunning && !isExcused) {
+        if (!isExcused) {
             finishJob(job, JobPhase::Failed, command.crash.nowMs);
         }
     }
@@ -77,14 +94,11 @@
 
 void FleetState::applyCommand(const GiveUpDeadlyTask& command)
 {
-    // A long-running task is restarted however it ends (PROTOCOL).
-    if (!isOpen(command.task) || m_jobs.at(command.task.job).spec.steps[command.task.step].isLongRunning) {
+    if (!mayBeGivenUp(command.task) || !isDeadly(command.task)) {
         return;
     }
     Job& job = m_jobs.at(command.task.job);
-    if (isDeadly(command.task)) {
-        excuseCrashes(job, command.task);
-    }
+    excuseCrashes(job, command.task);
     if (isDeadly(command.task)) {
         finishJob(job, JobPhase::Failed, command.nowMs);
     }
@@ -111,6 +125,12 @@
     return task != nullptr && task->phase != TaskPhase::Done && job->isActive();
 }
 
+// A long-running task is restarted however it ends (PROTOCOL).
+bool FleetState::mayBeGivenUp(const TaskKey& key) const
+{
+    return isOpen(key) && !findJob(key.job)->spec.steps[key.step].isLongRunning;
+}
+
 std::vector<CrashedRun> FleetState::takeConfirmedRuns(const RecordCrash& command)
 {
     const auto unconfirmed = m_unconfirmedCrashes.find(command.worker);
@@ -157,7 +177,7 @@
     }
     for (const CrashedRun& run : runs) {
         ++m_unconfirmedByTask[run.task];
-        noteLostRun(run, command.nowMs);
+        noteLostRun(run.task, run.run, command.nowMs);
     }
     if (m_unconfirmedCrashes.size() > maxUnconfirmedCrashes) {
         const std::string earliest = std::ranges::min_element(m_unconfirmedCrashes, {}, [](const auto& entry) {
@@ -176,7 +196,7 @@
             settled.push_back(worker);
             // The same incarnation was only silent; the crash before a later one was counted before this report.
             if (worker == report.id && crash.incarnation == report.incarnation) {
-                std::ranges::for_each(crash.runs, [this](const CrashedRun& run) { takeBackLostRun(run); });
+                std::ranges::for_each(crash.runs, [this](const CrashedRun& run) { takeBackLostRun(run.task); });
             }
         }
     }
@@ -199,26 +219,26 @@
     m_unconfirmedCrashes.erase(found);
 }
 
-void FleetState::noteLostRun(const CrashedRun& run, std::int64_t nowMs)
+void FleetState::noteLostRun(const TaskKey& key, std::uint32_t run, std::int64_t nowMs)
 {
-    if (!m_lostRuns.contains(run.task) && m_lostRuns.size() >= maxCrashRecords) {
+    if (!m_lostRuns.contains(key) && m_lostRuns.size() >= maxCrashRecords) {
         return;
     }
-    LostRuns& lost = m_lostRuns[run.task];
-    if (run.run <= lost.lastRun) {
+    LostRuns& lost = m_lostRuns[key];
+    if (run <= lost.lastRun) {
         return;
     }
     ++lost.runs;
-    lost.lastRun = run.run;
+    lost.lastRun = run;
     lost.lastMs = nowMs;
     if (lost.runs >= lostRunsBeforePause && lost.pausedAfter == 0) {
-        lost.pausedAfter = run.run;
+        lost.pausedAfter = run;
     }
 }
 
-void FleetState::takeBackLostRun(const CrashedRun& run)
+void FleetState::takeBackLostRun(const TaskKey& key)
 {
-    const auto lost = m_lostRuns.find(run.task);
+    const auto lost = m_lostRuns.find(key);
     if (lost == m_lostRuns.end()) {
         return;
     }
@@ -256,7 +276,7 @@
     std::vector<TaskKey> result;
     for (const auto& [key, crashes] : m_crashes) {
         const bool isJobFound = !result.empty() && result.back().job == key.job;
-        if (isJobFound || !isDeadly(key) || !isOpen(key) || findJob(key.job)->spec.steps[key.step].isLongRunning) {
+        if (isJobFound || !isDeadly(key) || !mayBeGivenUp(key)) {
             continue;
         }
         const auto lost = m_lostRuns.find(key);
@@ -274,18 +294,14 @@
     if (!isOpen(key) || (!m_crashRecords.contains(key) && m_crashRecords.size() >= maxCrashRecords)) {
         return;
     }
-    noteLostRun({ key, crash.run, false }, nowMs);
+    noteLostRun(key, crash.run, nowMs);
     if (const auto lost = m_lostRuns.find(key); lost != m_lostRuns.end()) {
         lost->second.countedMs = nowMs;
     }
     CrashRecord& record = m_crashRecords[key];
     // The others of a burst report only after the first, so that crashes are looked at when a later one is counted.
     const Job& job = m_jobs.at(key.job);
-    for (auto known = record.counted.begin(); known != record.counted.end();) {
-        const bool isForgotten = record.excused < maxExcusedCrashes && isInBurst(job, *known);
-        record.excused += isForgotten ? 1 : 0;
-        known = isForgotten ? record.counted.erase(known) : known + 1;
-    }
+    excuse(record, [&](const CountedCrash& known) { return isInBurst(job, known); });
     record.counted.push_back(crash);
     if (record.counted.size() > maxCrashesPerTask) {
         record.counted.erase(record.counted.begin());
@@ -298,19 +314,14 @@
     CrashRecord& record = m_crashRecords[key];
     const auto lost = m_lostRuns.find(key);
     const std::uint32_t pausedAfter = lost == m_lostRuns.end() ? 0 : lost->second.pausedAfter;
-    for (auto crash = record.counted.begin(); crash != record.counted.end();) {
-        const bool beganApart = pausedAfter > 0 && crash->run > pausedAfter;
-        const bool isExcused = record.excused < maxExcusedCrashes
-            && (isInBurst(job, *crash) || (beganApart && isInBurst(job, *crash, smallBurstSize)));
-        if (!isExcused) {
-            ++crash;
-            continue;
-        }
-        ++record.excused;
-        if (beganApart) {
-            takeBackLostRun({ key, crash->run, false });
+    const auto beganApart = [pausedAfter](std::uint32_t run) { return pausedAfter > 0 && run > pausedAfter; };
+    const auto excusedRuns = excuse(record, [&](const CountedCrash& crash) {
+        return isInBurst(job, crash) || (beganApart(crash.run) && isInBurst(job, crash, smallBurstSize));
+    });
+    for (const std::uint32_t run : excusedRuns) {
+        if (beganApart(run)) {
+            takeBackLostRun(key);
         }
-        crash = record.counted.erase(crash);
     }
     updateCrashes(key);
 }
