Measure the search for tasks to give up, like the other parts of a leader's turn

Cause: each tick looks through the tasks with crashes, and alone of the parts of a tick wasn't in work_* and had no line when it was long.

Change: Work::GiveUpTasks (work_give-up-tasks). Nothing else changes.

--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -108,7 +108,7 @@
     const auto now = base::monotonicNow();
     m_workTimes.recordDelay(std::exchange(m_tickDueAt, now + tickInterval), now);
     schedulePlan();
-    giveUpDeadlyTasks(now);
+    m_workTimes.measure(Work::GiveUpTasks, [&] { giveUpDeadlyTasks(now); });
     m_workTimes.measure(Work::Pacing, [&] { m_pacer.adjust(m_cluster.state(), m_sessions, now); });
     if (m_cluster.hasLeadership(now)) {
         m_workTimes.measure(Work::QueueHeads, [&] { m_queueHeads.report(schedulingView(now), now); });
--- a/src/crocuscove/control/work_times.cpp
+++ b/src/crocuscove/control/work_times.cpp
@@ -17,6 +17,7 @@
     { Work::Pools, "pools" },
     { Work::Pacing, "pacing" },
     { Work::QueueHeads, "queue-heads" },
+    { Work::GiveUpTasks, "give-up-tasks" },
     { Work::ForgetJobs, "forget-jobs" },
 });
 
--- a/src/crocuscove/control/work_times.h
+++ b/src/crocuscove/control/work_times.h
@@ -20,6 +20,7 @@
     Pools,
     Pacing,
     QueueHeads,
+    GiveUpTasks,
     ForgetJobs,
 };
 
