Remember the URL at which each job was accepted

Callers see: after a configuration gave a queue another prefix or host, or after a URL had had two names and was removed, the cancelling of a running job at the path that accepted it is answered 404 for ever, and its tasks go on being started (UNASKED). Cause: FleetState kept the last definition of each queue by name, and JobApi looked for the job's path among those definitions. A prefix that a queue had before was forgotten, and of two names of one prefix only the first was found.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -17,6 +17,7 @@
     Configuration configuration;
 };
 
+/// Accepts a job. Replaced by AcceptJobAtUrl, and kept for logs of earlier versions.
 struct AcceptJob {
     JobId job = 0;
     std::string queue;
@@ -196,10 +197,16 @@
     bool isOfRack = false;
 };
 
+/// Accepts a job of a queue that clients reached at `url`. A later configuration may give the queue another URL.
+struct AcceptJobAtUrl {
+    AcceptJob accepted;
+    QueueUrl url;
+};
+
 using Command = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks,
     ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash,
     CancelJob, RemoveLeftWorker, RecordUnsettledStarts, RecordConfirmedCrash, RemoveReplacedWorker,
-    RecordSuspectedCrash, RecordReportedCrash, GiveUpDeadlyTask>;
+    RecordSuspectedCrash, RecordReportedCrash, GiveUpDeadlyTask, AcceptJobAtUrl>;
 
 CROCUSCOVE_FIELDS(PutConfiguration, v.configuration)
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
@@ -226,5 +233,6 @@
 CROCUSCOVE_FIELDS(RecordSuspectedCrash, v.crash, v.isOfRack)
 CROCUSCOVE_FIELDS(RecordReportedCrash, v.crash)
 CROCUSCOVE_FIELDS(GiveUpDeadlyTask, v.task, v.nowMs)
+CROCUSCOVE_FIELDS(AcceptJobAtUrl, v.accepted, v.url)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/configuration.h
+++ b/include/crocuscove/jobs/configuration.h
@@ -2,6 +2,7 @@
 
 #include "crocuscove/base/codec_fields.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -9,6 +10,14 @@
 
 namespace crocuscove::jobs {
 
+/// Where clients reach a queue.
+struct QueueUrl {
+    std::string host;
+    std::string pathPrefix;
+
+    auto operator<=>(const QueueUrl&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
 /// A job queue: the requests that are routed to it and how its jobs are scheduled.
 struct Queue {
     std::string name;
@@ -26,6 +35,7 @@
     /// The workers for a step must be requested from the platform's advice service.
     bool needsAdvice = false;
 
+    [[nodiscard]] QueueUrl url() const { return { host, pathPrefix }; }
     bool operator==(const Queue&) const = default;
 };
 
@@ -55,6 +65,7 @@
     bool operator==(const Configuration&) const = default;
 };
 
+CROCUSCOVE_FIELDS(QueueUrl, v.host, v.pathPrefix)
 CROCUSCOVE_FIELDS(Queue, v.name, v.host, v.pathPrefix, v.service, v.priority, v.maxAttempts, v.stretch,
     v.objectiveMarginMs, v.needsAdvice)
 CROCUSCOVE_FIELDS(Service, v.name, v.refusesOverload, v.isStandby)
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -79,9 +79,8 @@
 
     /// Returns the last definition of a queue, even if it was removed from the configuration, or a null pointer.
     [[nodiscard]] const Queue* findQueue(const std::string& name) const;
-    /// Returns the queue that a request went to by the last definition of each queue, removed ones included, or a null
-    /// pointer. The longest matching prefix wins.
-    [[nodiscard]] const Queue* matchKnownQueue(std::string_view host, std::string_view path) const;
+    /// Tells whether a job was accepted at a URL, by whichever queue was there at the time.
+    [[nodiscard]] bool isAcceptedAt(const QueueUrl& url, JobId job) const;
     [[nodiscard]] const Job* findJob(JobId id) const;
     [[nodiscard]] const Worker* findWorker(WorkerNumber number) const;
     /// Returns the current incarnation of a worker id, or a null pointer.
@@ -120,7 +119,9 @@
     void applyCommand(const RecordSuspectedCrash& command);
     void applyCommand(const RecordReportedCrash& command);
     void applyCommand(const GiveUpDeadlyTask& command);
+    void applyCommand(const AcceptJobAtUrl& command);
 
+    void acceptJob(const AcceptJob& command, const QueueUrl& url);
     void removeWorker(WorkerNumber number, bool hasLeft);
 
     void rememberRemoved(const Worker& worker, bool hasLeft);
@@ -182,6 +183,8 @@
     std::map<std::string, std::string> m_nodes;
     /// The last definition of each queue, since jobs outlive a queue that is removed.
     std::map<std::string, Queue> m_queues;
+    /// The jobs that were accepted at each URL, since a queue may move or be removed before its jobs end.
+    std::map<QueueUrl, std::set<JobId>> m_jobsByUrl;
     std::map<std::string, std::string> m_vmOrderHolders;
     WorkerNumber m_lastWorker = 0;
     std::map<JobId, std::int64_t> m_earlyCancels;
--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -77,15 +77,13 @@
 // cancelling is answered as if there were no such job.
 void JobApi::answerUnknownQueue(const ForwardedRequest& request, const Reply& reply)
 {
-    const jobs::Queue* queue = m_cluster.state().matchKnownQueue(request.host, request.path);
-    const std::string name = queue == nullptr ? std::string() : request.path.substr(queue->pathPrefix.size());
-    const jobs::JobId id = platform::parseJobName(name).value_or(0);
-    const jobs::Job* job = platform::jobName(id) == name ? m_cluster.state().findJob(id) : nullptr;
-    if (request.method != "DELETE" || job == nullptr || job->queue != queue->name) {
+    const auto path = platform::parseJobPath(request.path);
+    const bool isAccepted = path && m_cluster.state().isAcceptedAt({ request.host, path->prefix }, path->job);
+    if (request.method != "DELETE" || !isAccepted) {
         reply(answer(request, statusNotFound));
         return;
     }
-    cancel(request, id, [reply](ForwardedAnswer cancelled) {
+    cancel(request, path->job, [reply](ForwardedAnswer cancelled) {
         if (cancelled.outcome == ForwardOutcome::Answered) {
             cancelled.status = statusGone;
         }
@@ -103,12 +101,13 @@
         refuse(request, id, reply);
         return;
     }
-    jobs::AcceptJob command;
-    command.job = id;
-    command.queue = queue.name;
-    command.nowMs = base::wallNow().time_since_epoch().count();
+    jobs::AcceptJobAtUrl command;
+    command.url = queue.url();
+    command.accepted.job = id;
+    command.accepted.queue = queue.name;
+    command.accepted.nowMs = base::wallNow().time_since_epoch().count();
     try {
-        command.spec = platform::decodeJob(request.body);
+        command.accepted.spec = platform::decodeJob(request.body);
     } catch (const platform::MalformedMessage& error) {
         m_log.warning("job_malformed", { { "job", platform::jobName(id) }, { "cause", error.what() } });
         reply(answer(request, statusBadRequest));
--- a/src/crocuscove/control/job_api_test.cpp
+++ b/src/crocuscove/control/job_api_test.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,6 +22,8 @@
 constexpr auto ownAddress = "127.0.0.1";
 constexpr auto followerAddress = "127.0.0.2";
 constexpr std::uint32_t statusOk = 200;
+constexpr std::uint32_t statusNotFound = 404;
+constexpr std::uint32_t statusGone = 410;
 constexpr std::uint32_t statusUnavailable = 503;
 constexpr std::uint32_t statusTimeout = 504;
 
@@ -99,7 +102,8 @@
         hooks.onApplied = [](const std::vector<jobs::Command>&) {};
         hooks.onServing = [](bool) {};
         m_cluster.emplace(m_loop, m_options, m_log, m_random, std::move(hooks));
-        m_api.emplace(m_log, m_metrics, *m_cluster, [](const std::string&) { return 0; });
+        m_api.emplace(m_log, m_metrics, *m_cluster,
+            [this](const auto& queue) { return m_cluster->state().countWaitingJobs(queue); });
     }
 
     bool hasLine(const std::string& text) const
@@ -119,17 +123,30 @@
         });
     }
 
-    /// Answers a request for the job with number `job`.
-    std::optional<ForwardedAnswer> ask(const std::string& method, int job)
+    /// Puts a configuration with these queues in force.
+    bool put(std::uint64_t version, const std::vector<jobs::Queue>& queues)
+    {
+        jobs::Configuration configuration = jobs::testing::configuration(version);
+        configuration.queues = queues;
+        m_cluster->propose(jobs::PutConfiguration { configuration }, nullptr);
+        return runUntil(m_loop, [&] { return m_cluster->state().configuration().version == version; });
+    }
+
+    std::optional<ForwardedAnswer> ask(const std::string& method, const std::string& path)
     {
         const auto answer = std::make_shared<std::optional<ForwardedAnswer>>();
-        const std::string path = "/q/000000000000000" + std::to_string(job);
         m_api->handle({ 1, method, "host", path, R"({"steps":[{"count":1}]})" },
             [answer](const ForwardedAnswer& given) { *answer = given; });
         static_cast<void>(runUntil(m_loop, [&] { return answer->has_value(); }));
         return *answer;
     }
 
+    /// Answers a request for the job with number `job`.
+    std::optional<ForwardedAnswer> ask(const std::string& method, int job)
+    {
+        return ask(method, "/q/000000000000000" + std::to_string(job));
+    }
+
     storage::TemporaryFolder m_folder;
     http::EventLoop m_loop;
     ControlOptions m_options;
@@ -160,5 +177,90 @@
     EXPECT_EQ(ask("POST", 3)->status, statusOk);
 }
 
+constexpr jobs::JobId acceptedJob = 1;
+const std::string acceptingPrefix = "/orders/express/";
+const std::string acceptedPath = acceptingPrefix + "0000000000000001";
+
+jobs::Queue queue(const std::string& name, const std::string& pathPrefix, const std::string& host = "host")
+{
+    jobs::Queue result = jobs::testing::configuration().queues.front();
+    result.name = name;
+    result.host = host;
+    result.pathPrefix = pathPrefix;
+    return result;
+}
+
+const jobs::Queue outer = queue("r-1", "/orders/");
+const jobs::Queue accepting = queue("r-2", acceptingPrefix);
+
+/// Changes of the configuration after a job was accepted by the queue `accepting`, and what is answered afterwards.
+struct ConfigurationChange {
+    std::string name;
+    /// The queues of each version, the first of which is in force when the job is accepted.
+    std::vector<std::vector<jobs::Queue>> versions;
+    std::uint32_t read = 0;
+    std::uint32_t submitAgain = 0;
+    std::uint32_t count = 0;
+    std::uint32_t cancel = 0;
+    /// The queues before.
+    std::vector<jobs::Queue> earlier;
+};
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationChange& change) { return out << change.name; }
+
+ConfigurationChange routed(std::string name, std::vector<std::vector<jobs::Queue>> versions)
+{
+    return { std::move(name), std::move(versions), statusOk, statusOk, statusOk, statusOk, {} };
+}
+
+ConfigurationChange notRouted(std::string name, std::vector<std::vector<jobs::Queue>> versions)
+{
+    return { std::move(name), std::move(versions), statusNotFound, statusNotFound, statusNotFound, statusGone, {} };
+}
+
+class ConfigurationChangeTest : public JobApiTest, public testing::WithParamInterface<ConfigurationChange> { };
+
+// Guards against an accepted job that its path no longer knows, or can't cancel, after a change of the configuration.
+TEST_P(ConfigurationChangeTest, ThePathThatAcceptedAJobStillCancelsIt)
+{
+    Follower follower(m_loop, m_options.internalPort);
+    ASSERT_TRUE(form());
+    std::uint64_t version = 1;
+    ASSERT_TRUE(put(++version, GetParam().earlier));
+    ASSERT_TRUE(put(++version, GetParam().versions.front()));
+    ASSERT_EQ(ask("POST", acceptedPath)->status, statusOk);
+    std::ranges::for_each(GetParam().versions, [&](const auto& queues) { ASSERT_TRUE(put(++version, queues)); });
+    EXPECT_EQ(ask("GET", acceptedPath)->status, GetParam().read);
+    EXPECT_EQ(ask("POST", acceptedPath)->status, GetParam().submitAgain);
+    EXPECT_EQ(ask("GET", acceptingPrefix)->status, GetParam().count);
+    EXPECT_TRUE(m_cluster->state().findJob(acceptedJob)->isActive());
+    EXPECT_EQ(ask("DELETE", acceptedPath)->status, GetParam().cancel);
+    EXPECT_EQ(m_cluster->state().findJob(acceptedJob)->phase, jobs::JobPhase::Cancelled);
+    EXPECT_EQ(ask("DELETE", acceptedPath)->status, GetParam().cancel) << "again, after a lost answer";
+}
+
+const jobs::Queue moved = queue("r-2", "/bulk/");
+const jobs::Queue renamed = queue("r-3", acceptingPrefix);
+
+INSTANTIATE_TEST_SUITE_P(AllChanges, ConfigurationChangeTest,
+    testing::Values(routed("unchanged", { { accepting } }), routed("unchanged_nested", { { outer, accepting } }),
+        notRouted("removed", { { accepting }, {} }),
+        notRouted("removed_with_outer", { { outer, accepting }, { outer }, {} }),
+        notRouted("moved", { { accepting }, { moved } }),
+        notRouted("moved_twice", { { accepting }, { moved }, { queue("r-2", "/other/") } }),
+        notRouted("moved_and_removed", { { accepting }, { moved }, {} }),
+        notRouted("moved_to_another_host", { { accepting }, { queue("r-2", acceptingPrefix, "host-2") } }),
+        routed("moved_and_back", { { accepting }, { moved }, { accepting } }),
+        routed("moved_and_replaced", { { accepting }, { moved, renamed } }),
+        routed("renamed", { { accepting }, { renamed } }),
+        notRouted("renamed_and_removed", { { accepting }, { renamed }, {} }),
+        notRouted("renamed_and_moved", { { accepting }, { renamed }, { queue("r-3", "/bulk/") } }),
+        routed("removed_and_back", { { accepting }, {}, { accepting } }),
+        routed("removed_and_back_nested", { { outer, accepting }, { outer }, { outer, accepting } }),
+        routed("removed_and_back_renamed", { { accepting }, {}, { renamed } }),
+        ConfigurationChange { "back_renamed_and_removed", { { accepting }, {} }, statusNotFound, statusNotFound,
+            statusNotFound, statusGone, { queue("r-0", acceptingPrefix) } }),
+    [](const testing::TestParamInfo<ConfigurationChange>& change) { return change.param.name; });
+
 } // namespace
 } // namespace crocuscove::control
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -234,9 +234,9 @@
             } else if constexpr (std::is_same_v<Type, jobs::RecordSuspectedCrash>) {
                 logPausedTasks(typed.crash);
             } else if constexpr (std::is_same_v<Type, jobs::AcceptJob>) {
-                if (const jobs::Job* job = m_cluster.state().findJob(typed.job)) {
-                    m_fleet.addArrival(*job);
-                }
+                onAcceptApplied(typed.job);
+            } else if constexpr (std::is_same_v<Type, jobs::AcceptJobAtUrl>) {
+                onAcceptApplied(typed.accepted.job);
             } else if constexpr (std::is_same_v<Type, jobs::RecordWorker>) {
                 const jobs::Worker* worker = m_cluster.state().findWorker(typed.report.id);
                 if (worker != nullptr) {
@@ -249,6 +249,13 @@
         command);
 }
 
+void Leader::onAcceptApplied(jobs::JobId id)
+{
+    if (const jobs::Job* job = m_cluster.state().findJob(id)) {
+        m_fleet.addArrival(*job);
+    }
+}
+
 void Leader::recordCrashBefore(const jobs::WorkerReport& report)
 {
     const jobs::FleetState& state = m_cluster.state();
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -81,6 +81,7 @@
     void logPausedTasks(const jobs::RecordCrash& crash);
     void logExcusedCrashes(const jobs::TaskKey& task);
     void onCrashApplied(const jobs::RecordCrash& crash, std::set<jobs::WorkerNumber>& changed);
+    void onAcceptApplied(jobs::JobId id);
     void onGiveUpApplied(const jobs::GiveUpDeadlyTask& command, std::set<jobs::WorkerNumber>& changed);
     /// Proposes the end of jobs with deadly tasks, one batch at a time.
     void giveUpDeadlyTasks(base::MonotonicTime now);
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -16,7 +16,7 @@
     std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>, std::map<TaskKey, TaskCrashes>,
     std::map<std::string, UnconfirmedCrash>, std::map<std::string, RemovedWorker>, std::uint64_t, std::set<TaskKey>,
     std::set<WorkerNumber>, std::map<TaskKey, CrashRecord>, RestartHistory, std::map<std::string, std::int64_t>,
-    std::set<std::string>, std::map<TaskKey, LostRuns>>;
+    std::set<std::string>, std::map<TaskKey, LostRuns>, std::map<QueueUrl, std::set<JobId>>>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -64,16 +64,10 @@
     return queue == m_queues.end() ? nullptr : &queue->second;
 }
 
-const Queue* FleetState::matchKnownQueue(std::string_view host, std::string_view path) const
+bool FleetState::isAcceptedAt(const QueueUrl& url, JobId job) const
 {
-    const Queue* best = nullptr;
-    for (const auto& [name, queue] : m_queues) {
-        const bool fits = queue.host == host && path.starts_with(queue.pathPrefix);
-        if (fits && (best == nullptr || queue.pathPrefix.size() > best->pathPrefix.size())) {
-            best = &queue;
-        }
-    }
-    return best;
+    const auto accepted = m_jobsByUrl.find(url);
+    return accepted != m_jobsByUrl.end() && accepted->second.contains(job);
 }
 
 const Job* FleetState::findJob(JobId id) const
@@ -122,10 +116,19 @@
 }
 
 void FleetState::applyCommand(const AcceptJob& command)
+{
+    const Queue* queue = findQueue(command.queue);
+    acceptJob(command, queue == nullptr ? QueueUrl {} : queue->url());
+}
+
+void FleetState::applyCommand(const AcceptJobAtUrl& command) { acceptJob(command.accepted, command.url); }
+
+void FleetState::acceptJob(const AcceptJob& command, const QueueUrl& url)
 {
     if (m_jobs.contains(command.job) || m_jobs.size() >= maxJobs) {
         return;
     }
+    m_jobsByUrl[url].insert(command.job);
     Job job;
     job.id = command.job;
     job.queue = command.queue;
@@ -560,14 +563,20 @@
     for (const auto& [worker, tasks] : m_tasksByWorker) {
         std::ranges::transform(tasks, std::inserter(busy, busy.end()), &TaskKey::job);
     }
+    std::vector<JobId> pruned;
     std::erase_if(m_jobs, [&](const auto& entry) {
         const Job& job = entry.second;
         const bool isOld = !job.isActive() && job.finishedMs < command.finishedBeforeMs && !busy.contains(job.id);
         if (isOld) {
             forgetCrashes(job.id);
+            pruned.push_back(job.id);
         }
         return isOld;
     });
+    for (auto& [url, jobs] : m_jobsByUrl) {
+        std::ranges::for_each(pruned, [&jobs = jobs](JobId id) { jobs.erase(id); });
+    }
+    std::erase_if(m_jobsByUrl, [](const auto& entry) { return entry.second.empty(); });
     std::erase_if(m_earlyCancels, [&](const auto& cancel) { return cancel.second < command.finishedBeforeMs; });
 }
 
@@ -633,9 +642,10 @@
 
 std::string FleetState::encodeSnapshot() const
 {
-    return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
-        m_lastWorker, m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval,
-        m_unsettledStarts, m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns));
+    return base::encode(
+        std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
+            m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts,
+            m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns, m_jobsByUrl));
 }
 
 // A snapshot of an earlier version ends before the crashes or later, and what it lacks is then empty.
@@ -643,10 +653,17 @@
 {
     std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
         m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts,
-        m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns)
+        m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns, m_jobsByUrl)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
     m_restarts.rebuildIndex();
+    if (m_jobsByUrl.empty()) {
+        // An earlier version kept no URLs.
+        for (const auto& [id, job] : m_jobs) {
+            const Queue* queue = findQueue(job.queue);
+            m_jobsByUrl[queue == nullptr ? QueueUrl {} : queue->url()].insert(id);
+        }
+    }
     // An earlier version kept the sums only.
     for (const auto& [key, crashes] : m_crashes) {
         const auto [record, isNew] = m_crashRecords.try_emplace(key);
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -519,6 +519,39 @@
     EXPECT_TRUE(copy.unconfirmedCrashes().empty());
 }
 
+// Guards against a job that can't be cancelled after its queue moved, and a restart or an update of the nodes.
+TEST_F(FleetStateTest, TheUrlOfAJobOutlivesItsQueueAndASnapshot)
+{
+    const QueueUrl url { "host", "/q/" };
+    const QueueUrl later { "host", "/later/" };
+    m_state.apply(accept(1, { step(1) }));
+    m_state.apply(AcceptJobAtUrl { accept(2, { step(1) }), url });
+    const std::map<std::string, Queue> queues { { "q", configuration().queues.front() } };
+    FleetState updated;
+    updated.restoreSnapshot(base::encode(std::tuple(m_state.configuration(), m_state.jobs(), m_state.workers(),
+        m_state.waves(), m_state.nodes(), queues, m_state.vmOrderHolders(), m_worker)));
+    EXPECT_EQ(updated.encodeSnapshot(), m_state.encodeSnapshot()) << "of an earlier version, without URLs";
+    Configuration moved = configuration(2);
+    moved.queues.front().pathPrefix = later.pathPrefix;
+    m_state.apply(PutConfiguration { moved });
+    m_state.apply(AcceptJobAtUrl { accept(3, { step(1) }), url });
+    m_state.apply(AcceptJobAtUrl { accept(4, { step(1) }), later });
+    FleetState restarted;
+    restarted.restoreSnapshot(m_state.encodeSnapshot());
+    for (const FleetState* state : { &m_state, &restarted }) {
+        EXPECT_TRUE(state->isAcceptedAt(url, 1));
+        EXPECT_TRUE(state->isAcceptedAt(url, 2));
+        EXPECT_TRUE(state->isAcceptedAt(url, 3)) << "submitted before the queue moved";
+        EXPECT_FALSE(state->isAcceptedAt(url, 4));
+        EXPECT_TRUE(state->isAcceptedAt(later, 4));
+        EXPECT_FALSE(state->isAcceptedAt(later, 1));
+    }
+    m_state.apply(CancelJob { 1, 3000 });
+    m_state.apply(PruneJobs { 4000 });
+    EXPECT_FALSE(m_state.isAcceptedAt(url, 1));
+    EXPECT_TRUE(m_state.isAcceptedAt(url, 2));
+}
+
 // Guards against two runs of a task when a start that got no answer is carried out by a later incarnation, and against
 // tasks that wait although their starts were answered.
 TEST_F(FleetStateTest, AnUnsettledStartGoesOverToTheLaterIncarnationUntilItIsReleased)
@@ -635,7 +668,8 @@
         StepSpec second = step(3, 1500);
         second.dependencies = { 0 };
         second.isLongRunning = pick(3) == 0;
-        return accept(key.job, { step(3), second });
+        const AcceptJob command = accept(key.job, { step(3), second });
+        return pick(2) == 0 ? Command(command) : AcceptJobAtUrl { command, { "host", "/earlier/" } };
     }
     case 1:
         return RecordWorker { report("w" + std::to_string(pick(3)), static_cast<std::int64_t>(1 + pick(3)), pick(9)) };
