Find the jobs of a removed queue also where another queue has the path

Callers see: a job is accepted on a queue whose prefix lies under that of another one, and the next configuration removes the queue. Cause: JobApi asked for jobs of removed queues only when no queue in force matched the path. Here the outer queue matches, the rest of the path is no job id, and the request was answered as one for an unknown job. The same happens when an added queue has a longer prefix of the job's path. Change: a request counts as routed when it asks for a queue in force, or for a job id directly under its prefix. Any other is answered by the URL that accepted the job: a DELETE cancels it and is answered 410, all else 404, as for a removed queue that lies under no other one. Requests for no known job are answered as before.

--- a/include/crocuscove/jobs/configuration.h
+++ b/include/crocuscove/jobs/configuration.h
@@ -60,6 +60,7 @@
     /// Returns the queue of `host` with the longest prefix of `path`, or a null pointer if there is none.
     [[nodiscard]] const Queue* match(std::string_view host, std::string_view path) const;
     [[nodiscard]] const Queue* findQueue(std::string_view name) const;
+    [[nodiscard]] const Queue* findQueueAt(const QueueUrl& url) const;
     [[nodiscard]] const Service* findService(std::string_view name) const;
 
     bool operator==(const Configuration&) const = default;
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -81,6 +81,8 @@
     [[nodiscard]] const Queue* findQueue(const std::string& name) const;
     /// Tells whether a job was accepted at a URL, by whichever queue was there at the time.
     [[nodiscard]] bool isAcceptedAt(const QueueUrl& url, JobId job) const;
+    /// Tells whether jobs that were accepted at a URL are known. Those that ended are forgotten after some time.
+    [[nodiscard]] bool hasJobsAt(const QueueUrl& url) const { return m_jobsByUrl.contains(url); }
     [[nodiscard]] const Job* findJob(JobId id) const;
     [[nodiscard]] const Worker* findWorker(WorkerNumber number) const;
     /// Returns the current incarnation of a worker id, or a null pointer.
--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -5,6 +5,7 @@
 #include "platform/task_name.h"
 
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 namespace crocuscove::control {
@@ -31,6 +32,13 @@
     return { request.id, outcome, 0, {} };
 }
 
+/// Tells whether a request asks for the queue as a whole or for a job of it, by its name.
+bool isRoutedTo(const ForwardedRequest& request, const jobs::Queue& queue)
+{
+    const std::string_view name = std::string_view(request.path).substr(queue.pathPrefix.size());
+    return platform::parseJobName(name) || (request.method == "GET" && name.empty());
+}
+
 } // namespace
 
 void JobApi::handle(const ForwardedRequest& request, const Reply& reply)
@@ -45,27 +53,29 @@
         return;
     }
     const jobs::Queue* queue = configuration.match(request.host, request.path);
-    if (queue == nullptr) {
-        // An older leader could miss a queue that was added meanwhile.
-        m_cluster.confirmCurrent([this, request, reply](bool isCurrent) {
-            if (!isCurrent || m_cluster.state().configuration().match(request.host, request.path) != nullptr) {
-                reply(refusal(request, ForwardOutcome::NotLeader));
-            } else {
-                answerUnknownQueue(request, reply);
-            }
-        });
-        return;
-    }
-    const std::string name = request.path.substr(queue->pathPrefix.size());
-    if (request.method == "GET") {
-        read(request, queue->name, name, reply);
+    if (queue != nullptr && isRoutedTo(request, *queue)) {
+        answerRouted(request, *queue, reply);
         return;
     }
+    // An older leader could miss a queue that was added meanwhile.
+    m_cluster.confirmCurrent([this, request, reply](bool isCurrent) {
+        const jobs::Queue* current = m_cluster.state().configuration().match(request.host, request.path);
+        if (!isCurrent || (current != nullptr && isRoutedTo(request, *current))) {
+            reply(refusal(request, ForwardOutcome::NotLeader));
+        } else {
+            answerNotRouted(request, current, reply);
+        }
+    });
+}
+
+void JobApi::answerRouted(const ForwardedRequest& request, const jobs::Queue& queue, const Reply& reply)
+{
+    const std::string name = request.path.substr(queue.pathPrefix.size());
     const auto id = platform::parseJobName(name);
-    if (!id) {
-        reply(answer(request, statusBadRequest));
+    if (request.method == "GET") {
+        read(request, queue.name, name, reply);
     } else if (request.method == "POST") {
-        submit(request, *queue, *id, reply);
+        submit(request, queue, *id, reply);
     } else if (request.method == "DELETE") {
         cancel(request, *id, reply);
     } else {
@@ -74,21 +84,39 @@
 }
 
 // The jobs of a queue outlive it, and must still end when they are cancelled. No request to it succeeds, so that the
-// cancelling is answered as if there were no such job.
-void JobApi::answerUnknownQueue(const ForwardedRequest& request, const Reply& reply)
+// cancelling is answered as if there were no such job. All else is answered as if there had never been the queue, also
+// where the path lies under that of another one: that a job doesn't exist can't be said while it runs.
+void JobApi::answerNotRouted(const ForwardedRequest& request, const jobs::Queue* outer, const Reply& reply)
 {
+    const jobs::FleetState& state = m_cluster.state();
     const auto path = platform::parseJobPath(request.path);
-    const bool isAccepted = path && m_cluster.state().isAcceptedAt({ request.host, path->prefix }, path->job);
-    if (request.method != "DELETE" || !isAccepted) {
+    const bool isAccepted = path && state.isAcceptedAt({ request.host, path->prefix }, path->job);
+    if (isAccepted) {
+        m_metrics.count("job_without_queue", request.method == "DELETE" ? "cancel" : "not-found");
+        m_log.info("job_without_queue", { { "job", platform::jobName(path->job) }, { "method", request.method } });
+    }
+    if (isAccepted && request.method == "DELETE") {
+        cancel(request, path->job, [reply](ForwardedAnswer cancelled) {
+            if (cancelled.outcome == ForwardOutcome::Answered) {
+                cancelled.status = statusGone;
+            }
+            reply(std::move(cancelled));
+        });
+    } else if (outer == nullptr || isAccepted || isOfRemovedQueue(request)) {
         reply(answer(request, statusNotFound));
-        return;
+    } else {
+        reply(answer(request, request.method == "GET" ? statusGone : statusBadRequest));
     }
-    cancel(request, path->job, [reply](ForwardedAnswer cancelled) {
-        if (cancelled.outcome == ForwardOutcome::Answered) {
-            cancelled.status = statusGone;
-        }
-        reply(std::move(cancelled));
-    });
+}
+
+bool JobApi::isOfRemovedQueue(const ForwardedRequest& request) const
+{
+    const jobs::FleetState& state = m_cluster.state();
+    const auto isRemoved = [&state](const jobs::QueueUrl& url) {
+        return state.hasJobsAt(url) && state.configuration().findQueueAt(url) == nullptr;
+    };
+    const auto path = platform::parseJobPath(request.path);
+    return isRemoved({ request.host, request.path }) || (path && isRemoved({ request.host, path->prefix }));
 }
 
 void JobApi::submit(const ForwardedRequest& request, const jobs::Queue& queue, jobs::JobId id, const Reply& reply)
--- a/src/crocuscove/control/job_api.h
+++ b/src/crocuscove/control/job_api.h
@@ -36,8 +36,14 @@
     void cancel(const ForwardedRequest& request, jobs::JobId id, const Reply& reply);
     /// Answers a change at once that couldn't be committed.
     void refuse(const ForwardedRequest& request, jobs::JobId id, const Reply& reply);
-    /// Answers a request for a queue that is not in the configuration.
-    void answerUnknownQueue(const ForwardedRequest& request, const Reply& reply);
+    /// Answers a request for a queue in the configuration or for a job of it.
+    void answerRouted(const ForwardedRequest& request, const jobs::Queue& queue, const Reply& reply);
+    /// Answers a request whose path is that of no queue in the configuration, and of no job of it. `outer` is the queue
+    /// with the longest prefix of the path, or a null pointer.
+    void answerNotRouted(const ForwardedRequest& request, const jobs::Queue* outer, const Reply& reply);
+    /// Tells whether the path is that of a queue that is no longer in the configuration, but has jobs, or of a job
+    /// there.
+    [[nodiscard]] bool isOfRemovedQueue(const ForwardedRequest& request) const;
     void read(const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply);
     void answerRead(
         const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply);
--- a/src/crocuscove/control/job_api_test.cpp
+++ b/src/crocuscove/control/job_api_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <ostream>
@@ -22,6 +23,7 @@
 constexpr auto ownAddress = "127.0.0.1";
 constexpr auto followerAddress = "127.0.0.2";
 constexpr std::uint32_t statusOk = 200;
+constexpr std::uint32_t statusBadRequest = 400;
 constexpr std::uint32_t statusNotFound = 404;
 constexpr std::uint32_t statusGone = 410;
 constexpr std::uint32_t statusUnavailable = 503;
@@ -132,6 +134,14 @@
         return runUntil(m_loop, [&] { return m_cluster->state().configuration().version == version; });
     }
 
+    bool prune()
+    {
+        bool isDone = false;
+        m_cluster->propose(jobs::PruneJobs { std::numeric_limits<std::int64_t>::max() },
+            [&isDone](ProposalOutcome outcome) { isDone = outcome == ProposalOutcome::Applied; });
+        return runUntil(m_loop, [&isDone] { return isDone; });
+    }
+
     std::optional<ForwardedAnswer> ask(const std::string& method, const std::string& path)
     {
         const auto answer = std::make_shared<std::optional<ForwardedAnswer>>();
@@ -180,6 +190,7 @@
 constexpr jobs::JobId acceptedJob = 1;
 const std::string acceptingPrefix = "/orders/express/";
 const std::string acceptedPath = acceptingPrefix + "0000000000000001";
+const std::string unknownPath = acceptingPrefix + "0000000000000009";
 
 jobs::Queue queue(const std::string& name, const std::string& pathPrefix, const std::string& host = "host")
 {
@@ -241,12 +252,15 @@
 
 const jobs::Queue moved = queue("r-2", "/bulk/");
 const jobs::Queue renamed = queue("r-3", acceptingPrefix);
+const jobs::Queue shadowing = queue("r-4", acceptingPrefix + "0");
 
 INSTANTIATE_TEST_SUITE_P(AllChanges, ConfigurationChangeTest,
     testing::Values(routed("unchanged", { { accepting } }), routed("unchanged_nested", { { outer, accepting } }),
-        notRouted("removed", { { accepting }, {} }),
+        notRouted("removed", { { accepting }, {} }), notRouted("removed_nested", { { outer, accepting }, { outer } }),
+        notRouted("removed_and_outer_added", { { accepting }, { outer } }),
         notRouted("removed_with_outer", { { outer, accepting }, { outer }, {} }),
         notRouted("moved", { { accepting }, { moved } }),
+        notRouted("moved_nested", { { outer, accepting }, { outer, moved } }),
         notRouted("moved_twice", { { accepting }, { moved }, { queue("r-2", "/other/") } }),
         notRouted("moved_and_removed", { { accepting }, { moved }, {} }),
         notRouted("moved_to_another_host", { { accepting }, { queue("r-2", acceptingPrefix, "host-2") } }),
@@ -254,13 +268,54 @@
         routed("moved_and_replaced", { { accepting }, { moved, renamed } }),
         routed("renamed", { { accepting }, { renamed } }),
         notRouted("renamed_and_removed", { { accepting }, { renamed }, {} }),
+        notRouted("renamed_and_removed_nested", { { outer, accepting }, { outer, renamed }, { outer } }),
         notRouted("renamed_and_moved", { { accepting }, { renamed }, { queue("r-3", "/bulk/") } }),
         routed("removed_and_back", { { accepting }, {}, { accepting } }),
         routed("removed_and_back_nested", { { outer, accepting }, { outer }, { outer, accepting } }),
         routed("removed_and_back_renamed", { { accepting }, {}, { renamed } }),
+        notRouted("removed_and_name_reused", { { accepting }, {}, { queue("r-2", "/orders/") } }),
         ConfigurationChange { "back_renamed_and_removed", { { accepting }, {} }, statusNotFound, statusNotFound,
-            statusNotFound, statusGone, { queue("r-0", acceptingPrefix) } }),
+            statusNotFound, statusGone, { queue("r-0", acceptingPrefix) } },
+        ConfigurationChange { "shadowed", { { accepting }, { accepting, shadowing } }, statusNotFound, statusNotFound,
+            statusOk, statusGone, {} },
+        ConfigurationChange { "replaced_at_the_job", { { accepting }, { queue("r-4", acceptedPath) } }, statusOk,
+            statusNotFound, statusNotFound, statusGone, {} }),
     [](const testing::TestParamInfo<ConfigurationChange>& change) { return change.param.name; });
 
+// Guards against a job that the path of another queue cancels, and against jobs that a removed queue accepts.
+TEST_F(JobApiTest, APathOfARemovedQueueReachesOnlyItsJobs)
+{
+    const std::string outerPath = "/orders/0000000000000002";
+    Follower follower(m_loop, m_options.internalPort);
+    ASSERT_TRUE(form());
+    ASSERT_TRUE(put(2, { outer, accepting }));
+    ASSERT_EQ(ask("POST", acceptedPath)->status, statusOk);
+    ASSERT_EQ(ask("POST", outerPath)->status, statusOk);
+    ASSERT_TRUE(put(3, { outer }));
+    EXPECT_EQ(ask("DELETE", acceptingPrefix + "0000000000000002")->status, statusNotFound);
+    EXPECT_TRUE(m_cluster->state().findJob(2)->isActive());
+    EXPECT_EQ(ask("GET", unknownPath)->status, statusNotFound);
+    EXPECT_EQ(ask("POST", unknownPath)->status, statusNotFound);
+    EXPECT_EQ(ask("DELETE", unknownPath)->status, statusNotFound);
+    EXPECT_EQ(m_cluster->state().findJob(9), nullptr);
+    EXPECT_TRUE(m_cluster->state().earlyCancels().empty());
+    EXPECT_EQ(ask("GET", outerPath)->status, statusOk);
+}
+
+// Guards against the URL of a removed queue that is remembered for longer than its jobs.
+TEST_F(JobApiTest, TheUrlOfARemovedQueueIsForgottenWithItsLastJob)
+{
+    Follower follower(m_loop, m_options.internalPort);
+    ASSERT_TRUE(form());
+    ASSERT_TRUE(put(2, { outer, accepting }));
+    ASSERT_EQ(ask("POST", acceptedPath)->status, statusOk);
+    ASSERT_TRUE(put(3, { outer }));
+    ASSERT_EQ(ask("DELETE", acceptedPath)->status, statusGone);
+    EXPECT_EQ(ask("GET", acceptedPath)->status, statusNotFound);
+    ASSERT_TRUE(prune());
+    EXPECT_EQ(ask("GET", acceptedPath)->status, statusGone) << "the outer queue has no such job";
+    EXPECT_EQ(ask("DELETE", acceptedPath)->status, statusBadRequest);
+}
+
 } // namespace
 } // namespace crocuscove::control
--- a/src/crocuscove/jobs/configuration.cpp
+++ b/src/crocuscove/jobs/configuration.cpp
@@ -22,6 +22,12 @@
     return queue == queues.end() ? nullptr : &*queue;
 }
 
+const Queue* Configuration::findQueueAt(const QueueUrl& url) const
+{
+    const auto queue = std::ranges::find(queues, url, &Queue::url);
+    return queue == queues.end() ? nullptr : &*queue;
+}
+
 const Service* Configuration::findService(std::string_view name) const
 {
     const auto service = std::ranges::find(services, name, &Service::name);
