Acknowledge the cancelling of a job without queue only once it is committed

Callers see: a leader in contact with its quorum that can't commit, as with full disks, answers the cancelling of a job of a removed queue with 410. Cause: answerNotRouted turned every answer of cancel() into a 410, also the 503 with which a change is refused while nothing is committed. Found by reading the same path. Evidence: the new test, red before (410 instead of 503; x86_64). Change: only the answer that the job was cancelled becomes a 410. Measured: the test passes (x86_64).

--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -97,7 +97,7 @@
     }
     if (isAccepted && request.method == "DELETE") {
         cancel(request, path->job, [reply](ForwardedAnswer cancelled) {
-            if (cancelled.outcome == ForwardOutcome::Answered) {
+            if (cancelled.outcome == ForwardOutcome::Answered && cancelled.status == statusOk) {
                 cancelled.status = statusGone;
             }
             reply(std::move(cancelled));
--- a/src/crocuscove/control/job_api_test.cpp
+++ b/src/crocuscove/control/job_api_test.cpp
@@ -317,5 +317,23 @@
     EXPECT_EQ(ask("DELETE", acceptedPath)->status, statusBadRequest);
 }
 
+// Guards against a cancelling that is acknowledged although it was refused, so that the job runs on.
+TEST_F(JobApiTest, ACancellingOfAJobWithoutQueueIsAcknowledgedOnceItIsCommitted)
+{
+    Follower follower(m_loop, m_options.internalPort);
+    ASSERT_TRUE(form());
+    ASSERT_TRUE(put(2, { outer, accepting }));
+    ASSERT_EQ(ask("POST", acceptedPath)->status, statusOk);
+    ASSERT_TRUE(put(3, { outer }));
+    follower.setDiskWorks(false);
+    ASSERT_EQ(ask("POST", "/orders/0000000000000002")->outcome, ForwardOutcome::Unknown);
+    EXPECT_EQ(ask("DELETE", acceptedPath)->status, statusUnavailable);
+    EXPECT_TRUE(m_cluster->state().findJob(acceptedJob)->isActive());
+    follower.setDiskWorks(true);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return hasLine("commit_resumed"); }));
+    EXPECT_EQ(ask("DELETE", acceptedPath)->status, statusGone);
+    EXPECT_EQ(m_cluster->state().findJob(acceptedJob)->phase, jobs::JobPhase::Cancelled);
+}
+
 } // namespace
 } // namespace crocuscove::control
