Forget a removed queue with its last job

Callers see: nothing yet. Cause: FleetState never dropped a definition, since jobs outlive their queue. Evidence: FleetStateTest.ARemovedQueueIsForgottenWithItsLastJob, red before for each of 98 removed queues (x86_64). The leader's run times of such queues go too.

--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -77,7 +77,7 @@
     /// about the worker's age.
     [[nodiscard]] bool hasEarlierStart(const Worker& worker) const { return m_latestStarts.contains(worker.report.id); }
 
-    /// Returns the last definition of a queue, even if it was removed from the configuration, or a null pointer.
+    /// Returns the last definition of a queue that is in the configuration or has jobs, or a null pointer.
     [[nodiscard]] const Queue* findQueue(const std::string& name) const;
     /// Tells whether a job was accepted at a URL, by whichever queue was there at the time.
     [[nodiscard]] bool isAcceptedAt(const QueueUrl& url, JobId job) const;
@@ -124,6 +124,8 @@
     void applyCommand(const AcceptJobAtUrl& command);
 
     void acceptJob(const AcceptJob& command, const QueueUrl& url);
+    /// Forgets the queues that are neither in the configuration nor have jobs.
+    void forgetRemovedQueues();
     void removeWorker(WorkerNumber number, bool hasLeft);
 
     void rememberRemoved(const Worker& worker, bool hasLeft);
@@ -210,6 +212,8 @@
     /// The number of unconfirmed crashes of workers under each task.
     std::map<TaskKey, std::uint32_t> m_unconfirmedByTask;
     std::map<std::string, WorkerNumber> m_workerById;
+    /// The number of jobs of each queue, ended ones included.
+    std::map<std::string, std::size_t> m_jobCounts;
     std::map<std::string, std::set<JobId>> m_activeJobs;
     std::map<std::string, std::set<JobId>> m_readyJobs;
     std::map<std::string, std::set<JobId>> m_readyLongRunningJobs;
--- a/include/crocuscove/jobs/run_times.h
+++ b/include/crocuscove/jobs/run_times.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -12,6 +13,9 @@
 public:
     void add(const std::string& queue, std::int64_t runMs);
 
+    /// Forgets the queues for which `isKept` doesn't hold.
+    void keepOnly(const std::function<bool(const std::string& queue)>& isKept);
+
     /// Returns the expected run time of a task in milliseconds, or the client's estimate if none was measured yet.
     [[nodiscard]] std::int64_t expectedMs(const std::string& queue, std::uint32_t clientEstimateMs) const;
 
--- a/src/crocuscove/control/job_api_test.cpp
+++ b/src/crocuscove/control/job_api_test.cpp
@@ -302,8 +302,8 @@
     EXPECT_EQ(ask("GET", outerPath)->status, statusOk);
 }
 
-// Guards against the URL of a removed queue that is remembered for longer than its jobs.
-TEST_F(JobApiTest, TheUrlOfARemovedQueueIsForgottenWithItsLastJob)
+// Guards against a removed queue that is remembered for longer than its jobs.
+TEST_F(JobApiTest, ARemovedQueueIsForgottenWithItsLastJob)
 {
     Follower follower(m_loop, m_options.internalPort);
     ASSERT_TRUE(form());
@@ -315,6 +315,7 @@
     ASSERT_TRUE(prune());
     EXPECT_EQ(ask("GET", acceptedPath)->status, statusGone) << "the outer queue has no such job";
     EXPECT_EQ(ask("DELETE", acceptedPath)->status, statusBadRequest);
+    EXPECT_EQ(m_cluster->state().findQueue("r-2"), nullptr);
 }
 
 // Guards against a cancelling that is acknowledged although it was refused, so that the job runs on.
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -237,6 +237,9 @@
                 onAcceptApplied(typed.job);
             } else if constexpr (std::is_same_v<Type, jobs::AcceptJobAtUrl>) {
                 onAcceptApplied(typed.accepted.job);
+            } else if constexpr (std::is_same_v<Type, jobs::PruneJobs>) {
+                m_runTimes.keepOnly([state = &m_cluster.state()](
+                                        const std::string& queue) { return state->findQueue(queue) != nullptr; });
             } else if constexpr (std::is_same_v<Type, jobs::RecordWorker>) {
                 const jobs::Worker* worker = m_cluster.state().findWorker(typed.report.id);
                 if (worker != nullptr) {
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -113,6 +113,25 @@
     }
     m_configuration = command.configuration;
     std::ranges::for_each(m_configuration.queues, [this](const Queue& queue) { m_queues[queue.name] = queue; });
+    forgetRemovedQueues();
+}
+
+void FleetState::forgetRemovedQueues()
+{
+    std::set<std::string_view> configured;
+    std::ranges::transform(m_configuration.queues, std::inserter(configured, configured.end()), &Queue::name);
+    std::vector<std::string> removed;
+    for (const auto& [name, queue] : m_queues) {
+        if (!configured.contains(name) && !m_jobCounts.contains(name)) {
+            removed.push_back(name);
+        }
+    }
+    for (const std::string& name : removed) {
+        m_queues.erase(name);
+        m_activeJobs.erase(name);
+        m_readyJobs.erase(name);
+        m_readyLongRunningJobs.erase(name);
+    }
 }
 
 void FleetState::applyCommand(const AcceptJob& command)
@@ -125,9 +144,11 @@
 
 void FleetState::acceptJob(const AcceptJob& command, const QueueUrl& url)
 {
-    if (m_jobs.contains(command.job) || m_jobs.size() >= maxJobs) {
+    // The queue may have been removed since the command was proposed.
+    if (m_jobs.contains(command.job) || m_jobs.size() >= maxJobs || !m_queues.contains(command.queue)) {
         return;
     }
+    ++m_jobCounts[command.queue];
     m_jobsByUrl[url].insert(command.job);
     Job job;
     job.id = command.job;
@@ -570,9 +591,12 @@
         if (isOld) {
             forgetCrashes(job.id);
             pruned.push_back(job.id);
+            --m_jobCounts[job.queue];
         }
         return isOld;
     });
+    std::erase_if(m_jobCounts, [](const auto& count) { return count.second == 0; });
+    forgetRemovedQueues();
     for (auto& [url, jobs] : m_jobsByUrl) {
         std::ranges::for_each(pruned, [&jobs = jobs](JobId id) { jobs.erase(id); });
     }
@@ -601,6 +625,7 @@
 void FleetState::rebuildIndexes()
 {
     m_workerById.clear();
+    m_jobCounts.clear();
     m_workerByAddress.clear();
     m_unconfirmedByTask.clear();
     m_removalOrder.clear();
@@ -619,6 +644,7 @@
         std::ranges::for_each(crash.runs, [this](const CrashedRun& run) { ++m_unconfirmedByTask[run.task]; });
     }
     for (auto& [id, job] : m_jobs) {
+        ++m_jobCounts[job.queue];
         job.hasReadyTask = false;
         updateReady(job);
         if (job.isActive()) {
@@ -664,6 +690,8 @@
             m_jobsByUrl[queue == nullptr ? QueueUrl {} : queue->url()].insert(id);
         }
     }
+    // An earlier version kept all queues.
+    forgetRemovedQueues();
     // An earlier version kept the sums only.
     for (const auto& [key, crashes] : m_crashes) {
         const auto [record, isNew] = m_crashRecords.try_emplace(key);
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -552,6 +552,50 @@
     EXPECT_TRUE(m_state.isAcceptedAt(url, 2));
 }
 
+// Guards against a state that grows with each queue that the configuration ever had.
+TEST_F(FleetStateTest, ARemovedQueueIsForgottenWithItsLastJob)
+{
+    const auto with = [](std::uint64_t version, const std::string& name) {
+        Configuration result = configuration(version);
+        result.queues.push_back(result.queues.front());
+        result.queues.back().name = name;
+        result.queues.back().pathPrefix = "/" + name + "/";
+        return result;
+    };
+    const auto submit = [this](JobId id, const std::string& queue) {
+        AcceptJob command = accept(id, { step(1) });
+        command.queue = queue;
+        m_state.apply(AcceptJobAtUrl { command, { "host", "/" + queue + "/" } });
+    };
+    constexpr std::uint64_t lastVersion = 100;
+    for (std::uint64_t version = 2; version < lastVersion; ++version) {
+        const std::string name = "r" + std::to_string(version);
+        m_state.apply(PutConfiguration { with(version, name) });
+        EXPECT_EQ(m_state.findQueue("r" + std::to_string(version - 1)), nullptr) << "it had no job";
+    }
+    m_state.apply(PutConfiguration { with(lastVersion, "last") });
+    submit(1, "last");
+    submit(2, "last");
+    m_state.apply(PutConfiguration { configuration(lastVersion + 1) });
+    FleetState fresh;
+    fresh.apply(PutConfiguration { configuration(lastVersion + 1) });
+    fresh.apply(RecordWorker { report("w1") });
+    const auto finish = [this](JobId id) {
+        m_state.apply(CancelJob { id, 3000 });
+        m_state.apply(PruneJobs { 4000 });
+    };
+    finish(1);
+    ASSERT_NE(m_state.findQueue("last"), nullptr) << "it has a job";
+    EXPECT_TRUE(m_state.activeJobs().contains("last"));
+    finish(2);
+    EXPECT_EQ(m_state.findQueue("last"), nullptr);
+    EXPECT_FALSE(m_state.activeJobs().contains("last"));
+    EXPECT_FALSE(m_state.readyJobs().contains("last"));
+    EXPECT_EQ(m_state.encodeSnapshot(), fresh.encodeSnapshot());
+    submit(3, "last");
+    EXPECT_EQ(m_state.findJob(3), nullptr) << "no queue would run it";
+}
+
 // Guards against two runs of a task when a start that got no answer is carried out by a later incarnation, and against
 // tasks that wait although their starts were answered.
 TEST_F(FleetStateTest, AnUnsettledStartGoesOverToTheLaterIncarnationUntilItIsReleased)
--- a/src/crocuscove/jobs/run_times.cpp
+++ b/src/crocuscove/jobs/run_times.cpp
@@ -17,6 +17,11 @@
     }
 }
 
+void RunTimes::keepOnly(const std::function<bool(const std::string& queue)>& isKept)
+{
+    std::erase_if(m_meanMs, [&](const auto& entry) { return !isKept(entry.first); });
+}
+
 std::int64_t RunTimes::expectedMs(const std::string& queue, std::uint32_t clientEstimateMs) const
 {
     const auto mean = m_meanMs.find(queue);
