Count waiting jobs for the queue that has taken their URL over

Cause: the jobs were counted by the name of the queue that accepted them alone. Evidence: JobApiTest.WaitingJobsCountForTheQueueThatTookTheirPath, red before: 0 instead of 1 (x86_64). Change: a job of a queue that is no longer in the configuration counts for the queue that has the URL at which it was accepted. A job of a queue that moved counts there.

--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -4,6 +4,7 @@
 #include "crocuscove/jobs/restart_history.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -91,8 +92,12 @@
     [[nodiscard]] const Worker* findWorkerAt(const std::string& address) const;
     /// Tells whether a report is, or may be, a delayed one of a removed worker, which changes nothing.
     [[nodiscard]] bool isOfRemovedWorker(const WorkerReport& report) const;
-    /// Counts the accepted jobs of a queue that have no due time and no started task.
-    [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const;
+    /// Counts the active jobs of a queue in the configuration for which `predicate` holds. Jobs of a queue that was
+    /// removed count for the one that has the URL now.
+    [[nodiscard]] std::uint64_t countActiveJobs(
+        const Queue& queue, const std::function<bool(const Job&)>& predicate) const;
+    /// Counts those that have no due time and no started task.
+    [[nodiscard]] std::uint64_t countWaitingJobs(const Queue& queue) const;
 
     [[nodiscard]] std::string encodeSnapshot() const;
     /// Replaces the state. Throws base::Error on a malformed snapshot.
--- a/src/crocuscove/control/control_node.cpp
+++ b/src/crocuscove/control/control_node.cpp
@@ -35,7 +35,7 @@
                   : nullptr)
         , m_cluster(loop, options, log, random, clusterHooks())
         , m_controlApi(options, log, m_cluster, controlApiHooks())
-        , m_jobApi(log, m_metrics, m_cluster, [this](const std::string& queue) { return countWaitingJobs(queue); })
+        , m_jobApi(log, m_metrics, m_cluster, [this](const jobs::Queue& queue) { return countWaitingJobs(queue); })
         , m_server(loop, serverOptions(options, log),
               [this](const http::HttpRequest& request, const http::Responder& responder) {
                   m_controlApi.handle(request, responder);
@@ -61,7 +61,7 @@
         return result;
     }
 
-    [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const
+    [[nodiscard]] std::uint64_t countWaitingJobs(const jobs::Queue& queue) const
     {
         return m_leader ? m_leader->countWaitingJobs(queue) : m_cluster.state().countWaitingJobs(queue);
     }
--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -73,7 +73,7 @@
     const std::string name = request.path.substr(queue.pathPrefix.size());
     const auto id = platform::parseJobName(name);
     if (request.method == "GET") {
-        read(request, queue.name, name, reply);
+        read(request, queue, name, reply);
     } else if (request.method == "POST") {
         submit(request, queue, *id, reply);
     } else if (request.method == "DELETE") {
@@ -201,7 +201,7 @@
 }
 
 void JobApi::read(
-    const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply)
+    const ForwardedRequest& request, const jobs::Queue& queue, const std::string& name, const Reply& reply)
 {
     if (m_cluster.hasLeadership(base::monotonicNow())) {
         answerRead(request, queue, name, reply);
@@ -217,7 +217,7 @@
 }
 
 void JobApi::answerRead(
-    const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply)
+    const ForwardedRequest& request, const jobs::Queue& queue, const std::string& name, const Reply& reply)
 {
     if (name.empty()) {
         reply(answer(request, statusOk, platform::encodeWaitingJobs(m_waitingJobs(queue))));
--- a/src/crocuscove/control/job_api.h
+++ b/src/crocuscove/control/job_api.h
@@ -18,7 +18,7 @@
 public:
     using Reply = std::function<void(ForwardedAnswer)>;
     /// Counts the jobs of a queue that have no due time and no task that has started.
-    using WaitingJobs = std::function<std::uint64_t(const std::string& queue)>;
+    using WaitingJobs = std::function<std::uint64_t(const jobs::Queue& queue)>;
 
     JobApi(const base::Log& log, process::Metrics& metrics, Cluster& cluster, WaitingJobs waitingJobs)
         : m_log(log)
@@ -44,9 +44,9 @@
     /// Tells whether the path is that of a queue that is no longer in the configuration, but has jobs, or of a job
     /// there.
     [[nodiscard]] bool isOfRemovedQueue(const ForwardedRequest& request) const;
-    void read(const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply);
+    void read(const ForwardedRequest& request, const jobs::Queue& queue, const std::string& name, const Reply& reply);
     void answerRead(
-        const ForwardedRequest& request, const std::string& queue, const std::string& name, const Reply& reply);
+        const ForwardedRequest& request, const jobs::Queue& queue, const std::string& name, const Reply& reply);
 
     const base::Log& m_log;
     process::Metrics& m_metrics;
--- a/src/crocuscove/control/job_api_test.cpp
+++ b/src/crocuscove/control/job_api_test.cpp
@@ -3,6 +3,7 @@
 #include "crocuscove/http/socket_testing.h"
 #include "crocuscove/jobs/testing.h"
 #include "crocuscove/storage/temporary_folder.h"
+#include "platform/job_codec.h"
 
 #include <gtest/gtest.h>
 
@@ -336,5 +337,24 @@
     EXPECT_EQ(m_cluster->state().findJob(acceptedJob)->phase, jobs::JobPhase::Cancelled);
 }
 
+// Guards against waiting jobs that no queue counts, after the queue that accepted them got another name.
+TEST_F(JobApiTest, WaitingJobsCountForTheQueueThatTookTheirPath)
+{
+    Follower follower(m_loop, m_options.internalPort);
+    ASSERT_TRUE(form());
+    const auto waiting = [this](const std::string& path) { return ask("GET", path)->body; };
+    const std::string one = platform::encodeWaitingJobs(1);
+    const std::string none = platform::encodeWaitingJobs(0);
+    ASSERT_TRUE(put(2, { outer, accepting }));
+    ASSERT_EQ(ask("POST", acceptedPath)->status, statusOk);
+    EXPECT_EQ(waiting(acceptingPrefix), one);
+    ASSERT_TRUE(put(3, { outer, renamed }));
+    EXPECT_EQ(waiting(acceptingPrefix), one);
+    EXPECT_EQ(waiting(outer.pathPrefix), none);
+    ASSERT_TRUE(put(4, { outer, moved, renamed }));
+    EXPECT_EQ(waiting(acceptingPrefix), none) << "its own queue is back";
+    EXPECT_EQ(waiting(moved.pathPrefix), one);
+}
+
 } // namespace
 } // namespace crocuscove::control
--- a/src/crocuscove/control/leader.cpp
+++ b/src/crocuscove/control/leader.cpp
@@ -461,17 +461,10 @@
     });
 }
 
-std::uint64_t Leader::countWaitingJobs(const std::string& queue) const
+std::uint64_t Leader::countWaitingJobs(const jobs::Queue& queue) const
 {
-    const jobs::FleetState& state = m_cluster.state();
-    const auto active = state.activeJobs().find(queue);
-    if (active == state.activeJobs().end()) {
-        return 0;
-    }
-    return static_cast<std::uint64_t>(std::ranges::count_if(active->second, [&](jobs::JobId id) {
-        const jobs::Job& job = *state.findJob(id);
-        return job.spec.repeatCount == 0 && !hasStarted(job);
-    }));
+    return m_cluster.state().countActiveJobs(
+        queue, [this](const jobs::Job& job) { return job.spec.repeatCount == 0 && !hasStarted(job); });
 }
 
 bool Leader::hasStarted(const jobs::Job& job) const
--- a/src/crocuscove/control/leader.h
+++ b/src/crocuscove/control/leader.h
@@ -48,7 +48,7 @@
 
     /// Counts the jobs of a queue that have no due time, and no task that runs or has achieved anything: an assigned
     /// task counts as waiting until its worker has confirmed the start.
-    [[nodiscard]] std::uint64_t countWaitingJobs(const std::string& queue) const;
+    [[nodiscard]] std::uint64_t countWaitingJobs(const jobs::Queue& queue) const;
     /// Proposes the record of a crash that a worker's report proves, if it does. To be called before the report is
     /// proposed.
     void recordCrashBefore(const jobs::WorkerReport& report);
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -94,16 +94,26 @@
     return number == m_workerByAddress.end() ? nullptr : findWorker(number->second);
 }
 
-std::uint64_t FleetState::countWaitingJobs(const std::string& queue) const
-{
-    const auto active = m_activeJobs.find(queue);
-    if (active == m_activeJobs.end()) {
-        return 0;
+std::uint64_t FleetState::countActiveJobs(const Queue& queue, const std::function<bool(const Job&)>& predicate) const
+{
+    const auto accepted = m_jobsByUrl.find(queue.url());
+    std::uint64_t count = 0;
+    for (const auto& [name, jobs] : m_activeJobs) {
+        const bool isOwn = name == queue.name;
+        const bool isRemoved = !isOwn && !jobs.empty() && m_configuration.findQueue(name) == nullptr;
+        if (!isOwn && (!isRemoved || accepted == m_jobsByUrl.end())) {
+            continue;
+        }
+        count += static_cast<std::uint64_t>(std::ranges::count_if(jobs,
+            [&, isOwn](JobId id) { return (isOwn || accepted->second.contains(id)) && predicate(m_jobs.at(id)); }));
     }
-    return static_cast<std::uint64_t>(std::ranges::count_if(active->second, [this](JobId id) {
-        const Job& job = m_jobs.at(id);
-        return job.phase == JobPhase::Queued && job.spec.repeatCount == 0;
-    }));
+    return count;
+}
+
+std::uint64_t FleetState::countWaitingJobs(const Queue& queue) const
+{
+    return countActiveJobs(
+        queue, [](const Job& job) { return job.phase == JobPhase::Queued && job.spec.repeatCount == 0; });
 }
 
 void FleetState::applyCommand(const PutConfiguration& command)
