Test that jobs without queue are cancelled after a restart of the control nodes

Real processes: a queue under another one is removed, one moves, all control nodes are killed and start anew; the paths that accepted the jobs answer 404, never 410, and cancel them.

--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace crocuscove::testing {
@@ -477,6 +478,53 @@
     }));
 }
 
+// Guards against a job that is said not to exist, or can't be cancelled any more, after its queue was removed or moved
+// while another queue has a shorter prefix of its path, and the control nodes have started anew.
+TEST_F(PlatformTest, JobsWithoutQueueAreCancelledAfterARestart)
+{
+    const auto withRoutes = [](int version, const std::vector<std::pair<std::string, std::string>>& prefixes) {
+        nlohmann::json result = nlohmann::json::parse(platformConfiguration);
+        const nlohmann::json route = result.at("routes").at(0);
+        for (const auto& [name, prefix] : prefixes) {
+            result["routes"].push_back(route);
+            result["routes"].back()["name"] = name;
+            result["routes"].back()["pathPrefix"] = prefix;
+        }
+        result["version"] = version;
+        return result.dump();
+    };
+    const std::vector<std::string> jobs { "removed/00000000000000aa", "moved/00000000000000bb" };
+    const int first = waitForLeader();
+    ASSERT_EQ(putConfiguration(first, withRoutes(4, { { "removed", "/q/removed/" }, { "moved", "/q/moved/" } })), 200);
+    startWorker("w1");
+    for (const std::string& job : jobs) {
+        submit(job, lasting);
+    }
+    ASSERT_TRUE(
+        waitUntil([&] { return starts("00000000000000aa.0.0.1") == 1 && starts("00000000000000bb.0.0.1") == 1; }));
+    ASSERT_EQ(putConfiguration(first, withRoutes(5, { { "moved", "/elsewhere/" } })), 200);
+    for (int number = 1; number <= 3; ++number) {
+        cluster.process(controlName(number)).kill();
+    }
+    for (int number = 1; number <= 3; ++number) {
+        startControl(number, false);
+    }
+    std::set<int> answers;
+    for (const std::string& job : jobs) {
+        EXPECT_TRUE(waitUntil([&] { return *answers.insert(call("GET", "/q/" + job)).first == 404; }));
+    }
+    EXPECT_FALSE(answers.contains(410));
+    EXPECT_EQ(call("GET", "/elsewhere/00000000000000bb"), 200);
+    for (const std::string& job : jobs) {
+        EXPECT_TRUE(waitUntil([&] { return call("DELETE", "/q/" + job) == 410; }));
+    }
+    EXPECT_TRUE(waitUntil([&] {
+        return std::ranges::count_if(records(), [](const nlohmann::json& line) {
+            return line.at("event") == "end" && line.at("detail") == "stopped";
+        }) == 4;
+    }));
+}
+
 // Guards against a job that runs although its cancelling, which arrived before it, was acknowledged.
 TEST_F(PlatformTest, AJobThatArrivesAfterItsCancellingDoesNotRun)
 {
