--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -84,8 +84,8 @@
 }
 
 // The jobs of a queue outlive it, and must still end when they are cancelled. No request to it succeeds, so that the
-// cancelling is answered as if there were no such job. All else is answered as if there had never been the queue, also
-// where the path lies under that of another one: that a job doesn't exist can't be said while it runs.
+// cancelling is answered as if there were no such job. Other requests get 404, also where another queue has a shorter
+// prefix of the path: a 410 would say that the job doesn't exist while it runs.
 void JobApi::answerNotRouted(const ForwardedRequest& request, const jobs::Queue* outer, const Reply& reply)
 {
     const jobs::FleetState& state = m_cluster.state();
