--- a/tests/integration/platform_soak_test.cpp
+++ b/tests/integration/platform_soak_test.cpp
@@ -25,6 +25,8 @@
 constexpr int workers = 4;
 constexpr int maxLastingJobs = 8;
 constexpr int controls = 3;
+const std::string outerPrefix = "/q/";
+const std::string innerPrefix = "/q/inner/";
 /// A job starts nothing later than this after its cancelling was acknowledged (RULES, UNASKED).
 constexpr base::Milliseconds cancelBound { 3'000 };
 
@@ -39,6 +41,7 @@
     enum class JobFate { Open, Accepted, Refused, Cancelled };
     struct SoakJob {
         std::string id;
+        std::string path;
         std::string body;
         bool isLasting = false;
         JobFate fate = JobFate::Open;
@@ -47,6 +50,8 @@
         /// When its cancelling was acknowledged.
         std::int64_t cancelledAtMs = 0;
     };
+    /// What becomes of the queue that has every other job, and whose path lies under that of the other queue.
+    enum class InnerQueue { There, Removed, Moved, Renamed };
     struct Undo {
         base::MonotonicTime at;
         std::function<void()> run;
@@ -151,14 +156,19 @@
         restartLater("entry", [this] { startEntry(); });
     }
 
-    void changeConfiguration()
+    /// Returns whether the change was acknowledged.
+    bool changeConfiguration()
     {
-        std::string text = platformConfiguration;
-        text.replace(text.find("\"version\":3"), 11, fmt::format("\"version\":{}", ++m_version));
-        const int first = leader();
-        if (first != 0) {
-            putConfiguration(first, text);
+        nlohmann::json configuration = nlohmann::json::parse(platformConfiguration);
+        configuration["version"] = ++m_version;
+        nlohmann::json inner = configuration.at("routes").at(0);
+        inner["name"] = m_innerQueue == InnerQueue::Renamed ? "renamed" : "inner";
+        inner["pathPrefix"] = m_innerQueue == InnerQueue::Moved ? "/moved/" : innerPrefix;
+        if (m_innerQueue != InnerQueue::Removed) {
+            configuration["routes"].push_back(inner);
         }
+        const int first = leader();
+        return first != 0 && putConfiguration(first, configuration.dump()) == 200;
     }
 
     void disturb()
@@ -168,6 +178,10 @@
         if (m_diskRandom() % 8 == 0) {
             fillDisk(static_cast<int>(1 + m_diskRandom() % controls));
         }
+        if (m_queueRandom() % 4 == 0) {
+            m_innerQueue = static_cast<InnerQueue>(m_queueRandom() % 4);
+            changeConfiguration();
+        }
         const bool isControlBusy = m_busy.contains(controlName(control));
         const bool isWorkerBusy = m_busy.contains(workerName(worker));
         switch (draw(0, 9)) {
@@ -185,7 +199,7 @@
         case 6:
             return m_busy.contains("entry") ? void() : stopEntry();
         case 7:
-            return changeConfiguration();
+            return static_cast<void>(changeConfiguration());
         default:
             return breakConnections(workerName(worker));
         }
@@ -218,6 +232,7 @@
     {
         SoakJob job;
         job.id = fmt::format("{:016x}", m_jobs.size() + 1);
+        job.path = (m_jobs.size() % 2 == 0 ? outerPrefix : innerPrefix) + job.id;
         // The workers have room for all lasting tasks also when one of them is away.
         job.isLasting = draw(0, 9) == 0 && m_lastingJobs < maxLastingJobs;
         m_lastingJobs += job.isLasting ? 1 : 0;
@@ -233,7 +248,11 @@
     {
         for (SoakJob& job : m_jobs) {
             if (job.fate == JobFate::Open && !m_busy.contains("entry")) {
-                const int status = call("POST", "/q/" + job.id, job.body);
+                const int status = call("POST", job.path, job.body);
+                if (status == 404 && !job.isUncertain) {
+                    job.fate = JobFate::Refused;
+                    return;
+                }
                 const bool isRefused = status == 503 || status == 429;
                 job.isUncertain = job.isUncertain || (status != 200 && !isRefused);
                 job.fate = status == 200                               ? JobFate::Accepted
@@ -244,13 +263,23 @@
         }
         if (draw(0, 5) == 0 && !m_jobs.empty()) {
             SoakJob& job = m_jobs[static_cast<std::size_t>(draw(0, static_cast<std::int64_t>(m_jobs.size()) - 1))];
-            if (job.fate == JobFate::Accepted && call("DELETE", "/q/" + job.id) == 200) {
+            if (job.fate != JobFate::Accepted) {
+                return;
+            }
+            EXPECT_NE(call("GET", job.path), 410) << job.path << " was accepted";
+            const int status = call("DELETE", job.path);
+            if (status == 200 || status == 410) {
                 job.fate = JobFate::Cancelled;
                 job.cancelledAtMs = base::wallNow().time_since_epoch().count();
             }
         }
     }
 
+    [[nodiscard]] std::string stateOf(const SoakJob& job) const
+    {
+        return call("GET", job.path) == 200 ? nlohmann::json::parse(m_body).value("state", "") : "";
+    }
+
     [[nodiscard]] std::vector<nlohmann::json> events() const
     {
         auto all = records();
@@ -329,18 +358,18 @@
     {
         for (SoakJob& job : m_jobs) {
             if (job.fate == JobFate::Open) {
-                EXPECT_TRUE(waitUntil([&] { return call("POST", "/q/" + job.id, job.body) == 200; })) << job.id;
+                EXPECT_TRUE(waitUntil([&] { return call("POST", job.path, job.body) == 200; })) << job.id;
                 job.fate = JobFate::Accepted;
             }
             if (job.fate != JobFate::Accepted) {
                 continue;
             }
             const std::string wanted = job.isLasting ? "running" : "done";
-            EXPECT_TRUE(waitUntil([&] { return state(job.id) == wanted; })) << job.id << " is " << state(job.id);
+            EXPECT_TRUE(waitUntil([&] { return stateOf(job) == wanted; })) << job.id << " is " << stateOf(job);
         }
         for (const SoakJob& job : m_jobs) {
             if (job.fate == JobFate::Cancelled) {
-                const std::string seen = state(job.id);
+                const std::string seen = stateOf(job);
                 EXPECT_TRUE(seen == "cancelled" || (seen == "done" && !job.isLasting)) << job.id << " is " << seen;
             }
         }
@@ -349,6 +378,7 @@
     base::Random m_random { GetParam() };
     /// Apart from the other faults, so that a seed keeps its schedule of those.
     base::Random m_diskRandom { GetParam() + 1'000'000 };
+    base::Random m_queueRandom { GetParam() + 2'000'000 };
     std::uint16_t m_proxyControl = cluster.freePort();
     std::vector<std::uint16_t> m_workerListen;
     std::vector<std::uint16_t> m_workerProxy;
@@ -358,13 +388,15 @@
     std::set<std::string> m_busy;
     std::vector<nlohmann::json> m_killed;
     int m_version = 3;
+    InnerQueue m_innerQueue = InnerQueue::There;
 };
 
-// Guards against tasks that run twice, accepted jobs that are lost, refusals that are untrue, and cancelled jobs that
-// go on, under series of overlapping faults.
+// Guards against tasks that run twice, accepted jobs that are lost or said not to exist, refusals that are untrue, and
+// cancelled jobs that go on, under series of overlapping faults and changes of the configuration.
 TEST_P(PlatformSoak, KeepsItsPromises)
 {
     ASSERT_TRUE(configure());
+    ASSERT_TRUE(waitUntil([this] { return changeConfiguration(); }));
     startProxies();
     for (int number = 1; number <= workers; ++number) {
         startSoakWorker(number);
@@ -383,6 +415,8 @@
     }
     runUndo(true);
     proxy("DELETE", "/proxies/*");
+    m_innerQueue = InnerQueue::There;
+    ASSERT_TRUE(waitUntil([this] { return changeConfiguration(); }));
     checkJobs();
     checkCancelled();
     checkRuns();
