--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -129,6 +129,7 @@
     void applyCommand(const AcceptJobAtUrl& command);
 
     void acceptJob(const AcceptJob& command, const QueueUrl& url);
+    /// Forgets at which URL a job was accepted.
     void forgetUrl(const Job& job);
     /// Forgets the queues that are neither in the configuration nor have jobs.
     void forgetRemovedQueues();
