Parse a path without queue once, and share the read of a job's state in tests

JobApi::answerNotRouted parsed the path, and isOfRemovedQueue parsed it again; it now asks isRemoved for each of the two URLs. The soak had a copy of the fixture's state(); both use stateAt(). Behaviour and assertions are unchanged.

--- a/src/crocuscove/control/job_api.cpp
+++ b/src/crocuscove/control/job_api.cpp
@@ -102,21 +102,18 @@
             }
             reply(std::move(cancelled));
         });
-    } else if (outer == nullptr || isAccepted || isOfRemovedQueue(request)) {
+    } else if (outer == nullptr || isAccepted || isRemoved({ request.host, request.path })
+        || (path && isRemoved({ request.host, path->prefix }))) {
         reply(answer(request, statusNotFound));
     } else {
         reply(answer(request, request.method == "GET" ? statusGone : statusBadRequest));
     }
 }
 
-bool JobApi::isOfRemovedQueue(const ForwardedRequest& request) const
+bool JobApi::isRemoved(const jobs::QueueUrl& url) const
 {
     const jobs::FleetState& state = m_cluster.state();
-    const auto isRemoved = [&state](const jobs::QueueUrl& url) {
-        return state.hasJobsAt(url) && state.configuration().findQueueAt(url) == nullptr;
-    };
-    const auto path = platform::parseJobPath(request.path);
-    return isRemoved({ request.host, request.path }) || (path && isRemoved({ request.host, path->prefix }));
+    return state.hasJobsAt(url) && state.configuration().findQueueAt(url) == nullptr;
 }
 
 void JobApi::submit(const ForwardedRequest& request, const jobs::Queue& queue, jobs::JobId id, const Reply& reply)
--- a/src/crocuscove/control/job_api.h
+++ b/src/crocuscove/control/job_api.h
@@ -41,9 +41,8 @@
     /// Answers a request whose path is that of no queue in the configuration, and of no job of it. `outer` is the queue
     /// with the longest prefix of the path, or a null pointer.
     void answerNotRouted(const ForwardedRequest& request, const jobs::Queue* outer, const Reply& reply);
-    /// Tells whether the path is that of a queue that is no longer in the configuration, but has jobs, or of a job
-    /// there.
-    [[nodiscard]] bool isOfRemovedQueue(const ForwardedRequest& request) const;
+    /// Tells whether the queue at a URL is no longer in the configuration, but has jobs.
+    [[nodiscard]] bool isRemoved(const jobs::QueueUrl& url) const;
     void read(const ForwardedRequest& request, const jobs::Queue& queue, const std::string& name, const Reply& reply);
     void answerRead(
         const ForwardedRequest& request, const jobs::Queue& queue, const std::string& name, const Reply& reply);
--- a/tests/integration/platform_fixture.h
+++ b/tests/integration/platform_fixture.h
@@ -179,9 +179,11 @@
         return result.response ? result.response->status : 0;
     }
 
-    [[nodiscard]] std::string state(const std::string& job) const
+    [[nodiscard]] std::string state(const std::string& job) const { return stateAt("/q/" + job); }
+
+    [[nodiscard]] std::string stateAt(const std::string& path) const
     {
-        return call("GET", "/q/" + job) == 200 ? nlohmann::json::parse(m_body).value("state", "") : "";
+        return call("GET", path) == 200 ? nlohmann::json::parse(m_body).value("state", "") : "";
     }
 
     /// Submits until the job is accepted, as clients do after an answer that leaves the outcome open.
--- a/tests/integration/platform_soak_test.cpp
+++ b/tests/integration/platform_soak_test.cpp
@@ -279,11 +279,6 @@
         }
     }
 
-    [[nodiscard]] std::string stateOf(const SoakJob& job) const
-    {
-        return call("GET", job.path) == 200 ? nlohmann::json::parse(m_body).value("state", "") : "";
-    }
-
     [[nodiscard]] std::vector<nlohmann::json> events() const
     {
         auto all = records();
@@ -369,11 +364,12 @@
                 continue;
             }
             const std::string wanted = job.isLasting ? "running" : "done";
-            EXPECT_TRUE(waitUntil([&] { return stateOf(job) == wanted; })) << job.id << " is " << stateOf(job);
+            EXPECT_TRUE(waitUntil([&] { return stateAt(job.path) == wanted; }))
+                << job.id << " is " << stateAt(job.path);
         }
         for (const SoakJob& job : m_jobs) {
             if (job.fate == JobFate::Cancelled) {
-                const std::string seen = stateOf(job);
+                const std::string seen = stateAt(job.path);
                 EXPECT_TRUE(seen == "cancelled" || (seen == "done" && !job.isLasting)) << job.id << " is " << seen;
             }
         }
