--- a/review/11/support/world.h
+++ b/review/11/support/world.h
@@ -887,13 +887,19 @@
 {
     const std::lock_guard lock(world.mutex);
     std::string lost;
-    for (const auto& [task, run] : running) {
+    const auto runs = running;
+    for (const auto& [task, run] : runs) {
         lost += " " + task + "/" + std::to_string(run.run);
         if (world.onEnd) {
             world.onEnd(*this, run, "crash");
         }
     }
     forgetAll();
+    for (const auto& [task, run] : runs) {
+        if (run.work.gang > 0) {
+            world.breakGang(gangOf(task), run.run, "broken");
+        }
+    }
     ++life;
     born = unixMs();
     m_clockBegin = steadyMs();
