--- a/review/11/support/world.h
+++ b/review/11/support/world.h
@@ -768,7 +768,7 @@
     std::string host = "shop.example";
     std::vector<std::unique_ptr<Executor>> executors;
     std::vector<Process> processes;
-    /// Asked for each start order: for how many ms it is held up on its way; 0 for not at all.
+    /// Asked for each start order: for how many ms it is held up on its way; 0 for not at all, -1 if it is lost.
     std::function<std::int64_t(Executor&, const Json&)> delayOfStart;
     /// Told of each start and each end, under the mutex.
     std::function<void(Executor&, const Run&)> onStart;
@@ -982,6 +982,11 @@
     }
     if (message.first.starts_with("POST /api/run-start")) {
         const std::int64_t delay = world.delayOfStart ? world.delayOfStart(*this, body) : 0;
+        if (delay < 0) {
+            world.record("order to " + id + " is lost, as it has just fallen silent: run-start "
+                + body.at("task").get<std::string>() + " run " + body.at("run").dump());
+            return { .isSilent = true };
+        }
         if (delay > 0) {
             world.record("order to " + id + " is held up for " + std::to_string(delay) + " ms: run-start "
                 + body.at("task").get<std::string>() + " run " + body.at("run").dump() + " deadlineMs "
