Control: a start without an answer is remembered until it can no longer arrive

What callers saw: a task ran twice at the same time. Its first start got no answer, was sent again, accepted and listed.

Cause: that a start was unanswered was kept per session, run and phase, and dropped with the next list that showed the run (Order::unansweredSince). A list speaks for the incarnation that sent it only. A next leader, a later session of the same id and the next run of the task on the same worker knew nothing of it; long-running tasks were left out.

Only a list that was requested after the end of that time ends it. A task is held until the longest lease of what such a start may have begun has ended; a long-running one for 5 s after the start can no longer arrive, and only if the worker was there after the start was sent, so that LOST holds. Tasks of a silent worker without such a start are freed after the ordinary lease, as before.

AStartInFlightIsCarriedOutByTheSecondIncarnationAfter failed without the two lines in adoptIncarnation().

--- a/completions/crocuscove.bash
+++ b/completions/crocuscove.bash
@@ -11,7 +11,7 @@
         ;;
     control)
         echo "--name= --listen= --internal-port= --seeds= --first-start= --data-folder= --losses-borne= --vm-interface=" \
-            "--task-lease-ms= --max-task-lease-ms= --vm-lease-ms= --metrics-listen= --log-lines-per-event= --max-descriptors= $common"
+            "--task-lease-ms= --max-task-lease-ms= --max-order-delay-ms= --vm-lease-ms= --metrics-listen= --log-lines-per-event= --max-descriptors= $common"
         ;;
     entry) echo "--name= --listen= --ready-listen= --internal-port= --seeds= --stop-timeout-ms= --metrics-listen= --log-lines-per-event= $common" ;;
     check | storage-check | version) echo "--output= $common" ;;
--- a/include/crocuscove/control/control_options.h
+++ b/include/crocuscove/control/control_options.h
@@ -36,6 +36,8 @@
     base::Milliseconds taskLease { 4'000 };
     /// The longest lease that workers grant, whatever the deadline of an order.
     base::Milliseconds maxTaskLease { 10'000 };
+    /// How long after it was sent a worker may carry out an order that got no answer.
+    base::Milliseconds maxOrderDelay { 12'000 };
     /// How long the state of a finished job can be asked for.
     base::Milliseconds keepFinishedJobs { 130'000 };
     /// Orders of two leaders for one VM must be this far apart.
--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -203,10 +203,21 @@
     QueueUrl url;
 };
 
+/// Records that a start got no answer, and that a worker with this id may still carry it out for some time.
+struct RecordUnansweredStart {
+    /// Id of the worker.
+    std::string worker;
+    TaskKey task;
+    /// Until when, in Unix milliseconds.
+    std::int64_t untilMs = 0;
+    /// What ended before this Unix time, in milliseconds, is forgotten.
+    std::int64_t forgetBeforeMs = 0;
+};
+
 using Command = std::variant<PutConfiguration, AcceptJob, CancelAcceptedJob, RecordWorker, RemoveWorker, AssignTasks,
     ReleaseTask, RecordTaskEnds, PruneJobs, RecordWave, RecordWaveStep, RecordNode, RecordVmOrder, RecordCrash,
     CancelJob, RemoveLeftWorker, RecordUnsettledStarts, RecordConfirmedCrash, RemoveReplacedWorker,
-    RecordSuspectedCrash, RecordReportedCrash, GiveUpDeadlyTask, AcceptJobAtUrl>;
+    RecordSuspectedCrash, RecordReportedCrash, GiveUpDeadlyTask, AcceptJobAtUrl, RecordUnansweredStart>;
 
 CROCUSCOVE_FIELDS(PutConfiguration, v.configuration)
 CROCUSCOVE_FIELDS(AcceptJob, v.job, v.queue, v.spec, v.nowMs)
@@ -234,5 +245,6 @@
 CROCUSCOVE_FIELDS(RecordReportedCrash, v.crash)
 CROCUSCOVE_FIELDS(GiveUpDeadlyTask, v.task, v.nowMs)
 CROCUSCOVE_FIELDS(AcceptJobAtUrl, v.accepted, v.url)
+CROCUSCOVE_FIELDS(RecordUnansweredStart, v.worker, v.task, v.untilMs, v.forgetBeforeMs)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -2,6 +2,7 @@
 
 #include "crocuscove/jobs/command.h"
 #include "crocuscove/jobs/restart_history.h"
+#include "crocuscove/jobs/unanswered_starts.h"
 
 #include <cstdint>
 #include <functional>
@@ -71,6 +72,8 @@
     /// Assigned tasks that must not be started, but stopped on their worker: a start that was sent to an earlier
     /// incarnation of its id may still be carried out there.
     [[nodiscard]] const std::set<TaskKey>& unsettledStarts() const { return m_unsettledStarts; }
+    /// Starts that got no answer and may still be carried out.
+    [[nodiscard]] const UnansweredStarts& unansweredStarts() const { return m_unansweredStarts; }
     /// Tells whether an earlier incarnation of the worker's id was known, so that orders for it may have reached this
     /// one.
     [[nodiscard]] bool hasPredecessor(WorkerNumber worker) const { return m_successors.contains(worker); }
@@ -127,6 +130,7 @@
     void applyCommand(const RecordReportedCrash& command);
     void applyCommand(const GiveUpDeadlyTask& command);
     void applyCommand(const AcceptJobAtUrl& command);
+    void applyCommand(const RecordUnansweredStart& command);
 
     void acceptJob(const AcceptJob& command, const QueueUrl& url);
     /// Forgets at which URL a job was accepted.
@@ -211,6 +215,7 @@
     std::map<std::string, RemovedWorker> m_removedWorkers;
     std::uint64_t m_lastRemoval = 0;
     std::set<TaskKey> m_unsettledStarts;
+    UnansweredStarts m_unansweredStarts;
     /// Workers for which hasPredecessor() holds.
     std::set<WorkerNumber> m_successors;
     /// The latest start of an incarnation that is over, by worker id, where the one that was seen last started earlier.
--- a/src/crocuscove/control/control_settings.cpp
+++ b/src/crocuscove/control/control_settings.cpp
@@ -78,6 +78,8 @@
             } },
         durationSetting("task-lease-ms", "ms that tasks run on without the leader", options.taskLease),
         durationSetting("max-task-lease-ms", "ms of the longest lease that workers grant", options.maxTaskLease),
+        durationSetting("max-order-delay-ms", "ms until an order without an answer can no longer be carried out",
+            options.maxOrderDelay),
         durationSetting("vm-lease-ms", "ms between the orders of two leaders for one VM", options.vmLease),
     };
 }
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -176,21 +176,20 @@
 {
     const auto now = base::monotonicNow();
     const std::int64_t waitedMs = std::chrono::duration_cast<base::Milliseconds>(now - sentAt).count();
+    if (!result.response && result.mayHaveStarted) {
+        noteUnanswered(key, sentAt);
+    }
     const auto found = m_orders.find(key);
     if (found == m_orders.end() || found->second.run != run) {
         return;
     }
     Order& order = found->second;
     order.isInFlight = false;
-    if (!result.response && result.mayHaveStarted) {
-        order.mayArriveLate = true;
-        order.unansweredSince = sentAt;
-    }
     const auto answer = result.response ? std::optional(platform::decodeOrderAnswer(*result.response)) : std::nullopt;
     const bool isOtherId = answer && answer->outcome == platform::OrderOutcome::OtherIncarnation;
     const bool isLater = answer && answer->incarnation && m_incarnation != 0 && *answer->incarnation > m_incarnation;
     if (isLater && !isOtherId) {
-        order.mayArriveLate = true;
+        order.mayBeOnOther = true;
         noteLaterIncarnation(*answer->incarnation);
         return;
     }
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -18,6 +18,9 @@
 constexpr base::Milliseconds usableWindow { 1'800 };
 /// A worker lists at most this many ends in one answer (PROTOCOL).
 constexpr std::size_t maxListedEnds = 500;
+/// A long-running task waits at most this long after its start can no longer arrive: it has to be at work again 7 s
+/// after trouble has ended (RULES, LOST), and orders that are carried out late count as trouble until then.
+constexpr base::Milliseconds longRunningHold { 5'000 };
 /// Margin for orders of an earlier leader that were still on their way.
 constexpr base::Milliseconds earlierLeaderMargin { 1'000 };
 
@@ -86,12 +89,14 @@
                   < base::Milliseconds(worker.report.incarnation) + predecessorWindow))
     , m_endpoint(base::parseEndpoint(worker.report.address))
     , m_fencingToken(fencingTokenOf(term, worker.number))
+    , m_lateStarts(options.maxOrderDelay)
 {
     const auto lease = m_mayHoldLongestLease ? options.maxTaskLease : options.taskLease;
     m_clock.assumeGranted(base::monotonicNow() + longestLease(lease) + earlierLeaderMargin);
     for (const jobs::TaskKey& key : state.tasksOf(m_number)) {
         m_inheritedRuns[key] = state.findJob(key.job)->find(key)->run;
     }
+    m_lateStarts.load(state.unansweredStarts().of(m_id));
     settleStarts();
     renew();
 }
@@ -268,12 +273,12 @@
 {
     const auto now = base::monotonicNow();
     if (now > m_clock.latestLeaseExpiry()) {
-        const auto otherExpiry = otherLeaseExpiry();
-        if (!otherExpiry || now > *otherExpiry) {
+        std::vector<jobs::UnsettledStart> held = findHeldStarts(now);
+        if (held.empty()) {
             remove("lease-ended", RemovalCause::Silent);
             return;
         }
-        freeOwnTasks();
+        freeAllBut(std::move(held));
     }
     if (now < m_leaveWindowEnd) {
         probeLeave();
@@ -281,26 +286,47 @@
     scheduleRenew(retryPause);
 }
 
-std::optional<base::MonotonicTime> WorkerSession::otherLeaseExpiry() const
+std::vector<jobs::UnsettledStart> WorkerSession::findHeldStarts(base::MonotonicTime now) const
 {
-    if (m_otherSeenAt ? findUnsettledStarts().empty() : findUnansweredStarts().empty()) {
-        return std::nullopt;
+    std::vector<jobs::UnsettledStart> result;
+    for (const jobs::TaskKey& key : m_state.tasksOf(m_number)) {
+        const std::uint32_t run = m_state.findJob(key.job)->find(key)->run;
+        if (otherLeaseExpiry(key, run) >= now) {
+            result.push_back({ key, run });
+        }
     }
-    // An order with a deadline arrives before its answer is given up.
-    return std::max<base::MonotonicTime>(m_otherSeenAt.value_or(base::MonotonicTime {}), m_grantedAt + answerTimeout)
-        + longestLease(m_options.maxTaskLease);
+    return result;
 }
 
-void WorkerSession::freeOwnTasks()
+base::MonotonicTime WorkerSession::otherLeaseExpiry(const jobs::TaskKey& task, std::uint32_t run) const
 {
-    if (m_isRecordingUnsettled || hasRecordedUnsettledStart()) {
+    base::MonotonicTime result {};
+    if (m_otherSeenAt && isUnsettled(task, run)) {
+        result = std::max(*m_otherSeenAt, m_grantedAt + answerTimeout) + longestLease(m_options.maxTaskLease);
+    }
+    const auto late = m_lateStarts.find(task);
+    if (m_state.findJob(task.job)->spec.steps[task.step].isLongRunning) {
+        return late && late->wasWorkerSeen ? std::max(result, late->until + longRunningHold) : result;
+    }
+    if (!late && !isInFlight(task, run)) {
+        return result;
+    }
+    // A renewal may be as late as a start, and extends the lease of what that one has begun.
+    const auto extendedUntil
+        = std::max(late ? late->until : base::MonotonicTime {}, m_grantedAt + m_options.maxOrderDelay);
+    return std::max(result, extendedUntil + longestLease(m_options.maxTaskLease));
+}
+
+void WorkerSession::freeAllBut(std::vector<jobs::UnsettledStart> held)
+{
+    if (m_isRecordingUnsettled || held.size() == m_state.tasksOf(m_number).size()) {
         return;
     }
-    if (auto record = crash(false)) {
+    if (auto record = m_isCrashRecorded ? std::nullopt : crash(false)) {
         m_isCrashRecorded = true;
         m_hooks.onCrash(std::move(*record), 0);
     }
-    recordStarts(m_otherSeenAt ? findUnsettledStarts() : findUnansweredStarts());
+    proposeUnsettled(std::move(held));
 }
 
 void WorkerSession::remove(std::string_view reason, RemovalCause cause)
@@ -356,6 +382,7 @@
     if (m_otherSeenAt && *m_otherSeenAt < sentAt) {
         m_otherSeenAt.reset();
     }
+    m_lateStarts.noteWorkerSeen(sentAt);
     m_isCrashRecorded = false;
     m_answeredAt = now;
     m_aliveAt = now;
@@ -423,19 +450,30 @@
     m_otherSeenAt = base::monotonicNow();
     // What an earlier incarnation has confirmed doesn't hold for this one.
     for (const jobs::UnsettledStart& start : findUnsettledStarts()) {
-        m_orders[start.task] = Order { .run = start.run, .mayArriveLate = true };
+        if (isInFlight(start.task, start.run)) {
+            // The session of the later incarnation takes over before the answer comes.
+            noteUnanswered(start.task, *m_otherSeenAt);
+        }
+        m_orders[start.task] = Order { .run = start.run, .mayBeOnOther = true };
     }
 }
 
 bool WorkerSession::isUnsettled(const jobs::TaskKey& task, std::uint32_t run) const
 {
     const auto inherited = m_inheritedRuns.find(task);
-    if (m_state.unsettledStarts().contains(task) || (inherited != m_inheritedRuns.end() && inherited->second == run)) {
+    if (m_state.unsettledStarts().contains(task) || (inherited != m_inheritedRuns.end() && inherited->second == run)
+        || m_lateStarts.find(task)) {
         return true;
     }
     const auto order = m_orders.find(task);
     return order != m_orders.end() && order->second.run == run
-        && (order->second.mayArriveLate || order->second.isUnproven || order->second.isInFlight);
+        && (order->second.mayBeOnOther || order->second.isUnproven || order->second.isInFlight);
+}
+
+bool WorkerSession::isInFlight(const jobs::TaskKey& task, std::uint32_t run) const
+{
+    const auto order = m_orders.find(task);
+    return order != m_orders.end() && order->second.run == run && order->second.isInFlight;
 }
 
 std::vector<jobs::UnsettledStart> WorkerSession::findUnsettledStarts() const
@@ -457,35 +495,35 @@
         && std::ranges::any_of(m_state.tasksOf(m_number), [&](const auto& key) { return unsettled.contains(key); });
 }
 
-std::vector<jobs::UnsettledStart> WorkerSession::findUnansweredStarts() const
+void WorkerSession::noteUnanswered(const jobs::TaskKey& task, base::MonotonicTime sentAt)
 {
-    std::vector<jobs::UnsettledStart> result;
-    for (const jobs::TaskKey& key : m_state.tasksOf(m_number)) {
-        const auto order = m_orders.find(key);
-        const jobs::Job& job = *m_state.findJob(key.job);
-        const std::uint32_t run = job.find(key)->run;
-        // A long-running task has to be at work again before the longest lease has ended (RULES, LOST), and the loss of
-        // a worker is far likelier than a restart right before a cut.
-        if (order != m_orders.end() && order->second.run == run && !job.spec.steps[key.step].isLongRunning
-            && (order->second.unansweredSince || order->second.isInFlight)) {
-            result.push_back({ key, run });
-        }
-    }
-    return result;
+    const auto until = m_lateStarts.add(task, sentAt);
+    const std::int64_t nowMs = base::wallNow().time_since_epoch().count();
+    const auto left = std::chrono::ceil<base::Milliseconds>(until - base::monotonicNow());
+    // A run that such a start begins lasts for the longest lease.
+    m_hooks.propose(jobs::RecordUnansweredStart { m_id, task, nowMs + left.count(),
+                        nowMs - longestLease(m_options.maxTaskLease).count() },
+        nullptr);
 }
 
-void WorkerSession::recordUnsettledStarts() { recordStarts(findUnsettledStarts()); }
-
-void WorkerSession::recordStarts(std::vector<jobs::UnsettledStart> starts)
+void WorkerSession::recordUnsettledStarts()
 {
+    std::vector<jobs::UnsettledStart> starts = findUnsettledStarts();
     const bool isRecorded = std::ranges::all_of(
         starts, [this](const auto& start) { return m_state.unsettledStarts().contains(start.task); });
-    if (m_isRecordingUnsettled || isRecorded) {
-        return;
+    if (!m_isRecordingUnsettled && !isRecorded) {
+        proposeUnsettled(std::move(starts));
     }
+}
+
+void WorkerSession::proposeUnsettled(std::vector<jobs::UnsettledStart> starts)
+{
+    const auto longRunning = std::ranges::count_if(starts, [this](const jobs::UnsettledStart& start) {
+        return m_state.findJob(start.task.job)->spec.steps[start.task.step].isLongRunning;
+    });
     m_log.warning("starts_unsettled",
         { { "worker", m_id }, { "incarnation", m_incarnation }, { "later", m_laterIncarnation.value_or(0) },
-            { "starts", starts.size() }, { "tasks", runNames(starts) } });
+            { "starts", starts.size() }, { "long_running", longRunning }, { "tasks", runNames(starts) } });
     m_isRecordingUnsettled = true;
     m_hooks.propose(
         jobs::RecordUnsettledStarts { m_number, std::move(starts) }, [this, alive = m_isAlive](bool /*isApplied*/) {
@@ -582,9 +620,6 @@
         }
     }
     for (auto& [key, order] : m_orders) {
-        if (order.unansweredSince < sentAt) {
-            order.unansweredSince.reset();
-        }
         // Incarnations of an id follow each other, so that an answer before this list was requested is of this one too.
         const bool isProven = order.answeredAt < sentAt || isRunning(key, order.run) || hasEnded(key, order.run);
         if (order.isUnproven && isProven) {
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -9,6 +9,7 @@
 #include "crocuscove/jobs/lease_clock.h"
 #include "crocuscove/jobs/rack_crash.h"
 #include "crocuscove/jobs/start_plan.h"
+#include "late_starts.h"
 #include "platform/worker_codec.h"
 
 #include <cstdint>
@@ -152,11 +153,8 @@
         bool wasAccepted = false;
         /// A start of the run is on its way, whatever the phase has become meanwhile.
         bool isInFlight = false;
-        /// A start got no answer, so that it may still be carried out by a later incarnation of the worker.
-        bool mayArriveLate = false;
-        /// When the last start without an answer was sent, until a list of this incarnation is requested later. Another
-        /// one may have taken it right before a cut.
-        std::optional<base::MonotonicTime> unansweredSince {};
+        /// Another incarnation was seen since a start was sent that it may have taken.
+        bool mayBeOnOther = false;
         /// The worker has the run by an answer that names no incarnation, and no list of this one has confirmed it
         /// since.
         bool isUnproven = false;
@@ -188,10 +186,15 @@
     /// Tells whether a start of the run may still be on its way, sent by this leader or an earlier one.
     [[nodiscard]] bool isUnsettled(const jobs::TaskKey& task, std::uint32_t run) const;
     [[nodiscard]] std::vector<jobs::UnsettledStart> findUnsettledStarts() const;
-    /// Returns the starts that another incarnation, which wasn't seen, may have taken, but for long-running tasks.
-    [[nodiscard]] std::vector<jobs::UnsettledStart> findUnansweredStarts() const;
+    [[nodiscard]] bool isInFlight(const jobs::TaskKey& task, std::uint32_t run) const;
+    /// Returns the starts of assigned tasks that another incarnation may have carried out, or may yet, when this one's
+    /// lease has ended.
+    [[nodiscard]] std::vector<jobs::UnsettledStart> findHeldStarts(base::MonotonicTime now) const;
+    /// Remembers that a start got no answer, also for the next leaders.
+    void noteUnanswered(const jobs::TaskKey& task, base::MonotonicTime sentAt);
     void recordUnsettledStarts();
-    void recordStarts(std::vector<jobs::UnsettledStart> starts);
+    /// Proposes that these starts are unsettled and all other tasks of the worker are free.
+    void proposeUnsettled(std::vector<jobs::UnsettledStart> starts);
     [[nodiscard]] bool hasRecordedUnsettledStart() const;
     /// Tells whether the later incarnation has confirmed the stops, and lists none of the runs that were to be stopped.
     [[nodiscard]] bool areStartsSettled(const platform::WorkerStatus& status, base::MonotonicTime sentAt) const;
@@ -201,15 +204,15 @@
     /// The incarnation that orders are meant for.
     [[nodiscard]] std::int64_t intendedIncarnation() const { return m_laterIncarnation.value_or(m_incarnation); }
     void onSilence();
-    /// Returns when the lease has certainly ended of runs that another incarnation may have: of unsettled ones if it
-    /// was seen, otherwise of those whose start got no answer.
-    [[nodiscard]] std::optional<base::MonotonicTime> otherLeaseExpiry() const;
+    /// Returns when the lease of a run has certainly ended that another incarnation may have: because a start of the
+    /// task got no answer, or because the run is unsettled and that incarnation was seen. Past if there is no such run.
+    [[nodiscard]] base::MonotonicTime otherLeaseExpiry(const jobs::TaskKey& task, std::uint32_t run) const;
     /// Counts an order that got no answer.
     void countUnanswered();
     void probeLeave();
     void onLeaveProbed(const http::ExchangeResult& result);
-    /// Frees the tasks whose lease has ended, when others run on under that of another incarnation.
-    void freeOwnTasks();
+    /// Frees the tasks whose lease has ended, when others may run on under that of another incarnation.
+    void freeAllBut(std::vector<jobs::UnsettledStart> held);
     void remove(std::string_view reason, RemovalCause cause);
     [[nodiscard]] jobs::Command removal(RemovalCause cause) const;
     /// Tells whether a row of a list names a run with a higher number than any that was assigned.
@@ -285,6 +288,7 @@
     base::MonotonicTime m_leaveWindowEnd;
     http::Timer m_leaveTimer;
     std::map<jobs::TaskKey, Order> m_orders;
+    LateStarts m_lateStarts;
     bool m_hasPaceableTask = false;
     std::uint32_t m_startsInFlight = 0;
     std::vector<platform::RunningTask> m_running;
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -16,7 +16,7 @@
     std::map<std::string, std::string>, WorkerNumber, std::map<JobId, std::int64_t>, std::map<TaskKey, TaskCrashes>,
     std::map<std::string, UnconfirmedCrash>, std::map<std::string, RemovedWorker>, std::uint64_t, std::set<TaskKey>,
     std::set<WorkerNumber>, std::map<TaskKey, CrashRecord>, RestartHistory, std::map<std::string, std::int64_t>,
-    std::set<std::string>, std::map<TaskKey, LostRuns>, std::map<QueueUrl, std::set<JobId>>>;
+    std::set<std::string>, std::map<TaskKey, LostRuns>, std::map<QueueUrl, std::set<JobId>>, UnansweredStarts>;
 
 std::vector<std::vector<StepProgress>> initialProgress(const JobSpec& spec)
 {
@@ -292,6 +292,12 @@
     m_unsettledStarts.merge(unsettled);
 }
 
+void FleetState::applyCommand(const RecordUnansweredStart& command)
+{
+    m_unansweredStarts.forget(command.forgetBeforeMs);
+    m_unansweredStarts.record(command.worker, command.task, command.untilMs);
+}
+
 void FleetState::forgetAddress(const Worker& worker)
 {
     const auto entry = m_workerByAddress.find(worker.report.address);
@@ -687,10 +693,10 @@
 
 std::string FleetState::encodeSnapshot() const
 {
-    return base::encode(
-        std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
-            m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts,
-            m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns, m_jobsByUrl));
+    return base::encode(std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders,
+        m_lastWorker, m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval,
+        m_unsettledStarts, m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns,
+        m_jobsByUrl, m_unansweredStarts));
 }
 
 // A snapshot of an earlier version ends before the crashes or later, and what it lacks is then empty.
@@ -698,10 +704,12 @@
 {
     std::tie(m_configuration, m_jobs, m_workers, m_waves, m_nodes, m_queues, m_vmOrderHolders, m_lastWorker,
         m_earlyCancels, m_crashes, m_unconfirmedCrashes, m_removedWorkers, m_lastRemoval, m_unsettledStarts,
-        m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns, m_jobsByUrl)
+        m_successors, m_crashRecords, m_restarts, m_latestStarts, m_silentWithRack, m_lostRuns, m_jobsByUrl,
+        m_unansweredStarts)
         = base::decode<SnapshotFields>(bytes);
     rebuildIndexes();
     m_restarts.rebuildIndex();
+    m_unansweredStarts.rebuildIndex();
     if (m_jobsByUrl.empty()) {
         // An earlier version kept no URLs.
         for (const auto& [id, job] : m_jobs) {
