Control: a task whose start was delayed doesn't start elsewhere until that start can no longer arrive

What callers saw: a task ran twice at the same time. Its first start got no answer, was sent again and accepted; the run failed, and the task's next run started on another worker.

Change: isPaused() asks the record of starts without an answer too. A task waits, after its run has ended, until a delayed start can no longer arrive, 12 s after it was sent. A start is delayed if the incarnation that it was sent to was there afterwards; one that was lost with its worker holds nothing, and neither does one of a long-running task, for which LOST leaves no time. The queue head's reason is delayed-start.

Test: SchedulerTest.ATaskWithADelayedStartWaitsUntilItCanNoLongerArrive failed with FleetState::nextStartMs() as it was (the task was assigned to worker 1), and passes.

--- a/include/crocuscove/jobs/command.h
+++ b/include/crocuscove/jobs/command.h
@@ -3,6 +3,7 @@
 #include "crocuscove/jobs/configuration.h"
 #include "crocuscove/jobs/crash.h"
 #include "crocuscove/jobs/job.h"
+#include "crocuscove/jobs/unanswered_starts.h"
 #include "crocuscove/jobs/wave.h"
 #include "crocuscove/jobs/worker.h"
 
@@ -208,8 +209,7 @@
     /// Id of the worker.
     std::string worker;
     TaskKey task;
-    /// Until when, in Unix milliseconds.
-    std::int64_t untilMs = 0;
+    UnansweredStart start;
     /// What ended before this Unix time, in milliseconds, is forgotten.
     std::int64_t forgetBeforeMs = 0;
 };
@@ -245,6 +245,6 @@
 CROCUSCOVE_FIELDS(RecordReportedCrash, v.crash)
 CROCUSCOVE_FIELDS(GiveUpDeadlyTask, v.task, v.nowMs)
 CROCUSCOVE_FIELDS(AcceptJobAtUrl, v.accepted, v.url)
-CROCUSCOVE_FIELDS(RecordUnansweredStart, v.worker, v.task, v.untilMs, v.forgetBeforeMs)
+CROCUSCOVE_FIELDS(RecordUnansweredStart, v.worker, v.task, v.start, v.forgetBeforeMs)
 
 } // namespace crocuscove::jobs
--- a/include/crocuscove/jobs/fleet_state.h
+++ b/include/crocuscove/jobs/fleet_state.h
@@ -59,7 +59,8 @@
     [[nodiscard]] std::vector<TaskKey> tasksToGiveUp(std::int64_t nowMs) const;
     /// Runs that were lost with their workers, of tasks that aren't done.
     [[nodiscard]] const std::map<TaskKey, LostRuns>& lostRuns() const { return m_lostRuns; }
-    /// Returns when a task may start again after it has lost runs, in Unix milliseconds; 0 for at once.
+    /// Returns when a task may start again after it has lost runs, or while a delayed start of it may be carried out,
+    /// in Unix milliseconds; 0 for at once.
     [[nodiscard]] std::int64_t nextStartMs(const TaskKey& key) const;
     /// Returns how many crashes under a task were forgotten as parts of bursts of restarts.
     [[nodiscard]] std::uint32_t excusedCrashes(const TaskKey& key) const;
--- a/include/crocuscove/jobs/queue_head.h
+++ b/include/crocuscove/jobs/queue_head.h
@@ -24,6 +24,8 @@
     NotPlanned,
     /// Workers have crashed, or may have, under its last runs.
     LostRuns,
+    /// A delayed start of an earlier run may yet be carried out.
+    DelayedStart,
 };
 
 std::string_view waitReasonName(WaitReason reason);
--- a/include/crocuscove/jobs/scheduler.h
+++ b/include/crocuscove/jobs/scheduler.h
@@ -42,8 +42,9 @@
     std::vector<HeldRoom> held;
 };
 
-/// Tells whether a task of a known job waits because it has lost runs with workers that crashed or may have crashed. A
-/// long-running task doesn't, since it has to be at work again at once (RULES, LOST).
+/// Tells whether a task of a known job waits because it has lost runs with workers that crashed or may have crashed, or
+/// because a delayed start of an earlier run may yet be carried out by a worker that has started again. A long-running
+/// task doesn't, since it has to be at work again at once (RULES, LOST).
 bool isPaused(const FleetState& state, const TaskKey& task, std::int64_t nowMs);
 
 /// Assigns waiting tasks to workers, at most `maxTasks` in total.
--- a/include/crocuscove/jobs/unanswered_starts.h
+++ b/include/crocuscove/jobs/unanswered_starts.h
@@ -9,30 +9,46 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace crocuscove::jobs {
 
 /// Starts without an answer that are remembered; beyond that the one whose time ends first is forgotten.
 inline constexpr std::size_t maxUnansweredStarts = 20'000;
 
+/// A start that got no answer.
+struct UnansweredStart {
+    /// Until when it may be carried out, in Unix milliseconds.
+    std::int64_t untilMs = 0;
+    /// The incarnation that it was sent to was there afterwards, so that the start was delayed, or its answer was lost,
+    /// and not the worker.
+    bool wasWorkerSeen = false;
+};
+
 /// The starts that got no answer, by worker id. Whichever incarnation of the id is there when one arrives carries it
 /// out, whatever an earlier one has said of the run.
 class UnansweredStarts {
 public:
-    /// Remembers that a start of the task may be carried out until the Unix time `untilMs`.
-    void record(const std::string& worker, const TaskKey& task, std::int64_t untilMs);
+    /// Remembers a start of the task. Of several ones the last end counts.
+    void record(const std::string& worker, const TaskKey& task, const UnansweredStart& start);
 
     /// Forgets the starts whose time ended before the Unix time `beforeMs`.
     void forget(std::int64_t beforeMs);
 
-    /// Returns until when starts that were sent to a worker may be carried out, in Unix milliseconds, by task.
-    [[nodiscard]] const std::map<TaskKey, std::int64_t>& of(const std::string& worker) const;
+    /// Returns the starts that were sent to a worker, by task.
+    [[nodiscard]] const std::map<TaskKey, UnansweredStart>& of(const std::string& worker) const;
+
+    /// Returns until when a delayed start of a task may be carried out on some worker, in Unix milliseconds; 0 if there
+    /// is none. One that was lost with its worker doesn't count.
+    [[nodiscard]] std::int64_t delayedUntilMs(const TaskKey& task) const;
+
+    [[nodiscard]] bool empty() const { return m_starts.empty(); }
 
     /// Finds again what isn't encoded. To be called after decoding.
     void rebuildIndex();
 
-    friend auto codecFields(UnansweredStarts& v) { return std::tie(v.m_untilMs); }
-    friend auto codecFields(const UnansweredStarts& v) { return std::tie(v.m_untilMs); }
+    friend auto codecFields(UnansweredStarts& v) { return std::tie(v.m_starts); }
+    friend auto codecFields(const UnansweredStarts& v) { return std::tie(v.m_starts); }
 
 private:
     /// End of its time, worker id and task.
@@ -40,9 +56,12 @@
 
     void forgetEarliest();
 
-    std::map<std::string, std::map<TaskKey, std::int64_t>> m_untilMs;
-    /// The same, sorted. Derived; not encoded.
+    std::map<std::string, std::map<TaskKey, UnansweredStart>> m_starts;
+    // Indexes derived from the starts; not encoded.
     std::set<Entry> m_byEnd;
+    std::set<std::pair<TaskKey, std::string>> m_byTask;
 };
 
+CROCUSCOVE_FIELDS(UnansweredStart, v.untilMs, v.wasWorkerSeen)
+
 } // namespace crocuscove::jobs
--- a/src/crocuscove/control/late_starts.cpp
+++ b/src/crocuscove/control/late_starts.cpp
@@ -4,33 +4,40 @@
 
 namespace crocuscove::control {
 
-void LateStarts::load(const std::map<jobs::TaskKey, std::int64_t>& recorded)
+void LateStarts::load(const std::map<jobs::TaskKey, jobs::UnansweredStart>& recorded)
 {
     const auto now = base::monotonicNow();
     const std::int64_t unixNowMs = base::wallNow().time_since_epoch().count();
-    for (const auto& [task, untilMs] : recorded) {
-        extend(task, now + std::min(m_maxDelay, base::Milliseconds(untilMs - unixNowMs)));
+    for (const auto& [task, start] : recorded) {
+        const auto left = std::min(m_maxDelay, base::Milliseconds(start.untilMs - unixNowMs));
+        merge(task, { .until = now + left, .wasWorkerSeen = start.wasWorkerSeen });
     }
 }
 
-base::MonotonicTime LateStarts::add(const jobs::TaskKey& task, base::MonotonicTime sentAt)
+void LateStarts::add(const jobs::TaskKey& task, base::MonotonicTime sentAt)
 {
-    extend(task, sentAt + m_maxDelay);
-    return sentAt + m_maxDelay;
+    merge(task, { .until = sentAt + m_maxDelay, .sentAt = sentAt });
 }
 
-void LateStarts::extend(const jobs::TaskKey& task, base::MonotonicTime until)
+void LateStarts::merge(const jobs::TaskKey& task, const LateStart& start)
 {
     LateStart& known = m_starts[task];
-    known.until = std::max(known.until, until);
+    known.until = std::max(known.until, start.until);
+    known.wasWorkerSeen = known.wasWorkerSeen || start.wasWorkerSeen;
+    known.sentAt = std::max(known.sentAt, start.sentAt);
 }
 
-void LateStarts::noteWorkerSeen(base::MonotonicTime seenAt)
+std::vector<jobs::TaskKey> LateStarts::noteWorkerSeen(base::MonotonicTime seenAt)
 {
     std::erase_if(m_starts, [&](const auto& start) { return start.second.until < seenAt; });
+    std::vector<jobs::TaskKey> result;
     for (auto& [task, start] : m_starts) {
-        start.wasWorkerSeen = start.wasWorkerSeen || start.until - m_maxDelay < seenAt;
+        if (!start.wasWorkerSeen && start.sentAt && *start.sentAt < seenAt) {
+            start.wasWorkerSeen = true;
+            result.push_back(task);
+        }
     }
+    return result;
 }
 
 std::optional<LateStart> LateStarts::find(const jobs::TaskKey& task) const
--- a/src/crocuscove/control/late_starts.h
+++ b/src/crocuscove/control/late_starts.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "crocuscove/base/time.h"
-#include "crocuscove/jobs/job.h"
+#include "crocuscove/jobs/unanswered_starts.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace crocuscove::control {
 
@@ -16,6 +16,8 @@
     /// The known incarnation was there after the start was sent, so that the start was lost or delayed, and not the
     /// worker.
     bool wasWorkerSeen = false;
+    /// When it was sent to the known incarnation; not set for one of an earlier session.
+    std::optional<base::MonotonicTime> sentAt {};
 };
 
 /// Tells which starts, of those that a worker id was sent and that got no answer, another incarnation than the one that
@@ -28,22 +30,22 @@
     {
     }
 
-    /// Takes over from the replicated state until when, in Unix milliseconds, starts may be carried out. None is
-    /// carried out later than `maxDelay` from now, whatever the time of day of its sender was.
-    void load(const std::map<jobs::TaskKey, std::int64_t>& recorded);
+    /// Takes over what the replicated state holds. No start is carried out later than `maxDelay` from now, whatever the
+    /// time of day of its sender was.
+    void load(const std::map<jobs::TaskKey, jobs::UnansweredStart>& recorded);
 
-    /// A start of the task that was sent at this time got no answer. Returns until when it may be carried out.
-    base::MonotonicTime add(const jobs::TaskKey& task, base::MonotonicTime sentAt);
+    /// A start of the task that was sent at this time got no answer.
+    void add(const jobs::TaskKey& task, base::MonotonicTime sentAt);
 
     /// The known incarnation was there at this time, so that no other one has carried out a start whose time ended
-    /// before.
-    void noteWorkerSeen(base::MonotonicTime seenAt);
+    /// before. Returns the tasks with starts that it is now known to have outlived.
+    std::vector<jobs::TaskKey> noteWorkerSeen(base::MonotonicTime seenAt);
 
     /// Returns the start of a task whose time ends last, if there is one.
     [[nodiscard]] std::optional<LateStart> find(const jobs::TaskKey& task) const;
 
 private:
-    void extend(const jobs::TaskKey& task, base::MonotonicTime until);
+    void merge(const jobs::TaskKey& task, const LateStart& start);
 
     base::Milliseconds m_maxDelay;
     std::map<jobs::TaskKey, LateStart> m_starts;
--- a/src/crocuscove/control/late_starts_test.cpp
+++ b/src/crocuscove/control/late_starts_test.cpp
@@ -33,10 +33,21 @@
     const auto sentAt = base::monotonicNow();
     LateStarts starts(maxDelay);
     starts.add(task, sentAt);
-    starts.noteWorkerSeen(sentAt);
+    EXPECT_TRUE(starts.noteWorkerSeen(sentAt).empty());
     EXPECT_FALSE(starts.find(task)->wasWorkerSeen);
-    starts.noteWorkerSeen(sentAt + 1ms);
+    EXPECT_EQ(starts.noteWorkerSeen(sentAt + 1ms), std::vector { task });
     EXPECT_TRUE(starts.find(task)->wasWorkerSeen);
+    EXPECT_TRUE(starts.noteWorkerSeen(sentAt + 2ms).empty()) << "that was known";
+}
+
+// Guards against the same when a later incarnation is there: the start may have been lost with the earlier one.
+TEST(LateStartsTest, ALaterIncarnationProvesNothingOfTheWorkerThatTheStartWasSentTo)
+{
+    LateStarts starts(maxDelay);
+    starts.load({ { task, { base::wallNow().time_since_epoch().count() + 10'000, false } } });
+    EXPECT_TRUE(starts.noteWorkerSeen(base::monotonicNow() + 1ms).empty());
+    ASSERT_TRUE(starts.find(task));
+    EXPECT_FALSE(starts.find(task)->wasWorkerSeen);
 }
 
 // Guards against tasks that wait for hours because the time of day was set back between two leaders.
@@ -44,13 +55,14 @@
 {
     const std::int64_t unixNowMs = base::wallNow().time_since_epoch().count();
     LateStarts starts(maxDelay);
-    starts.load({ { task, unixNowMs + 3'600'000 }, { otherTask, unixNowMs + 2'000 } });
+    starts.load({ { task, { unixNowMs + 3'600'000, true } }, { otherTask, { unixNowMs + 2'000 } } });
     const auto now = base::monotonicNow();
     EXPECT_LE(starts.find(task)->until, now + maxDelay);
     EXPECT_GT(starts.find(task)->until, now + maxDelay - 2'000ms);
     EXPECT_LE(starts.find(otherTask)->until, now + 2'000ms);
     EXPECT_GT(starts.find(otherTask)->until, now);
-    EXPECT_FALSE(starts.find(task)->wasWorkerSeen);
+    EXPECT_TRUE(starts.find(task)->wasWorkerSeen);
+    EXPECT_FALSE(starts.find(otherTask)->wasWorkerSeen);
 }
 
 } // namespace
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -382,7 +382,7 @@
     if (m_otherSeenAt && *m_otherSeenAt < sentAt) {
         m_otherSeenAt.reset();
     }
-    m_lateStarts.noteWorkerSeen(sentAt);
+    std::ranges::for_each(m_lateStarts.noteWorkerSeen(sentAt), [this](const auto& task) { recordUnanswered(task); });
     m_isCrashRecorded = false;
     m_answeredAt = now;
     m_aliveAt = now;
@@ -497,11 +497,17 @@
 
 void WorkerSession::noteUnanswered(const jobs::TaskKey& task, base::MonotonicTime sentAt)
 {
-    const auto until = m_lateStarts.add(task, sentAt);
+    m_lateStarts.add(task, sentAt);
+    recordUnanswered(task);
+}
+
+void WorkerSession::recordUnanswered(const jobs::TaskKey& task)
+{
+    const auto late = m_lateStarts.find(task);
     const std::int64_t nowMs = base::wallNow().time_since_epoch().count();
-    const auto left = std::chrono::ceil<base::Milliseconds>(until - base::monotonicNow());
+    const auto left = std::chrono::ceil<base::Milliseconds>(late->until - base::monotonicNow());
     // A run that such a start begins lasts for the longest lease.
-    m_hooks.propose(jobs::RecordUnansweredStart { m_id, task, nowMs + left.count(),
+    m_hooks.propose(jobs::RecordUnansweredStart { m_id, task, { nowMs + left.count(), late->wasWorkerSeen },
                         nowMs - longestLease(m_options.maxTaskLease).count() },
         nullptr);
 }
--- a/src/crocuscove/control/worker_session.h
+++ b/src/crocuscove/control/worker_session.h
@@ -192,6 +192,8 @@
     [[nodiscard]] std::vector<jobs::UnsettledStart> findHeldStarts(base::MonotonicTime now) const;
     /// Remembers that a start got no answer, also for the next leaders.
     void noteUnanswered(const jobs::TaskKey& task, base::MonotonicTime sentAt);
+    /// Proposes the record of what is known of a start without an answer.
+    void recordUnanswered(const jobs::TaskKey& task);
     void recordUnsettledStarts();
     /// Proposes that these starts are unsettled and all other tasks of the worker are free.
     void proposeUnsettled(std::vector<jobs::UnsettledStart> starts);
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -295,7 +295,7 @@
 void FleetState::applyCommand(const RecordUnansweredStart& command)
 {
     m_unansweredStarts.forget(command.forgetBeforeMs);
-    m_unansweredStarts.record(command.worker, command.task, command.untilMs);
+    m_unansweredStarts.record(command.worker, command.task, command.start);
 }
 
 void FleetState::forgetAddress(const Worker& worker)
--- a/src/crocuscove/jobs/fleet_state_crashes.cpp
+++ b/src/crocuscove/jobs/fleet_state_crashes.cpp
@@ -252,7 +252,9 @@
 std::int64_t FleetState::nextStartMs(const TaskKey& key) const
 {
     const auto lost = m_lostRuns.find(key);
-    return lost == m_lostRuns.end() ? 0 : jobs::nextStartMs(key, lost->second, m_unconfirmedByTask.contains(key));
+    const std::int64_t afterLossMs
+        = lost == m_lostRuns.end() ? 0 : jobs::nextStartMs(key, lost->second, m_unconfirmedByTask.contains(key));
+    return std::max(afterLossMs, m_unansweredStarts.delayedUntilMs(key));
 }
 
 bool FleetState::isDeadly(const TaskKey& key) const
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -707,7 +707,7 @@
     const TaskKey key { 1 + pick(4), 0, static_cast<std::uint32_t>(pick(2)), static_cast<std::uint32_t>(pick(3)) };
     const std::uint32_t run = 1 + static_cast<std::uint32_t>(pick(6));
     const WorkerNumber worker = 1 + pick(6);
-    switch (pick(10)) {
+    switch (pick(11)) {
     case 0: {
         StepSpec second = step(3, 1500);
         second.dependencies = { 0 };
@@ -726,6 +726,9 @@
         return pick(2) == 0 ? Command(CancelAcceptedJob { key.job, 1 }) : Command(CancelJob { key.job, 1 });
     case 4:
         return ReleaseTask { key, run };
+    case 8:
+        return RecordUnansweredStart { "w" + std::to_string(pick(3)), key,
+            { static_cast<std::int64_t>(pick(100)), pick(2) == 0 }, static_cast<std::int64_t>(pick(50)) };
     case 7:
         return RecordUnsettledStarts { worker, { { key, run }, { { key.job, 0, 0, 0 }, 1 } } };
     case 6:
--- a/src/crocuscove/jobs/queue_head.cpp
+++ b/src/crocuscove/jobs/queue_head.cpp
@@ -19,6 +19,7 @@
     { WaitReason::NoRoom, "no-room" },
     { WaitReason::NotPlanned, "not-planned" },
     { WaitReason::LostRuns, "lost-runs" },
+    { WaitReason::DelayedStart, "delayed-start" },
 });
 
 /// Jobs of a queue that are ranked, since a backlog can be tens of thousands.
@@ -119,7 +120,8 @@
         }
     }
     if (isPaused(view.state, head.task, view.nowMs)) {
-        improve(WaitReason::LostRuns);
+        const bool isDelayed = view.state.unansweredStarts().delayedUntilMs(head.task) > view.nowMs;
+        improve(isDelayed ? WaitReason::DelayedStart : WaitReason::LostRuns);
     }
 }
 
--- a/src/crocuscove/jobs/scheduler.cpp
+++ b/src/crocuscove/jobs/scheduler.cpp
@@ -523,7 +523,8 @@
 // A step back of the time of day must not prolong the wait.
 bool isPaused(const FleetState& state, const TaskKey& task, std::int64_t nowMs)
 {
-    if (state.lostRuns().empty() || state.findJob(task.job)->spec.steps[task.step].isLongRunning) {
+    const bool mayWait = !state.lostRuns().empty() || !state.unansweredStarts().empty();
+    if (!mayWait || state.findJob(task.job)->spec.steps[task.step].isLongRunning) {
         return false;
     }
     if (state.isDeadly(task)) {
--- a/src/crocuscove/jobs/scheduler_test.cpp
+++ b/src/crocuscove/jobs/scheduler_test.cpp
@@ -427,6 +427,36 @@
     EXPECT_FALSE(isPaused(m_state, { 1, 0, 0, 0 }, lostMs - 3'600'000)) << "the time of day was set back";
 }
 
+// Guards against two runs of a task when the first one has failed, the next one starts elsewhere, and a worker that has
+// started again carries out a delayed start of the first one.
+TEST_F(SchedulerTest, ATaskWithADelayedStartWaitsUntilItCanNoLongerArrive)
+{
+    constexpr std::int64_t untilMs = 14'000;
+    const TaskKey delayed { 1, 0, 0, 0 };
+    const TaskKey lost { 2, 0, 0, 0 };
+    const TaskKey longRunning { 3, 0, 0, 0 };
+    StepSpec lasting = step(1);
+    lasting.isLongRunning = true;
+    m_state.apply(accept(1, { step(2) }));
+    m_state.apply(accept(2, { step(1) }));
+    m_state.apply(accept(3, { lasting }));
+    const WorkerNumber worker = m_state.findWorker("w1")->number;
+    std::uint64_t end = 0;
+    for (const TaskKey& key : { delayed, lost, longRunning }) {
+        m_state.apply(assign(key, 1, worker));
+        m_state.apply(RecordUnansweredStart { "w1", key, { untilMs, false }, 0 });
+        m_state.apply(RecordUnansweredStart { "w1", key, { untilMs, key != lost }, 0 });
+        m_state.apply(ended(worker, ++end, key, 1, TaskEndReason::Failed));
+    }
+    const auto waiting = plan(untilMs - 1);
+    EXPECT_EQ(workerOf(waiting, delayed), 0U);
+    EXPECT_NE(workerOf(waiting, { 1, 0, 0, 1 }), 0U) << "the other task of its step";
+    EXPECT_NE(workerOf(waiting, lost), 0U) << "its start was lost with the worker";
+    EXPECT_NE(workerOf(waiting, longRunning), 0U);
+    EXPECT_NE(workerOf(plan(untilMs), delayed), 0U);
+    EXPECT_FALSE(isPaused(m_state, delayed, untilMs - 3'600'000)) << "the time of day was set back";
+}
+
 // Guards against a task that starts once more after the crash for which its job is given up a little later.
 TEST_F(SchedulerTest, ADeadlyTaskDoesNotStart)
 {
--- a/src/crocuscove/jobs/unanswered_starts.cpp
+++ b/src/crocuscove/jobs/unanswered_starts.cpp
@@ -1,18 +1,17 @@
 #include "crocuscove/jobs/unanswered_starts.h"
 
+#include <algorithm>
+
 namespace crocuscove::jobs {
 
-void UnansweredStarts::record(const std::string& worker, const TaskKey& task, std::int64_t untilMs)
+void UnansweredStarts::record(const std::string& worker, const TaskKey& task, const UnansweredStart& start)
 {
-    const auto [known, isNew] = m_untilMs[worker].try_emplace(task, untilMs);
-    if (!isNew) {
-        if (known->second >= untilMs) {
-            return;
-        }
-        m_byEnd.erase({ known->second, worker, task });
-        known->second = untilMs;
-    }
-    m_byEnd.emplace(untilMs, worker, task);
+    UnansweredStart& known = m_starts[worker][task];
+    known.wasWorkerSeen = known.wasWorkerSeen || start.wasWorkerSeen;
+    m_byEnd.erase({ known.untilMs, worker, task });
+    known.untilMs = std::max(known.untilMs, start.untilMs);
+    m_byEnd.emplace(known.untilMs, worker, task);
+    m_byTask.emplace(task, worker);
     if (m_byEnd.size() > maxUnansweredStarts) {
         forgetEarliest();
     }
@@ -25,20 +24,33 @@
     }
 }
 
-const std::map<TaskKey, std::int64_t>& UnansweredStarts::of(const std::string& worker) const
+const std::map<TaskKey, UnansweredStart>& UnansweredStarts::of(const std::string& worker) const
 {
-    static const std::map<TaskKey, std::int64_t> none;
-    const auto starts = m_untilMs.find(worker);
-    return starts == m_untilMs.end() ? none : starts->second;
+    static const std::map<TaskKey, UnansweredStart> none;
+    const auto starts = m_starts.find(worker);
+    return starts == m_starts.end() ? none : starts->second;
+}
+
+std::int64_t UnansweredStarts::delayedUntilMs(const TaskKey& task) const
+{
+    std::int64_t result = 0;
+    for (auto entry = m_byTask.lower_bound({ task, {} }); entry != m_byTask.end() && entry->first == task; ++entry) {
+        const UnansweredStart& start = m_starts.at(entry->second).at(task);
+        result = start.wasWorkerSeen ? std::max(result, start.untilMs) : result;
+    }
+    return result;
 }
 
 void UnansweredStarts::forgetEarliest()
 {
     const auto earliest = m_byEnd.begin();
-    const auto starts = m_untilMs.find(std::get<std::string>(*earliest));
-    starts->second.erase(std::get<TaskKey>(*earliest));
+    const std::string& worker = std::get<std::string>(*earliest);
+    const TaskKey& task = std::get<TaskKey>(*earliest);
+    m_byTask.erase({ task, worker });
+    const auto starts = m_starts.find(worker);
+    starts->second.erase(task);
     if (starts->second.empty()) {
-        m_untilMs.erase(starts);
+        m_starts.erase(starts);
     }
     m_byEnd.erase(earliest);
 }
@@ -46,9 +58,11 @@
 void UnansweredStarts::rebuildIndex()
 {
     m_byEnd.clear();
-    for (const auto& [worker, starts] : m_untilMs) {
-        for (const auto& [task, untilMs] : starts) {
-            m_byEnd.emplace(untilMs, worker, task);
+    m_byTask.clear();
+    for (const auto& [worker, starts] : m_starts) {
+        for (const auto& [task, start] : starts) {
+            m_byEnd.emplace(start.untilMs, worker, task);
+            m_byTask.emplace(task, worker);
         }
     }
 }
