Starts without an answer: forgotten in quiet times too, and stopped once a second while their worker is silent

Cause: the record was only cleared with the next start without an answer, so that the last ones stayed for good. And a silent worker's held starts, which are more and held for longer now, were stopped again after each pause of 150 ms, each with a connection.

Change: PruneJobs forgets them with the jobs of their time. The stop of a held start of a silent worker is repeated after 1 s; once a later incarnation is seen it is sent at once, as before.

Test: FleetStateTest.AnUnansweredStartIsForgottenWithTheJobsOfItsTime failed without the line in PruneJobs.

--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -289,7 +289,9 @@
                 found->second.phase = OrderPhase::Settled;
                 found->second.since = now + base::Milliseconds(0);
             } else {
-                found->second.sendAgainAt = now + retryPause;
+                // A silent worker may hold many unsettled starts for long.
+                const bool isHeld = m_silentSince && m_state.unsettledStarts().contains(key);
+                found->second.sendAgainAt = now + (isHeld ? renewWait : retryPause);
             }
             found->second.isStopping = isStopped;
             update();
--- a/src/crocuscove/jobs/fleet_state.cpp
+++ b/src/crocuscove/jobs/fleet_state.cpp
@@ -614,6 +614,7 @@
     forgetRemovedQueues();
     std::erase_if(m_jobsByUrl, [](const auto& entry) { return entry.second.empty(); });
     std::erase_if(m_earlyCancels, [&](const auto& cancel) { return cancel.second < command.finishedBeforeMs; });
+    m_unansweredStarts.forget(command.finishedBeforeMs);
 }
 
 void FleetState::forgetUrl(const Job& job)
--- a/src/crocuscove/jobs/fleet_state_test.cpp
+++ b/src/crocuscove/jobs/fleet_state_test.cpp
@@ -624,6 +624,16 @@
     }
 }
 
+// Guards against starts without an answer that are remembered for ever when no further one is recorded.
+TEST_F(FleetStateTest, AnUnansweredStartIsForgottenWithTheJobsOfItsTime)
+{
+    m_state.apply(RecordUnansweredStart { "w1", { 1, 0, 0, 0 }, { 4000, true }, 0 });
+    m_state.apply(PruneJobs { 4000 });
+    EXPECT_FALSE(m_state.unansweredStarts().empty());
+    m_state.apply(PruneJobs { 4001 });
+    EXPECT_TRUE(m_state.unansweredStarts().empty());
+}
+
 // Guards against a task that waits for ever for a worker that doesn't come back.
 TEST_F(FleetStateTest, AnUnsettledStartOfAWorkerThatIsRemovedWaitsForNothing)
 {
