--- a/src/crocuscove/control/late_starts.h
+++ b/src/crocuscove/control/late_starts.h
@@ -38,7 +38,7 @@
     void add(const jobs::TaskKey& task, base::MonotonicTime sentAt);
 
     /// The known incarnation was there at this time, so that no other one has carried out a start whose time ended
-    /// before. Returns the tasks with starts that it is now known to have outlived.
+    /// before. Returns the tasks for whose starts LateStart::wasWorkerSeen became true.
     std::vector<jobs::TaskKey> noteWorkerSeen(base::MonotonicTime seenAt);
 
     /// Returns the start of a task whose time ends last, if there is one.
--- a/src/crocuscove/control/worker_orders.cpp
+++ b/src/crocuscove/control/worker_orders.cpp
@@ -289,7 +289,7 @@
                 found->second.phase = OrderPhase::Settled;
                 found->second.since = now + base::Milliseconds(0);
             } else {
-                // A silent worker may hold many unsettled starts for long.
+                // Many starts may be unsettled for long while a worker is silent; each repeat takes a connection.
                 const bool isHeld = m_silentSince && m_state.unsettledStarts().contains(key);
                 found->second.sendAgainAt = now + (isHeld ? renewWait : retryPause);
             }
--- a/src/crocuscove/control/worker_session.cpp
+++ b/src/crocuscove/control/worker_session.cpp
@@ -524,12 +524,12 @@
 
 void WorkerSession::proposeUnsettled(std::vector<jobs::UnsettledStart> starts)
 {
-    const auto longRunning = std::ranges::count_if(starts, [this](const jobs::UnsettledStart& start) {
+    const auto lastingTasks = std::ranges::count_if(starts, [this](const jobs::UnsettledStart& start) {
         return m_state.findJob(start.task.job)->spec.steps[start.task.step].isLongRunning;
     });
     m_log.warning("starts_unsettled",
         { { "worker", m_id }, { "incarnation", m_incarnation }, { "later", m_laterIncarnation.value_or(0) },
-            { "starts", starts.size() }, { "long_running", longRunning }, { "tasks", runNames(starts) } });
+            { "starts", starts.size() }, { "long_running", lastingTasks }, { "tasks", runNames(starts) } });
     m_isRecordingUnsettled = true;
     m_hooks.propose(
         jobs::RecordUnsettledStarts { m_number, std::move(starts) }, [this, alive = m_isAlive](bool /*isApplied*/) {
--- a/src/crocuscove/control/worker_session_testing.h
+++ b/src/crocuscove/control/worker_session_testing.h
@@ -9,9 +9,12 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
